--- /dev/null
+++ b/internal/fake/store.go
@@ -0,0 +1,240 @@
+// Package fake holds small stand-ins for the systems outside: the platform's
+// object API, the cloud, model engines and plain services, each with faults
+// that can be switched on.
+package fake
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// StoreFaults are the faults of a Store. The zero value is no fault.
+type StoreFaults struct {
+	// Down makes every call fail without effect.
+	Down bool `json:"down,omitempty"`
+	// LatencyMillis delays every call.
+	LatencyMillis wick.Millis `json:"latencyMillis,omitempty"`
+	// LoseAnswers is the share of writes that take effect and report
+	// ErrUnavailable.
+	LoseAnswers wick.Share `json:"loseAnswers,omitempty"`
+	// StaleReads is the share of Get and List calls that show the state of
+	// the last revision but one.
+	StaleReads wick.Share `json:"staleReads,omitempty"`
+}
+
+// StoreCalls counts the calls that a Store got. A waiting watch is one call.
+type StoreCalls struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
+// A Store is an in-memory wick.Store. Its zero value is empty and ready to use.
+type Store struct {
+	mu sync.Mutex
+	// rev is the revision of the last write.
+	rev wick.Revision
+	// objects includes deleted objects, which watches report.
+	objects map[wick.ObjectKey]wick.Object
+	// previous holds the values before the last write, for stale reads.
+	previous map[wick.ObjectKey]wick.Object
+	changed  chan struct{}
+	faults   StoreFaults
+	calls    StoreCalls
+	rnd      *rand.Rand
+	// WatchWait is how long a watch waits; 25 s if zero.
+	WatchWait time.Duration
+}
+
+const defaultWatchWait = 25 * time.Second
+
+var _ wick.Store = (*Store)(nil)
+
+// SetFaults replaces the faults. The seed makes random faults repeatable.
+func (sto *Store) SetFaults(flt StoreFaults, seed uint64) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.faults = flt
+	sto.rnd = rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // faults need a repeatable generator
+}
+
+// Calls returns the calls so far.
+func (sto *Store) Calls() StoreCalls {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	return sto.calls
+}
+
+// Get returns an object.
+func (sto *Store) Get(ctx context.Context, key wick.ObjectKey) (wick.Object, error) {
+	if err := sto.begin(ctx, false); err != nil {
+		return wick.Object{}, err
+	}
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	obj, ok := sto.view()[key]
+	if !ok || obj.Deleted {
+		return wick.Object{}, wick.ErrNotFound
+	}
+	return obj, nil
+}
+
+// List returns the objects of a kind.
+func (sto *Store) List(ctx context.Context, kind wick.Kind) ([]wick.Object, wick.Revision, error) {
+	if err := sto.begin(ctx, false); err != nil {
+		return nil, 0, err
+	}
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	var out []wick.Object
+	for key, obj := range sto.view() {
+		if key.Kind == kind && !obj.Deleted {
+			out = append(out, obj)
+		}
+	}
+	sort.Slice(out, func(idx, jdx int) bool { return out[idx].Key.Name < out[jdx].Key.Name })
+	return out, sto.rev, nil
+}
+
+// Put writes an object if its revision is rev.
+func (sto *Store) Put(ctx context.Context, key wick.ObjectKey, data []byte, rev wick.Revision) (wick.Revision, error) {
+	if len(data) > wick.MaxObjectBytes {
+		return 0, wick.ErrInvalid
+	}
+	return sto.write(ctx, wick.Object{Key: key, Data: append([]byte(nil), data...)}, rev)
+}
+
+// Delete removes an object if its revision is rev.
+func (sto *Store) Delete(ctx context.Context, key wick.ObjectKey, rev wick.Revision) error {
+	_, err := sto.write(ctx, wick.Object{Key: key, Deleted: true}, rev)
+	return err
+}
+
+// Watch waits for changes of a kind.
+func (sto *Store) Watch(ctx context.Context, kind wick.Kind, after wick.Revision) ([]wick.Object, wick.Revision, error) {
+	if err := sto.begin(ctx, false); err != nil {
+		return nil, 0, err
+	}
+	wait := sto.WatchWait
+	if wait == 0 {
+		wait = defaultWatchWait
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		objs, rev, changed, err := sto.changesAfter(kind, after)
+		if err != nil || len(objs) > 0 {
+			return objs, rev, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, rev, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (sto *Store) changesAfter(kind wick.Kind, after wick.Revision) ([]wick.Object, wick.Revision, <-chan struct{}, error) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	if sto.faults.Down {
+		return nil, 0, nil, wick.ErrUnavailable
+	}
+	var out []wick.Object
+	for key, obj := range sto.objects {
+		if key.Kind == kind && obj.Revision > after {
+			out = append(out, obj)
+		}
+	}
+	sort.Slice(out, func(idx, jdx int) bool { return out[idx].Revision < out[jdx].Revision })
+	if sto.changed == nil {
+		sto.changed = make(chan struct{})
+	}
+	return out, sto.rev, sto.changed, nil
+}
+
+// begin counts a call and applies latency and outage.
+func (sto *Store) begin(ctx context.Context, write bool) error {
+	sto.mu.Lock()
+	if write {
+		sto.calls.Writes++
+	} else {
+		sto.calls.Reads++
+	}
+	latency := sto.faults.LatencyMillis.Duration()
+	sto.mu.Unlock()
+	if latency > 0 {
+		select {
+		case <-time.After(latency):
+		case <-ctx.Done():
+			return wick.ErrUnavailable
+		}
+	}
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	if sto.faults.Down || ctx.Err() != nil {
+		return wick.ErrUnavailable
+	}
+	return nil
+}
+
+// view returns the objects that a read shows. The caller holds mu.
+func (sto *Store) view() map[wick.ObjectKey]wick.Object {
+	if sto.draw(sto.faults.StaleReads) {
+		return sto.previous
+	}
+	return sto.objects
+}
+
+// draw returns true with the given probability. The caller holds mu.
+func (sto *Store) draw(prob wick.Share) bool {
+	return prob > 0 && sto.rnd != nil && sto.rnd.Float64() < float64(prob)
+}
+
+func (sto *Store) write(ctx context.Context, obj wick.Object, rev wick.Revision) (wick.Revision, error) {
+	if err := sto.begin(ctx, true); err != nil {
+		return 0, err
+	}
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	old, ok := sto.objects[obj.Key]
+	exists := ok && !old.Deleted
+	if obj.Deleted && !exists {
+		return 0, wick.ErrNotFound
+	}
+	if exists && old.Revision != rev || !exists && rev != 0 {
+		return 0, wick.ErrConflict
+	}
+	sto.keepPrevious()
+	sto.rev++
+	obj.Revision = sto.rev
+	sto.objects[obj.Key] = obj
+	if sto.changed != nil {
+		close(sto.changed)
+		sto.changed = nil
+	}
+	if sto.draw(sto.faults.LoseAnswers) {
+		return 0, wick.ErrUnavailable
+	}
+	return sto.rev, nil
+}
+
+// keepPrevious copies the objects for stale reads. The caller holds mu.
+func (sto *Store) keepPrevious() {
+	if sto.objects == nil {
+		sto.objects = make(map[wick.ObjectKey]wick.Object)
+	}
+	if sto.faults.StaleReads == 0 {
+		return
+	}
+	sto.previous = make(map[wick.ObjectKey]wick.Object, len(sto.objects))
+	for key, obj := range sto.objects {
+		sto.previous[key] = obj
+	}
+}
--- /dev/null
+++ b/pkg/bundle/bundle.go
@@ -0,0 +1,113 @@
+// Package bundle defines the bundle: the versioned, signed document in which
+// operators describe services, model versions, customers and moves.
+package bundle
+
+import (
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// A Bundle is one version of the operators' document. Field names in JSON are
+// camel case, unknown fields are refused.
+type Bundle struct {
+	// Version is one more than Replaces.
+	Version wick.BundleVersion `json:"version"`
+	// Replaces is the version that the operator started from; 0 for the first.
+	Replaces wick.BundleVersion `json:"replaces"`
+	// WriteID identifies the submission, so that a lost answer can be told
+	// from a lost race.
+	WriteID wick.WriteID `json:"writeId,omitempty"`
+	// LedgerShards is fixed by the first version and never changes, since a
+	// change would hash keys to other shards.
+	LedgerShards int `json:"ledgerShards"`
+	// Services have unique names.
+	Services []Service `json:"services"`
+	// Classes have unique names.
+	Classes []Class `json:"classes"`
+	// Customers have unique names and unique key hashes.
+	Customers []Customer `json:"customers"`
+	// Moves have unique names. A service has at most one move.
+	Moves []Move `json:"moves,omitempty"`
+}
+
+// A ServiceKind tells how a service is called.
+type ServiceKind string
+
+// Kinds of services.
+const (
+	KindModel ServiceKind = "model"
+	KindPlain ServiceKind = "plain"
+)
+
+// A Service is one service that callers reach.
+type Service struct {
+	Name wick.Service `json:"name"`
+	Kind ServiceKind  `json:"kind"`
+	// Versions lists the versions that may serve. It is not empty.
+	Versions []wick.ModelVersion `json:"versions"`
+	// Active is the version that serves outside of moves. It is in Versions.
+	Active wick.ModelVersion `json:"active"`
+	// Calls is set for plain services only. The first match decides; a call
+	// that matches none is not idempotent.
+	Calls []Call `json:"calls,omitempty"`
+	// Deduplicates is set when the endpoints deduplicate by idempotency key.
+	Deduplicates bool    `json:"deduplicates,omitempty"`
+	Targets      Targets `json:"targets"`
+}
+
+// A Call describes calls of a plain service.
+type Call struct {
+	Method string `json:"method"`
+	// Path is a prefix of the path below the service.
+	Path       string `json:"path"`
+	Idempotent bool   `json:"idempotent"`
+}
+
+// Targets are latency targets of a service.
+type Targets struct {
+	FirstTokenMillis    wick.Millis `json:"firstTokenMillis,omitempty"`
+	BetweenTokensMillis wick.Millis `json:"betweenTokensMillis,omitempty"`
+	// ReplyMillis is the target for whole replies of plain services.
+	ReplyMillis wick.Millis `json:"replyMillis,omitempty"`
+}
+
+// A Class is one class of endpoints.
+type Class struct {
+	Name    wick.Class   `json:"name"`
+	Service wick.Service `json:"service"`
+	// Slots is how many calls an endpoint runs at once.
+	Slots int `json:"slots"`
+	// ChecksFence is set when the endpoints refuse old fencing numbers.
+	ChecksFence bool `json:"checksFence,omitempty"`
+	// ReportsNotExecuted is set when the endpoints' explicit refusals mean
+	// that the call did not run.
+	ReportsNotExecuted bool `json:"reportsNotExecuted,omitempty"`
+}
+
+// A Customer is one customer of the services.
+type Customer struct {
+	Name wick.Customer `json:"name"`
+	// KeyHash is the SHA-256 of the customer's key, in hex.
+	KeyHash string `json:"keyHash"`
+	// Weight is the customer's weight in fair sharing, at least 1.
+	Weight int `json:"weight"`
+	// MaxInFlight bounds requests at once on one entry; 0 is no bound.
+	MaxInFlight int `json:"maxInFlight,omitempty"`
+	// MaxPerSecond bounds new requests on one entry; 0 is no bound.
+	MaxPerSecond float64 `json:"maxPerSecond,omitempty"`
+}
+
+// A Move takes a service's traffic from one version to another.
+type Move struct {
+	Name    string            `json:"name"`
+	Service wick.Service      `json:"service"`
+	From    wick.ModelVersion `json:"from"`
+	To      wick.ModelVersion `json:"to"`
+	// Deadline is when all traffic must be on To; otherwise the move is undone.
+	Deadline time.Time `json:"deadline"`
+	// MaxShareBeforeProof bounds the share of To until it is proved.
+	MaxShareBeforeProof wick.Share `json:"maxShareBeforeProof"`
+	// WatchMillis is how long To is watched after the last step.
+	WatchMillis wick.Millis `json:"watchMillis,omitempty"`
+}
