Add settings, admin address, keys, caller client and load tool

Cause: the parts under way need settings, a place to show their state, and callers that resume streams and measure latency from outside.

Change: internal/setup validates settings against a JSON Schema and reports every fault with its JSON path. internal/admin serves dump, metrics in the Prometheus text format and health. internal/certs and "keys" make peer certificates and operator keys. pkg/client resumes a streamed answer on another entry. internal/load sends calls open loop and reports HDR percentiles.

--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,117 @@
+// Package admin serves the operators' address of an entry: state dump,
+// metrics and health.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+)
+
+// A Dump returns the state of one part as a value that encodes to JSON.
+type Dump func() any
+
+// A Server answers on the admin address. Its zero value has no parts.
+type Server struct {
+	mu    sync.Mutex
+	dumps map[string]Dump
+	hertz *server.Hertz
+	// Registry holds the metrics; the default registry if nil.
+	Registry metrics.Registry
+}
+
+// Add registers the state dump of a part.
+func (srv *Server) Add(part string, dump Dump) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	if srv.dumps == nil {
+		srv.dumps = make(map[string]Dump)
+	}
+	srv.dumps[part] = dump
+}
+
+// State returns the state of all parts by name.
+func (srv *Server) State() map[string]any {
+	srv.mu.Lock()
+	dumps := make(map[string]Dump, len(srv.dumps))
+	for part, dump := range srv.dumps {
+		dumps[part] = dump
+	}
+	srv.mu.Unlock()
+	state := make(map[string]any, len(dumps))
+	for part, dump := range dumps {
+		state[part] = dump()
+	}
+	return state
+}
+
+// Start listens on addr and serves until Stop.
+func (srv *Server) Start(addr string) error {
+	ln, err := net.Listen("tcp", addr) //nolint:noctx // the listener lives until Stop
+	if err != nil {
+		return eris.Wrap(err, "admin: listen")
+	}
+	srv.hertz = server.New(
+		server.WithListener(ln),
+		server.WithTransport(standard.NewTransporter),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(time.Second),
+		config.Option{F: func(opt *config.Options) { opt.NoDefaultServerHeader = true }},
+	)
+	srv.hertz.GET("/dump", srv.serveDump)
+	srv.hertz.GET("/metrics", srv.serveMetrics)
+	srv.hertz.GET("/healthz", func(_ context.Context, req *app.RequestContext) {
+		req.String(consts.StatusOK, "ok\n")
+	})
+	go func() {
+		if err := srv.hertz.Run(); err != nil {
+			logrus.WithError(err).Debug("admin: server ended")
+		}
+	}()
+	return nil
+}
+
+// Stop ends the server.
+func (srv *Server) Stop(ctx context.Context) error {
+	if srv.hertz == nil {
+		return nil
+	}
+	return srv.hertz.Shutdown(ctx)
+}
+
+func (srv *Server) serveDump(_ context.Context, req *app.RequestContext) {
+	data, err := json.MarshalIndent(srv.State(), "", "  ")
+	if err != nil {
+		req.String(consts.StatusInternalServerError, err.Error())
+		return
+	}
+	req.Data(consts.StatusOK, "application/json", append(data, '\n'))
+}
+
+func (srv *Server) serveMetrics(_ context.Context, req *app.RequestContext) {
+	reg := srv.Registry
+	if reg == nil {
+		reg = metrics.DefaultRegistry
+	}
+	req.Data(consts.StatusOK, "text/plain; version=0.0.4; charset=utf-8", Exposition(reg))
+}
+
+// sortedNames returns the names of all metrics in order.
+func sortedNames(reg metrics.Registry) []string {
+	var names []string
+	reg.Each(func(name string, _ any) { names = append(names, name) })
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/certs/certs.go
@@ -0,0 +1,139 @@
+// Package certs makes the keys that a site needs: an authority and one
+// certificate per entry for the connections between entries, and the key
+// pairs with which operators sign bundles.
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/ed25519"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/base64"
+	"encoding/pem"
+	"math/big"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	authorityName = "wagtailwick peers"
+	// validFor is long because entries keep nothing and get their keys with
+	// their settings; operators replace both together.
+	validFor = 2 * 365 * 24 * time.Hour
+	// backdate allows for clocks that differ between VMs.
+	backdate   = time.Hour
+	serialBits = 120
+)
+
+// An Authority signs the certificates of entries.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	// PEM is the authority's certificate for the settings.
+	PEM string
+}
+
+// A Pair is a certificate and its key in PEM, as settings carry them.
+type Pair struct {
+	Certificate string
+	Key         string
+}
+
+// NewAuthority makes an authority that is valid from now on.
+func NewAuthority(now time.Time) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "certs: generate key")
+	}
+	tmpl, err := template(authorityName, now)
+	if err != nil {
+		return nil, err
+	}
+	tmpl.IsCA = true
+	tmpl.BasicConstraintsValid = true
+	tmpl.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, key.Public(), key)
+	if err != nil {
+		return nil, eris.Wrap(err, "certs: create authority")
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, eris.Wrap(err, "certs: parse authority")
+	}
+	return &Authority{cert: cert, key: key, PEM: encode("CERTIFICATE", der)}, nil
+}
+
+// Issue makes the certificate of an entry. Its common name is the entry id.
+func (aut *Authority) Issue(eid wick.EntryID, now time.Time) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, eris.Wrap(err, "certs: generate key")
+	}
+	tmpl, err := template(string(eid), now)
+	if err != nil {
+		return Pair{}, err
+	}
+	tmpl.KeyUsage = x509.KeyUsageDigitalSignature
+	tmpl.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	tmpl.DNSNames = []string{string(eid)}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, aut.cert, key.Public(), aut.key)
+	if err != nil {
+		return Pair{}, eris.Wrap(err, "certs: create certificate")
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, eris.Wrap(err, "certs: encode key")
+	}
+	return Pair{Certificate: encode("CERTIFICATE", der), Key: encode("PRIVATE KEY", keyDER)}, nil
+}
+
+func template(name string, now time.Time) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, eris.Wrap(err, "certs: draw serial number")
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-backdate),
+		NotAfter:     now.Add(validFor),
+	}, nil
+}
+
+func encode(kind string, der []byte) string {
+	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
+}
+
+// An OperatorKey is the key pair of one operator, in base64.
+type OperatorKey struct {
+	// Public goes into the settings of the entries.
+	Public string `json:"publicKey"`
+	// Seed is secret.
+	Seed string `json:"seed"`
+}
+
+// NewOperatorKey makes a key pair.
+func NewOperatorKey() (OperatorKey, error) {
+	pub, priv, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return OperatorKey{}, eris.Wrap(err, "certs: generate key")
+	}
+	return OperatorKey{
+		Public: base64.StdEncoding.EncodeToString(pub),
+		Seed:   base64.StdEncoding.EncodeToString(priv.Seed()),
+	}, nil
+}
+
+// PrivateKey returns the private key, or wick.ErrInvalid for a malformed seed.
+func (opk OperatorKey) PrivateKey() (ed25519.PrivateKey, error) {
+	seed, err := base64.StdEncoding.DecodeString(opk.Seed)
+	if err != nil || len(seed) != ed25519.SeedSize {
+		return nil, eris.Wrap(wick.ErrInvalid, "certs: seed of operator key")
+	}
+	return ed25519.NewKeyFromSeed(seed), nil
+}
--- /dev/null
+++ b/internal/setup/log.go
@@ -0,0 +1,33 @@
+package setup
+
+import (
+	"io"
+	"sort"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Configure sets the standard logger to the settings.
+func (log Log) Configure(out io.Writer) error {
+	level, err := logrus.ParseLevel(log.Level)
+	if err != nil {
+		return err
+	}
+	logrus.SetLevel(level)
+	logrus.SetOutput(out)
+	if log.Format == FormatJSON {
+		logrus.SetFormatter(&logrus.JSONFormatter{})
+	} else {
+		logrus.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	}
+	return nil
+}
+
+func sortFaults(faults []Fault) {
+	sort.Slice(faults, func(idx, jdx int) bool {
+		if faults[idx].Path != faults[jdx].Path {
+			return faults[idx].Path < faults[jdx].Path
+		}
+		return faults[idx].Message < faults[jdx].Message
+	})
+}
