--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -17,6 +17,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -111,6 +112,7 @@
 
 // An OperatorKey is the key pair of one operator, in base64.
 type OperatorKey struct {
+	Name bundle.KeyName `json:"name"`
 	// Public goes into the settings of the entries.
 	Public string `json:"publicKey"`
 	// Seed is secret.
@@ -118,22 +120,23 @@
 }
 
 // NewOperatorKey makes a key pair.
-func NewOperatorKey() (OperatorKey, error) {
+func NewOperatorKey(name bundle.KeyName) (OperatorKey, error) {
 	pub, priv, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
 		return OperatorKey{}, eris.Wrap(err, "certs: generate key")
 	}
 	return OperatorKey{
+		Name:   name,
 		Public: base64.StdEncoding.EncodeToString(pub),
 		Seed:   base64.StdEncoding.EncodeToString(priv.Seed()),
 	}, nil
 }
 
-// PrivateKey returns the private key, or wick.ErrInvalid for a malformed seed.
-func (opk OperatorKey) PrivateKey() (ed25519.PrivateKey, error) {
+// Signer returns the key for signing, or wick.ErrInvalid for a malformed seed.
+func (opk OperatorKey) Signer() (bundle.Signer, error) {
 	seed, err := base64.StdEncoding.DecodeString(opk.Seed)
 	if err != nil || len(seed) != ed25519.SeedSize {
-		return nil, eris.Wrap(wick.ErrInvalid, "certs: seed of operator key")
+		return bundle.Signer{}, eris.Wrap(wick.ErrInvalid, "certs: seed of operator key")
 	}
-	return ed25519.NewKeyFromSeed(seed), nil
+	return bundle.Signer{Name: opk.Name, Key: ed25519.NewKeyFromSeed(seed)}, nil
 }
--- a/internal/cmds/keys.go
+++ b/internal/cmds/keys.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailwick/wagtailwick/internal/certs"
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -44,17 +45,18 @@
 
 func keysOperatorCommand(app *kingpin.Application, ev *env) (string, func() error) {
 	cmd := keysParent(app).Command("operator", "Make a key pair for signing bundles. The public key goes into \"operatorKeys\" of the settings.\n\n"+
-		"Example: wagtailwick keys operator --file keys/marie.json")
+		"Example: wagtailwick keys operator --name marie --file keys/marie.json")
+	name := cmd.Flag("name", "Name of the operator in the settings.").Required().String()
 	file := cmd.Flag("file", "File for the key pair.").Required().String()
 	return cmd.FullCommand(), func() error {
-		key, err := certs.NewOperatorKey()
+		key, err := certs.NewOperatorKey(bundle.KeyName(*name))
 		if err != nil {
 			return err
 		}
 		if err := writeSecret(ev, *file, key); err != nil {
 			return err
 		}
-		_, err = fmt.Fprintf(ev.stdout, "public key %s\n", key.Public)
+		_, err = fmt.Fprintf(ev.stdout, "public key of %s: %s\n", key.Name, key.Public)
 		return err
 	}
 }
--- a/internal/setup/log.go
+++ b/internal/setup/log.go
@@ -5,6 +5,8 @@
 	"sort"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 )
 
 // Configure sets the standard logger to the settings.
@@ -23,7 +25,7 @@
 	return nil
 }
 
-func sortFaults(faults []Fault) {
+func sortFaults(faults []bundle.Fault) {
 	sort.Slice(faults, func(idx, jdx int) bool {
 		if faults[idx].Path != faults[jdx].Path {
 			return faults[idx].Path < faults[jdx].Path
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -3,11 +3,9 @@
 
 import (
 	"bytes"
-	"crypto/ed25519"
 	"crypto/tls"
 	"crypto/x509"
 	_ "embed"
-	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -19,6 +17,7 @@
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -31,11 +30,11 @@
 	Listen   Listen   `json:"listen"`
 	Platform Platform `json:"platform"`
 	Peers    Peers    `json:"peers"`
-	// OperatorKeys are the base64 ed25519 public keys whose signatures put a
-	// bundle into force. At least one is set.
-	OperatorKeys []string `json:"operatorKeys"`
-	Log          Log      `json:"log"`
-	Limits       Limits   `json:"limits"`
+	// OperatorKeys are the public keys of the operators by name. At least two
+	// are set, because submitter and signer must differ.
+	OperatorKeys bundle.Keys `json:"operatorKeys"`
+	Log          Log         `json:"log"`
+	Limits       Limits      `json:"limits"`
 }
 
 // Entry names the entry.
@@ -106,46 +105,36 @@
 	}
 }
 
-// A Fault is one fault of a settings document.
-type Fault struct {
-	// Path is the JSON path of the value, such as "$.listen.admin".
-	Path    string
-	Message string
-}
-
-// String returns "path: message".
-func (flt Fault) String() string { return flt.Path + ": " + flt.Message }
-
 // Parse decodes and validates settings. All faults are returned at once.
-func Parse(data []byte) (Settings, []Fault) {
+func Parse(data []byte) (Settings, []bundle.Fault) {
 	set := Default()
 	if faults := checkSchema(data); len(faults) > 0 {
 		sortFaults(faults)
 		return set, faults
 	}
 	if err := json.Unmarshal(data, &set); err != nil {
-		return set, []Fault{{Path: "$", Message: err.Error()}}
+		return set, []bundle.Fault{{Path: "$", Message: err.Error()}}
 	}
 	return set, set.check()
 }
 
 // checkSchema validates the document against settings.schema.json.
-func checkSchema(data []byte) []Fault {
+func checkSchema(data []byte) []bundle.Fault {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
 	if err != nil {
-		return []Fault{{Path: "$", Message: "not valid JSON: " + err.Error()}}
+		return []bundle.Fault{{Path: "$", Message: "not valid JSON: " + err.Error()}}
 	}
 	schemaDoc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaJSON))
 	if err != nil {
-		return []Fault{{Path: "$", Message: "schema: " + err.Error()}}
+		return []bundle.Fault{{Path: "$", Message: "schema: " + err.Error()}}
 	}
 	comp := jsonschema.NewCompiler()
 	if err := comp.AddResource("settings.schema.json", schemaDoc); err != nil {
-		return []Fault{{Path: "$", Message: "schema: " + err.Error()}}
+		return []bundle.Fault{{Path: "$", Message: "schema: " + err.Error()}}
 	}
 	schema, err := comp.Compile("settings.schema.json")
 	if err != nil {
-		return []Fault{{Path: "$", Message: "schema: " + err.Error()}}
+		return []bundle.Fault{{Path: "$", Message: "schema: " + err.Error()}}
 	}
 	err = schema.Validate(doc)
 	if err == nil {
@@ -153,36 +142,41 @@
 	}
 	verr, ok := err.(*jsonschema.ValidationError) //nolint:errorlint // Validate returns the type unwrapped
 	if !ok {
-		return []Fault{{Path: "$", Message: err.Error()}}
+		return []bundle.Fault{{Path: "$", Message: err.Error()}}
 	}
 	return schemaFaults(verr, message.NewPrinter(language.English))
 }
 
 // schemaFaults returns the leaves of a validation error.
-func schemaFaults(verr *jsonschema.ValidationError, printer *message.Printer) []Fault {
+func schemaFaults(verr *jsonschema.ValidationError, printer *message.Printer) []bundle.Fault {
 	if len(verr.Causes) == 0 {
-		path := strings.Join(append([]string{"$"}, verr.InstanceLocation...), ".")
+		path := jsonPath(verr.InstanceLocation)
 		if extra, ok := verr.ErrorKind.(*kind.AdditionalProperties); ok {
-			faults := make([]Fault, 0, len(extra.Properties))
+			faults := make([]bundle.Fault, 0, len(extra.Properties))
 			for _, name := range extra.Properties {
-				faults = append(faults, Fault{Path: path + "." + name, Message: "unknown field"})
+				faults = append(faults, bundle.Fault{Path: path + "." + name, Message: "unknown field"})
 			}
 			return faults
 		}
-		return []Fault{{Path: path, Message: verr.ErrorKind.LocalizedString(printer)}}
+		return []bundle.Fault{{Path: path, Message: verr.ErrorKind.LocalizedString(printer)}}
 	}
-	var faults []Fault
+	var faults []bundle.Fault
 	for _, cause := range verr.Causes {
 		faults = append(faults, schemaFaults(cause, printer)...)
 	}
 	return faults
 }
 
+// jsonPath returns the path of a value, such as "$.limits.maxQueued".
+func jsonPath(parts []string) string {
+	return strings.Join(append([]string{"$"}, parts...), ".")
+}
+
 // check validates what the schema can't express.
-func (set *Settings) check() []Fault {
-	var faults []Fault
+func (set *Settings) check() []bundle.Fault {
+	var faults []bundle.Fault
 	add := func(path, format string, args ...any) {
-		faults = append(faults, Fault{Path: path, Message: fmt.Sprintf(format, args...)})
+		faults = append(faults, bundle.Fault{Path: path, Message: fmt.Sprintf(format, args...)})
 	}
 	for path, addr := range map[string]string{
 		"$.listen.callers": set.Listen.Callers,
@@ -202,31 +196,29 @@
 	if _, err := logrus.ParseLevel(set.Log.Level); err != nil {
 		add("$.log.level", "unknown level %q", set.Log.Level)
 	}
-	for idx, text := range set.OperatorKeys {
-		if raw, err := base64.StdEncoding.DecodeString(text); err != nil || len(raw) != ed25519.PublicKeySize {
-			add(fmt.Sprintf("$.operatorKeys.%d", idx), "not a base64 ed25519 public key of %d bytes", ed25519.PublicKeySize)
-		}
+	if err := set.OperatorKeys.Check(); err != nil {
+		add("$.operatorKeys", "%v", err)
 	}
 	faults = append(faults, set.checkPeers()...)
 	sortFaults(faults)
 	return faults
 }
 
-func (set *Settings) checkPeers() []Fault {
-	var faults []Fault
+func (set *Settings) checkPeers() []bundle.Fault {
+	var faults []bundle.Fault
 	cert, err := tls.X509KeyPair([]byte(set.Peers.Certificate), []byte(set.Peers.Key))
 	if err != nil {
 		// The text of the error never contains key material.
-		return append(faults, Fault{Path: "$.peers.certificate", Message: "certificate and key don't fit: " + err.Error()})
+		return append(faults, bundle.Fault{Path: "$.peers.certificate", Message: "certificate and key don't fit: " + err.Error()})
 	}
 	if name := cert.Leaf.Subject.CommonName; name != string(set.Entry.ID) {
-		faults = append(faults, Fault{
+		faults = append(faults, bundle.Fault{
 			Path:    "$.peers.certificate",
 			Message: fmt.Sprintf("common name %q is not the entry id %q", name, set.Entry.ID),
 		})
 	}
 	if !x509.NewCertPool().AppendCertsFromPEM([]byte(set.Peers.Authority)) {
-		faults = append(faults, Fault{Path: "$.peers.authority", Message: "no certificate in PEM"})
+		faults = append(faults, bundle.Fault{Path: "$.peers.authority", Message: "no certificate in PEM"})
 	}
 	return faults
 }
@@ -242,17 +234,6 @@
 	return nil
 }
 
-// Keys returns the operators' public keys of valid settings.
-func (set *Settings) Keys() []ed25519.PublicKey {
-	var keys []ed25519.PublicKey
-	for _, text := range set.OperatorKeys {
-		if raw, err := base64.StdEncoding.DecodeString(text); err == nil {
-			keys = append(keys, raw)
-		}
-	}
-	return keys
-}
-
 // Redacted returns a copy without secrets, for state dumps.
 func (set *Settings) Redacted() Settings {
 	out := *set
