--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,93 @@
+// Package cloud is the client of the cloud's API for VMs.
+package cloud
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/wire"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	defaultTimeout = 5 * time.Second
+	// maxListBytes holds 10,000 endpoints and 1,900 entries at 1 KiB each.
+	maxListBytes = 16 << 20
+)
+
+// A Client implements wick.Cloud. URL must be set; other zero values are ready
+// to use.
+type Client struct {
+	// HTTP holds the connections.
+	HTTP wire.Client
+	// URL is the base of the API, without a slash at its end.
+	URL string
+	// Timeout bounds each call; 5 s if zero.
+	Timeout time.Duration
+}
+
+var _ wick.Cloud = (*Client)(nil)
+
+// A ListReply is the reply of GET /vms.
+type ListReply struct {
+	VMs []wick.VM `json:"vms"`
+}
+
+// VMs returns the list of VMs, which lags behind.
+func (cli *Client) VMs(ctx context.Context) ([]wick.VM, error) {
+	var rep ListReply
+	err := cli.call(ctx, "cloud: list", wire.Call{Method: http.MethodGet, URL: cli.URL + "/vms"}, nil, &rep)
+	return rep.VMs, err
+}
+
+// Start orders a VM. An order that fails with wick.ErrUnavailable may be
+// repeated with the same token.
+func (cli *Client) Start(ctx context.Context, ord wick.StartOrder) (wick.VM, error) {
+	var vm wick.VM
+	err := cli.call(ctx, "cloud: start", wire.Call{
+		Method: http.MethodPost, URL: cli.URL + "/vms",
+		Header: http.Header{wire.HeaderKey: {ord.Token}},
+	}, ord, &vm)
+	return vm, err
+}
+
+// Stop ends a VM.
+func (cli *Client) Stop(ctx context.Context, vid wick.VMID) error {
+	return cli.call(ctx, "cloud: stop", wire.Call{
+		Method: http.MethodDelete, URL: cli.URL + "/vms/" + url.PathEscape(string(vid)),
+	}, nil, nil)
+}
+
+// Register adds a VM to the list of a cloud stand-in, or replaces the VM with
+// the same id. It is not part of the cloud's API.
+func (cli *Client) Register(ctx context.Context, vm wick.VM) error {
+	return cli.call(ctx, "cloud: register", wire.Call{
+		Method: http.MethodPut, URL: cli.URL + "/vms/" + url.PathEscape(string(vm.ID)),
+	}, vm, nil)
+}
+
+func (cli *Client) call(ctx context.Context, op string, call wire.Call, in, out any) error {
+	wait := cli.Timeout
+	if wait == 0 {
+		wait = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	ans, err := cli.HTTP.JSON(ctx, call, in, out, maxListBytes)
+	switch {
+	case err != nil:
+		return wire.Fail(wick.ErrUnavailable, op, err)
+	case ans.Status/100 == 2:
+		return nil
+	case ans.Status == http.StatusNotFound:
+		return wire.StatusError(ans, wick.ErrNotFound, op)
+	case ans.Status == http.StatusTooManyRequests || ans.Status == http.StatusConflict:
+		return wire.StatusError(ans, wick.ErrBusy, op)
+	}
+	if err := wire.Refusal(ans, op); err != nil {
+		return wire.Fail(wick.ErrBusy, op, err)
+	}
+	return wire.StatusError(ans, wick.ErrUnavailable, op)
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,183 @@
+// Package engine is the client of model engines: OpenAI-style completions as
+// server-sent events, with attempt ids and token indexes.
+package engine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/wire"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	defaultCallTimeout  = 2 * time.Second
+	defaultTokenTimeout = 30 * time.Second
+	maxReplyBytes       = 1 << 20
+	maxProblemBytes     = 64 << 10
+)
+
+// A Client implements wick.Engine. Its zero value is ready to use.
+type Client struct {
+	// HTTP holds the connections.
+	HTTP wire.Client
+	// TokenTimeout bounds the wait for the next part of an answer, the wait
+	// for the first token included; 30 s if zero.
+	TokenTimeout time.Duration
+	// CallTimeout bounds calls other than Generate; 2 s if zero.
+	CallTimeout time.Duration
+	// LoadTimeout bounds the wait for a load report; 1 s if zero.
+	LoadTimeout time.Duration
+	// AttemptOptional accepts events that name no attempt. Without it such
+	// events are dropped like those of another attempt.
+	AttemptOptional bool
+}
+
+var _ wick.Engine = (*Client)(nil)
+
+// A CompletionRequest is the body of POST /v1/completions and
+// /v1/chat/completions.
+type CompletionRequest struct {
+	Model     wick.ModelVersion `json:"model"`
+	Service   wick.Service      `json:"service,omitempty"`
+	Prompt    string            `json:"prompt,omitempty"`
+	Messages  []wick.Message    `json:"messages,omitempty"`
+	MaxTokens wick.Tokens       `json:"max_tokens,omitempty"`
+	Stream    bool              `json:"stream"`
+	Priority  wick.Priority     `json:"priority"`
+	Attempt   wick.AttemptID    `json:"attempt"`
+	// ContinueFrom holds the tokens already generated.
+	ContinueFrom []string `json:"continueFrom,omitempty"`
+}
+
+// An AttemptRequest is the body of POST /cancel, /kv/export and /kv/import.
+type AttemptRequest struct {
+	Attempt wick.AttemptID `json:"attempt"`
+	Handle  wick.KVHandle  `json:"handle,omitempty"`
+}
+
+// An ExportReply is the reply of POST /kv/export.
+type ExportReply struct {
+	Handle wick.KVHandle `json:"handle"`
+}
+
+// A CacheEventsReply is the reply of GET /cacheEvents.
+type CacheEventsReply struct {
+	Events []wick.CacheEvent `json:"events"`
+}
+
+// Generate runs one attempt. It sends the completion at most once.
+func (cli *Client) Generate(ctx context.Context, vm wick.VM, gen wick.Generation, sink func(wick.Token) error) (wick.Generated, error) {
+	const op = "engine: generate"
+	if gen.Import != "" {
+		// A failed import only costs a new prefill.
+		_ = cli.post(ctx, vm, "/kv/import", AttemptRequest{Attempt: gen.Attempt, Handle: gen.Import}, nil)
+	}
+	path := "/v1/completions"
+	if len(gen.Prompt.Messages) > 0 {
+		path = "/v1/chat/completions"
+	}
+	call := wire.Call{Method: http.MethodPost, URL: "http://" + vm.Address + path, Once: true, Stall: cli.TokenTimeout}
+	if call.Stall == 0 {
+		call.Stall = defaultTokenTimeout
+	}
+	rep, err := cli.HTTP.DoJSON(ctx, call, CompletionRequest{
+		Model: gen.Version, Service: gen.Service, Prompt: gen.Prompt.Text, Messages: gen.Prompt.Messages,
+		MaxTokens: gen.MaxTokens, Stream: true, Priority: gen.Priority, Attempt: gen.Attempt, ContinueFrom: gen.Continue,
+	})
+	if err != nil {
+		return wick.Generated{}, err
+	}
+	defer rep.Close()
+	if err := wire.CheckAttempt(rep.Header, gen.Attempt, op); err != nil {
+		return wick.Generated{}, err
+	}
+	if rep.Status != http.StatusOK {
+		return wick.Generated{}, refused(rep, op)
+	}
+	rdr := reader{att: gen.Attempt, optional: cli.AttemptOptional, next: wick.Tokens(len(gen.Continue)), sink: sink}
+	out, err := rdr.run(rep)
+	if err != nil {
+		if ctx.Err() != nil {
+			err = errors.Join(context.Cause(ctx), err)
+		}
+		return wick.Generated{}, wire.Fail(wick.ErrTruncated, op, err)
+	}
+	return out, nil
+}
+
+func refused(rep *wire.Reply, op string) error {
+	body, err := rep.ReadAll(maxProblemBytes)
+	if err != nil {
+		return err
+	}
+	ans := wire.Answer{Status: rep.Status, Header: rep.Header, Body: body}
+	if err := wire.Refusal(ans, op); err != nil {
+		return err
+	}
+	return wire.StatusError(ans, wick.ErrUnknownOutcome, op)
+}
+
+// Cancel ends an attempt.
+func (cli *Client) Cancel(ctx context.Context, vm wick.VM, att wick.AttemptID) error {
+	return cli.post(ctx, vm, "/cancel", AttemptRequest{Attempt: att}, nil)
+}
+
+// Export copies the KV cache of an attempt.
+func (cli *Client) Export(ctx context.Context, vm wick.VM, att wick.AttemptID) (wick.KVHandle, error) {
+	var rep ExportReply
+	err := cli.post(ctx, vm, "/kv/export", AttemptRequest{Attempt: att}, &rep)
+	return rep.Handle, err
+}
+
+// Load returns the endpoint's load report.
+func (cli *Client) Load(ctx context.Context, vm wick.VM) (wick.LoadReport, error) {
+	return cli.HTTP.Load(ctx, vm, cli.LoadTimeout)
+}
+
+// CacheEvents returns the events after the given sequence number.
+func (cli *Client) CacheEvents(ctx context.Context, vm wick.VM, after uint64) ([]wick.CacheEvent, error) {
+	var rep CacheEventsReply
+	err := cli.call(ctx, wire.Call{
+		Method: http.MethodGet,
+		URL:    "http://" + vm.Address + "/cacheEvents?after=" + strconv.FormatUint(after, 10),
+	}, nil, &rep)
+	return rep.Events, err
+}
+
+// Order gives an order.
+func (cli *Client) Order(ctx context.Context, vm wick.VM, ord wick.Order) error {
+	return cli.post(ctx, vm, "/orders", ord, nil)
+}
+
+func (cli *Client) post(ctx context.Context, vm wick.VM, path string, in, out any) error {
+	return cli.call(ctx, wire.Call{Method: http.MethodPost, URL: "http://" + vm.Address + path}, in, out)
+}
+
+// call sends a short call. These calls are harmless when repeated, so every
+// failure without a reply is wick.ErrUnavailable.
+func (cli *Client) call(ctx context.Context, call wire.Call, in, out any) error {
+	const op = "engine: call"
+	wait := cli.CallTimeout
+	if wait == 0 {
+		wait = defaultCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	ans, err := cli.HTTP.JSON(ctx, call, in, out, maxReplyBytes)
+	switch {
+	case err != nil:
+		return wire.Fail(wick.ErrUnavailable, op, err)
+	case ans.Status/100 == 2:
+		return nil
+	case ans.Status == http.StatusNotFound:
+		return wire.StatusError(ans, wick.ErrNotFound, op)
+	}
+	if err := wire.Refusal(ans, op); err != nil {
+		return err
+	}
+	return wire.StatusError(ans, wick.ErrUnavailable, op)
+}
--- /dev/null
+++ b/internal/wire/problem.go
@@ -0,0 +1,120 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// Types of the problem documents (RFC 9457) that endpoints send.
+const (
+	ProblemBusy       = "urn:wagtailwick:problem:busy"
+	ProblemLeaving    = "urn:wagtailwick:problem:leaving"
+	ProblemStaleFence = "urn:wagtailwick:problem:staleFence"
+	ProblemFailed     = "urn:wagtailwick:problem:failed"
+)
+
+// Media types and header names of the protocols with outside systems.
+const (
+	ProblemMedia  = "application/problem+json"
+	JSONMedia     = "application/json"
+	HeaderType    = "Content-Type"
+	HeaderAttempt = "X-Attempt-Id"
+	HeaderKey     = "Idempotency-Key"
+	HeaderRetry   = "Retry-After"
+)
+
+// ExecutedNo is the value of Problem.Executed that says that the call did not
+// run.
+const ExecutedNo = "no"
+
+// A Problem is a problem document.
+type Problem struct {
+	Type     string `json:"type"`
+	Title    string `json:"title,omitempty"`
+	Status   int    `json:"status,omitempty"`
+	Detail   string `json:"detail,omitempty"`
+	Executed string `json:"executed,omitempty"`
+}
+
+// An Error is a failed call. It wraps its sentinel error and its cause.
+type Error struct {
+	Kind  error
+	Op    string
+	Cause error
+}
+
+// Error returns the failure's text.
+func (err *Error) Error() string {
+	if err.Cause == nil {
+		return err.Op + ": " + err.Kind.Error()
+	}
+	return err.Op + ": " + err.Kind.Error() + ": " + err.Cause.Error()
+}
+
+// Unwrap returns the sentinel error and the cause.
+func (err *Error) Unwrap() []error {
+	if err.Cause == nil {
+		return []error{err.Kind}
+	}
+	return []error{err.Kind, err.Cause}
+}
+
+// Fail returns an error that wraps kind and cause, which may be nil.
+func Fail(kind error, op string, cause error) error {
+	return &Error{Kind: kind, Op: op, Cause: cause}
+}
+
+// ParseProblem returns the problem document of a complete reply.
+func ParseProblem(ans Answer) (Problem, bool) {
+	media, _, err := mime.ParseMediaType(ans.Header.Get(HeaderType))
+	if err != nil || media != ProblemMedia || ans.Status < http.StatusBadRequest {
+		return Problem{}, false
+	}
+	var pro Problem
+	if json.Unmarshal(ans.Body, &pro) != nil {
+		return Problem{}, false
+	}
+	return pro, true
+}
+
+// Refusal returns an error that wraps wick.ErrNotExecuted if the complete
+// reply says that the call did not run, and nil otherwise.
+func Refusal(ans Answer, op string) error {
+	pro, ok := ParseProblem(ans)
+	if !ok || pro.Executed != ExecutedNo {
+		return nil
+	}
+	var cause error
+	switch pro.Type {
+	case ProblemLeaving:
+		cause = wick.ErrLeaving
+	case ProblemBusy:
+		cause = wick.ErrBusy
+	case ProblemStaleFence:
+		cause = wick.ErrStaleFence
+	default:
+		cause = errors.New(pro.Type + ": " + pro.Title)
+	}
+	secs, err := strconv.Atoi(ans.Header.Get(HeaderRetry))
+	if err == nil && secs > 0 {
+		cause = &wick.RetryAfterError{Err: cause, After: time.Duration(secs) * time.Second}
+	}
+	return Fail(wick.ErrNotExecuted, op, cause)
+}
+
+// CheckAttempt returns an error that wraps wick.ErrUnknownOutcome if the reply
+// names another attempt. A reply that names none passes, since not every
+// endpoint echoes the attempt.
+func CheckAttempt(header http.Header, att wick.AttemptID, op string) error {
+	got := header.Get(HeaderAttempt)
+	if got == "" || got == string(att) {
+		return nil
+	}
+	return Fail(wick.ErrUnknownOutcome, op, errors.New("reply of another attempt: "+got))
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,223 @@
+// Package wire is the HTTP/1.1 client that the packages for outside systems
+// share. It tells whether any byte of a call was handed to a connection, and
+// it hands a call that must run once to at most one connection.
+package wire
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	defaultMaxConns    = 256
+	defaultMaxIdle     = 32
+	defaultDialTimeout = time.Second
+	// defaultConnTimeout covers one lost SYN (retransmitted after 1 s).
+	defaultConnTimeout = 2 * time.Second
+	defaultStall       = 30 * time.Second
+	defaultIdleTimeout = 30 * time.Second
+	maxHeaderBytes     = 64 << 10
+)
+
+var (
+	errNoConn    = errors.New("no connection in time")
+	errStalled   = errors.New("no data in time")
+	errSecond    = errors.New("call was already handed to another connection")
+	errSealed    = errors.New("call ended before it was sent")
+	errTooLarge  = errors.New("reply exceeds the size limit")
+	errNoLength  = errors.New("reply has neither length nor chunks")
+	errSwitching = errors.New("unexpected protocol switch")
+)
+
+// A Client sends calls over pooled connections. Its zero value is ready to
+// use, and it must not be copied after the first call.
+type Client struct {
+	// MaxConns bounds the connections to one address; 256 if zero.
+	MaxConns int
+	// ConnTimeout bounds the wait for a connection until the first byte is
+	// written, a full pool included; 2 s if zero.
+	ConnTimeout time.Duration
+	// IdleTimeout is how long a pooled connection stays unused; 30 s if zero.
+	IdleTimeout time.Duration
+
+	once sync.Once
+	tra  *http.Transport
+}
+
+// A Call is one HTTP request.
+type Call struct {
+	Method string
+	URL    string
+	Header http.Header
+	Body   []byte
+	// Once keeps net/http from sending the call a second time. Without it,
+	// net/http repeats GET calls and calls with an Idempotency-Key that fail
+	// on a reused connection.
+	Once bool
+	// Stall bounds the wait for the next part of the reply; 30 s if zero.
+	Stall time.Duration
+}
+
+// A Reply is an HTTP response whose body is being read. Close must be called.
+type Reply struct {
+	Status int
+	Header http.Header
+
+	body io.ReadCloser
+	// sized is set when the end of the body can be told from a broken
+	// connection.
+	sized  bool
+	stall  time.Duration
+	timer  *time.Timer
+	cancel context.CancelCauseFunc
+}
+
+func orDefault(val, def time.Duration) time.Duration {
+	if val == 0 {
+		return def
+	}
+	return val
+}
+
+func (cli *Client) transport() *http.Transport {
+	cli.once.Do(func() {
+		maxConns := cli.MaxConns
+		if maxConns == 0 {
+			maxConns = defaultMaxConns
+		}
+		dialer := &net.Dialer{Timeout: defaultDialTimeout, KeepAlive: 5 * time.Second}
+		cli.tra = &http.Transport{
+			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				con, err := dialer.DialContext(ctx, network, addr)
+				if err != nil {
+					return nil, err
+				}
+				return &conn{Conn: con}, nil
+			},
+			MaxConnsPerHost:        maxConns,
+			MaxIdleConnsPerHost:    min(maxConns, defaultMaxIdle),
+			IdleConnTimeout:        orDefault(cli.IdleTimeout, defaultIdleTimeout),
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		}
+	})
+	return cli.tra
+}
+
+// Close closes the idle connections.
+func (cli *Client) Close() { cli.transport().CloseIdleConnections() }
+
+// Do sends a call and returns the reply when its header has been read. The
+// error wraps wick.ErrNotSent if no byte of the call was handed to a
+// connection, and wick.ErrUnknownOutcome otherwise. Redirects are not followed.
+func (cli *Client) Do(ctx context.Context, call Call) (*Reply, error) {
+	outer := ctx
+	ctx, cancel := context.WithCancelCause(ctx)
+	rec := &record{once: call.Once, cancel: cancel}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { rec.bind(info.Conn) },
+	})
+	req, err := http.NewRequestWithContext(ctx, call.Method, call.URL, bytes.NewReader(call.Body))
+	if err != nil {
+		cancel(err)
+		return nil, Fail(wick.ErrNotSent, call.Method, err)
+	}
+	if call.Header != nil {
+		req.Header = call.Header.Clone()
+	}
+	rep := &Reply{stall: orDefault(call.Stall, defaultStall), cancel: cancel}
+	rep.timer = time.AfterFunc(rep.stall, func() { cancel(errStalled) })
+	wait := time.AfterFunc(orDefault(cli.ConnTimeout, defaultConnTimeout), func() {
+		if rec.seal() {
+			cancel(errNoConn)
+		}
+	})
+	defer wait.Stop()
+	res, err := cli.transport().RoundTrip(req)
+	if err == nil && res.StatusCode == http.StatusSwitchingProtocols {
+		res.Body.Close()
+		err = errSwitching
+	}
+	if err != nil {
+		kind := wick.ErrUnknownOutcome
+		if rec.seal() {
+			kind = wick.ErrNotSent
+		}
+		if cause := context.Cause(ctx); cause != nil && outer.Err() == nil {
+			err = cause
+		}
+		rep.Close()
+		return nil, Fail(kind, call.Method, err)
+	}
+	rep.Status, rep.Header, rep.body = res.StatusCode, res.Header, res.Body
+	rep.sized = res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Body == http.NoBody
+	rep.timer.Stop()
+	return rep, nil
+}
+
+// Read reads from the reply's body. A body that is shorter than announced
+// ends with io.ErrUnexpectedEOF.
+func (rep *Reply) Read(buf []byte) (int, error) {
+	rep.timer.Reset(rep.stall)
+	defer rep.timer.Stop()
+	return rep.body.Read(buf)
+}
+
+// SetStall changes the bound on the wait for the next part of the reply.
+func (rep *Reply) SetStall(stall time.Duration) { rep.stall = stall }
+
+// ReadAll reads the whole body. It fails with wick.ErrTruncated if the body
+// ends early, has no recognizable end or exceeds limit bytes.
+func (rep *Reply) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(rep, limit+1))
+	switch {
+	case err != nil:
+	case int64(len(body)) > limit:
+		err = errTooLarge
+	case !rep.sized:
+		err = errNoLength
+	default:
+		return body, nil
+	}
+	return nil, Fail(wick.ErrTruncated, "read", err)
+}
+
+// Close releases the connection. It goes back to the pool if the body was read
+// to its end.
+func (rep *Reply) Close() {
+	rep.timer.Stop()
+	if rep.body != nil {
+		rep.body.Close()
+	}
+	rep.cancel(nil)
+}
+
+// An Answer is a complete reply.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Exchange sends a call and reads the whole reply of at most limit bytes.
+func (cli *Client) Exchange(ctx context.Context, call Call, limit int64) (Answer, error) {
+	rep, err := cli.Do(ctx, call)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer rep.Close()
+	body, err := rep.ReadAll(limit)
+	if err != nil {
+		return Answer{}, err
+	}
+	return Answer{Status: rep.Status, Header: rep.Header, Body: body}, nil
+}
