--- a/pkg/wick/prefix.go
+++ b/pkg/wick/prefix.go
@@ -26,15 +26,22 @@
 	return bld.String()
 }
 
-// PrefixBlocks returns the hashes of the text's whole prefix blocks, as in
-// CacheEvent.Hash. Each hash covers the text from its start to the block's end.
+// PrefixBlocks returns the hashes of all whole prefix blocks of the text.
 func PrefixBlocks(text string) []uint64 {
-	out := make([]uint64, 0, len(text)/PrefixBlockBytes)
+	num := len(text) / PrefixBlockBytes
+	return AppendPrefixHashes(make([]uint64, 0, num), text, num)
+}
+
+// AppendPrefixHashes appends the hashes of the first whole blocks of input, at
+// most limit of them, as in CacheEvent.Hash. Each hash covers the input from
+// its start to the end of its block.
+func AppendPrefixHashes(dst []uint64, input string, limit int) []uint64 {
 	dig := xxhash.New()
-	for end := PrefixBlockBytes; end <= len(text); end += PrefixBlockBytes {
-		// A digest's WriteString never fails.
-		_, _ = dig.WriteString(text[end-PrefixBlockBytes : end])
-		out = append(out, dig.Sum64())
+	for num := 0; num < limit && len(input) >= PrefixBlockBytes; num++ {
+		// A Digest's WriteString never fails.
+		_, _ = dig.WriteString(input[:PrefixBlockBytes])
+		input = input[PrefixBlockBytes:]
+		dst = append(dst, dig.Sum64())
 	}
-	return out
+	return dst
 }
