cmds: add bundle submit, sign, list and undo

Cause: operators need to change the bundle from the command line.

Change: four commands over the platform's object API; keys come from files.

--- /dev/null
+++ b/internal/cmds/bundle.go
@@ -0,0 +1,191 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/internal/certs"
+	"github.com/wagtailwick/wagtailwick/internal/store"
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// bundleTimeout bounds one command, retries after lost answers included.
+const bundleTimeout = 30 * time.Second
+
+// An operatorFlags holds the flags that all bundle commands share.
+type operatorFlags struct {
+	store   *string
+	trusted *string
+}
+
+// bundleParent returns the command that groups the bundle commands.
+func bundleParent(app *kingpin.Application) *kingpin.CmdClause {
+	if cmd := app.GetCommand("bundle"); cmd != nil {
+		return cmd
+	}
+	return app.Command("bundle", "Change and show the bundle.")
+}
+
+func (ofl *operatorFlags) register(cmd *kingpin.CmdClause) {
+	ofl.store = cmd.Flag("store", "URL of the platform's object API.").Required().String()
+	ofl.trusted = cmd.Flag("trusted", "JSON file with the operators' public keys by name, as \"operatorKeys\" in the settings.").
+		Required().ExistingFile()
+}
+
+// client returns the operators' client.
+func (ofl *operatorFlags) client() (*bundle.Client, error) {
+	keys := make(bundle.Keys)
+	if err := readJSON(*ofl.trusted, &keys); err != nil {
+		return nil, err
+	}
+	if err := keys.Check(); err != nil {
+		return nil, err
+	}
+	return &bundle.Client{Store: &store.Client{URL: *ofl.store}, Keys: keys, Clock: wick.SystemClock{}}, nil
+}
+
+func readJSON(file string, out any) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return eris.Wrap(err, "read file")
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return eris.Wrapf(err, "decode %s", file)
+	}
+	return nil
+}
+
+// readSigner reads the key file of an operator.
+func readSigner(file string) (bundle.Signer, error) {
+	var key certs.OperatorKey
+	if err := readJSON(file, &key); err != nil {
+		return bundle.Signer{}, err
+	}
+	return key.Signer()
+}
+
+func bundleSubmitCommand(app *kingpin.Application, ev *env) (string, func() error) {
+	cmd := bundleParent(app).Command("submit", "Submit a new version of the bundle. It waits for a signature.\n\n"+
+		"Example: wagtailwick bundle submit --store http://127.0.0.1:6001 --trusted operators.json --key marie.json bundle.json")
+	var ofl operatorFlags
+	ofl.register(cmd)
+	key := cmd.Flag("key", "Key file of the submitter.").Required().ExistingFile()
+	file := cmd.Arg("file", "The bundle.").Required().ExistingFile()
+	return cmd.FullCommand(), func() error {
+		cli, err := ofl.client()
+		if err != nil {
+			return err
+		}
+		sgr, err := readSigner(*key)
+		if err != nil {
+			return err
+		}
+		data, err := os.ReadFile(*file)
+		if err != nil {
+			return eris.Wrap(err, "read file")
+		}
+		bnd, err := bundle.Decode(data)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), bundleTimeout)
+		defer cancel()
+		bnd, err = cli.Submit(ctx, sgr, bnd)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(ev.stdout, "version %d submitted, not in force before a second operator signs it\n", bnd.Version)
+		return err
+	}
+}
+
+func bundleSignCommand(app *kingpin.Application, ev *env) (string, func() error) {
+	cmd := bundleParent(app).Command("sign", "Sign a submitted version. It is in force from then on.\n\n"+
+		"Example: wagtailwick bundle sign --store http://127.0.0.1:6001 --trusted operators.json --key jean.json 7")
+	var ofl operatorFlags
+	ofl.register(cmd)
+	key := cmd.Flag("key", "Key file of the signer, who must not be the submitter.").Required().ExistingFile()
+	ver := cmd.Arg("version", "The version.").Required().Uint64()
+	return cmd.FullCommand(), func() error {
+		cli, err := ofl.client()
+		if err != nil {
+			return err
+		}
+		sgr, err := readSigner(*key)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), bundleTimeout)
+		defer cancel()
+		if err := cli.Sign(ctx, sgr, wick.BundleVersion(*ver)); err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(ev.stdout, "version %d signed by %s\n", *ver, sgr.Name)
+		return err
+	}
+}
+
+func bundleListCommand(app *kingpin.Application, ev *env) (string, func() error) {
+	cmd := bundleParent(app).Command("list", "List all versions.\n\n"+
+		"Example: wagtailwick bundle list --store http://127.0.0.1:6001 --trusted operators.json")
+	var ofl operatorFlags
+	ofl.register(cmd)
+	return cmd.FullCommand(), func() error {
+		cli, err := ofl.client()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), bundleTimeout)
+		defer cancel()
+		entries, err := cli.List(ctx)
+		if err != nil {
+			return err
+		}
+		for _, ent := range entries {
+			signer := string(ent.Signer)
+			if signer == "" {
+				signer = "nobody"
+			}
+			fmt.Fprintf(ev.stdout, "version %d submitted by %s, signed by %s, moves %d", ent.Version, ent.Submitter, signer, len(ent.Bundle.Moves))
+			if ent.Fault != "" {
+				fmt.Fprintf(ev.stdout, ", not usable: %s", ent.Fault)
+			}
+			fmt.Fprintln(ev.stdout)
+		}
+		return nil
+	}
+}
+
+func bundleUndoCommand(app *kingpin.Application, ev *env) (string, func() error) {
+	cmd := bundleParent(app).Command("undo", "Submit the content of an older version as a new, higher version. It waits for a signature.\n\n"+
+		"Example: wagtailwick bundle undo --store http://127.0.0.1:6001 --trusted operators.json --key marie.json 6")
+	var ofl operatorFlags
+	ofl.register(cmd)
+	key := cmd.Flag("key", "Key file of the submitter.").Required().ExistingFile()
+	ver := cmd.Arg("version", "The version whose content is wanted.").Required().Uint64()
+	return cmd.FullCommand(), func() error {
+		cli, err := ofl.client()
+		if err != nil {
+			return err
+		}
+		sgr, err := readSigner(*key)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), bundleTimeout)
+		defer cancel()
+		bnd, err := cli.Undo(ctx, sgr, wick.BundleVersion(*ver))
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(ev.stdout, "version %d submitted with the content of version %d, not in force before a second operator signs it\n", bnd.Version, *ver)
+		return err
+	}
+}
