--- /dev/null
+++ b/internal/stream/attempt.go
@@ -0,0 +1,74 @@
+package stream
+
+import (
+	"errors"
+
+	"github.com/wagtailwick/wagtailwick/internal/invar"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// A phase tells how far an attempt may have reached its endpoint.
+type phase uint8
+
+const (
+	// phaseNotSent: no byte of the attempt reached the endpoint.
+	phaseNotSent phase = iota
+	// phaseMaybeRan: the attempt was sent and may have run.
+	phaseMaybeRan
+	// phaseRejected: the endpoint said that it did not run the attempt.
+	phaseRejected
+)
+
+// An attempts counts the attempts of a request by phase.
+type attempts struct {
+	// maybeRan counts attempts that were sent and not rejected.
+	maybeRan int
+	// all counts every attempt.
+	all int
+}
+
+// begin counts an attempt as sent. An attempt is in the hands of the client of
+// the endpoint from here on, so it counts as sent until settle says otherwise.
+func (ats *attempts) begin() {
+	ats.all++
+	ats.maybeRan++
+}
+
+// settle corrects the phase of the attempt that begin counted.
+func (ats *attempts) settle(pha phase) {
+	if pha != phaseMaybeRan {
+		ats.maybeRan--
+	}
+}
+
+// phaseOf returns the phase of an attempt that ended with err. A rejection
+// counts only if the endpoint's class is trusted to mean it and no part of an
+// answer arrived.
+func phaseOf(err error, trusted, answered bool) phase {
+	switch {
+	case answered:
+		return phaseMaybeRan
+	case errors.Is(err, wick.ErrNotSent):
+		return phaseNotSent
+	case trusted && errors.Is(err, wick.ErrNotExecuted):
+		return phaseRejected
+	}
+	return phaseMaybeRan
+}
+
+// failure returns the explicit failure of a request with these attempts.
+func (ats *attempts) failure(chk *invar.Checker, err error) *FailError {
+	fai := refusal(err)
+	if ats.maybeRan > 0 {
+		fai.Executed = ExecutedUnknown
+	}
+	checkTruth(chk, fai, ats)
+	return fai
+}
+
+// checkTruth asserts that a refusal which denies execution has no attempt that
+// may have run.
+func checkTruth(chk *invar.Checker, fai *FailError, ats *attempts) {
+	chk.Check(fai.Executed != ExecutedNo || ats.maybeRan == 0, invar.RefusalTruth,
+		"refusal denies execution with %d of %d attempts sent: %v", ats.maybeRan, ats.all, fai.Err)
+}
--- /dev/null
+++ b/internal/stream/copy.go
@@ -0,0 +1,257 @@
+package stream
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	// copyEvery is the interval of batches to replicas, as the design page
+	// sets it.
+	copyEvery = 50 * time.Millisecond
+	// batchBytes bounds the items of one message, well below the bound of
+	// wick.MaxMessageBytes, because sizes before encoding are estimates.
+	batchBytes  = 256 << 10
+	batchItems  = 512
+	itemBytes   = 128
+	textBytes   = 9
+	copyTimeout = time.Second
+)
+
+// A dirtySet holds the requests whose replica is behind.
+type dirtySet struct {
+	mu   sync.Mutex
+	reqs map[*Request]struct{}
+	// busy holds the entries that a batch is on its way to.
+	busy map[wick.EntryID]bool
+}
+
+func (tab *Table) markDirty(req *Request) {
+	if tab.off.replica {
+		return
+	}
+	tab.dirty.mu.Lock()
+	defer tab.dirty.mu.Unlock()
+	if tab.dirty.reqs == nil {
+		tab.dirty.reqs = make(map[*Request]struct{})
+	}
+	tab.dirty.reqs[req] = struct{}{}
+}
+
+func (tab *Table) kickCopies() {
+	select {
+	case tab.kick <- struct{}{}:
+	default:
+	}
+}
+
+// rank returns the serving members outside of the zone in the rendezvous order
+// of the request. Without any it returns those inside of the zone.
+func rank(rid wick.RequestID, mems []wick.Member, zone wick.Zone) []wick.Member {
+	out := make([]wick.Member, 0, len(mems))
+	for _, mem := range mems {
+		if mem.State == wick.EntryServing && mem.Zone != zone {
+			out = append(out, mem)
+		}
+	}
+	if len(out) == 0 {
+		for _, mem := range mems {
+			if mem.State == wick.EntryServing {
+				out = append(out, mem)
+			}
+		}
+	}
+	slices.SortFunc(out, func(one, two wick.Member) int {
+		return cmp.Compare(score(rid, two.ID), score(rid, one.ID))
+	})
+	return out
+}
+
+func score(rid wick.RequestID, eid wick.EntryID) uint64 {
+	return xxhash.Sum64String(string(rid) + "/" + string(eid))
+}
+
+// target returns the replica's entry. It is chosen anew when the last one is
+// gone or runs the request itself. The caller holds req.mu.
+func (req *Request) target(mems []wick.Member) (wick.Member, bool) {
+	for _, mem := range mems {
+		if mem.ID == req.rep.to.ID && mem.Incarnation == req.rep.to.Incarnation && mem.State == wick.EntryServing {
+			return mem, true
+		}
+	}
+	refused := req.rep.refused
+	req.rep = replica{refused: refused}
+	for _, mem := range rank(req.Head.ID, mems, req.tab.cfg.Zone) {
+		if mem.ID != req.tab.cfg.Self && !slices.Contains(refused, mem.ID) {
+			req.rep.to = mem
+			return mem, true
+		}
+	}
+	// All refused: they are asked again at the next time.
+	req.rep.refused = nil
+	return wick.Member{}, false
+}
+
+// flush sends what replicas lack, one batch at a time to each entry.
+func (tab *Table) flush() {
+	tab.dirty.mu.Lock()
+	reqs := tab.dirty.reqs
+	tab.dirty.reqs = nil
+	tab.dirty.mu.Unlock()
+	if len(reqs) == 0 {
+		return
+	}
+	mems := tab.cfg.Members.Members()
+	byEntry := make(map[wick.EntryID][]*Request)
+	targets := make(map[wick.EntryID]wick.Member)
+	for req := range reqs {
+		req.mu.Lock()
+		mem, ok := req.target(mems)
+		skip := !req.holding || req.state == StateHandedOver
+		req.mu.Unlock()
+		switch {
+		case skip:
+		case ok:
+			byEntry[mem.ID] = append(byEntry[mem.ID], req)
+			targets[mem.ID] = mem
+		default:
+			tab.markDirty(req)
+		}
+	}
+	for eid, group := range byEntry {
+		if !tab.occupy(eid) {
+			for _, req := range group {
+				tab.markDirty(req)
+			}
+			continue
+		}
+		tab.wg.Go(func() {
+			defer tab.vacate(eid)
+			tab.sendCopies(targets[eid], group)
+		})
+	}
+}
+
+// occupy reserves the entry for one batch.
+func (tab *Table) occupy(eid wick.EntryID) bool {
+	tab.dirty.mu.Lock()
+	defer tab.dirty.mu.Unlock()
+	if tab.dirty.busy == nil {
+		tab.dirty.busy = make(map[wick.EntryID]bool)
+	}
+	if tab.dirty.busy[eid] {
+		return false
+	}
+	tab.dirty.busy[eid] = true
+	return true
+}
+
+func (tab *Table) vacate(eid wick.EntryID) {
+	tab.dirty.mu.Lock()
+	defer tab.dirty.mu.Unlock()
+	delete(tab.dirty.busy, eid)
+}
+
+// sendCopies sends the requests in messages of bounded size. What is left over
+// stays dirty.
+func (tab *Table) sendCopies(to wick.Member, reqs []*Request) {
+	for len(reqs) > 0 {
+		var size int64
+		var items []copyItem
+		for len(items) < len(reqs) && len(items) < batchItems && size < batchBytes {
+			itm := reqs[len(items)].item(batchBytes)
+			size += itm.size()
+			items = append(items, itm)
+		}
+		if _, err := tab.copyTo(to, reqs[:len(items)], items); err != nil {
+			logrus.WithError(err).WithField("entry", to.ID).Debug("stream: copy failed")
+			for _, req := range reqs {
+				tab.markDirty(req)
+			}
+			return
+		}
+		reqs = reqs[len(items):]
+	}
+}
+
+// item returns the next part of the request for its replica.
+func (req *Request) item(bytes int64) copyItem {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	itm := copyItem{ID: req.Head.ID, After: req.rep.acked, MaybeRan: req.tries.maybeRan > 0}
+	if !req.rep.head {
+		hea := req.Head
+		itm.Head = &hea
+	}
+	itm.Texts = limitTexts(req.texts[req.rep.acked:len(req.texts):len(req.texts)], bytes)
+	if itm.After+len(itm.Texts) == len(req.texts) {
+		switch req.state {
+		case StateDone:
+			end := req.end
+			itm.End = &end
+		case StateFailed:
+			itm.Failure = req.fail.wire()
+		case StateQueued, StateRunning, StateHandedOver:
+		}
+	}
+	return itm
+}
+
+// copyTo sends items, one for each request, and takes the results.
+func (tab *Table) copyTo(to wick.Member, reqs []*Request, items []copyItem) (copyReply, error) {
+	ctx, cancel := context.WithTimeout(tab.ctx, copyTimeout)
+	defer cancel()
+	var rep copyReply
+	if err := tab.cfg.Peers.Call(ctx, to, wick.MsgStreamCopy, copyBody{items}, &rep); err != nil {
+		return rep, eris.Wrap(err, "stream: copy")
+	}
+	if len(rep.Results) != len(items) {
+		return rep, eris.Wrap(wick.ErrInvalid, "stream: copy reply")
+	}
+	metrics.GetOrRegisterCounter("stream.copies", nil).Inc(1)
+	for idx, req := range reqs {
+		if !req.copied(to, rep.Results[idx]) {
+			tab.markDirty(req)
+		}
+	}
+	return rep, nil
+}
+
+// copied takes the replica's answer and reports whether it is up to date.
+func (req *Request) copied(from wick.Member, res copyResult) bool {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	if req.rep.to.ID != from.ID {
+		return false
+	}
+	if res.Taken && req.readers == 0 && req.state == StateRunning && !req.frozen {
+		// The replica took over while this entry was not heard of. Nobody
+		// reads here, so the replica goes on.
+		req.current, req.successor = "", from.ID
+		if err := req.fire(trgHandOver); err == nil {
+			req.stop()
+			req.ended = req.tab.now()
+		}
+		return true
+	}
+	if res.Taken || res.Full {
+		req.rep = replica{refused: append(req.rep.refused, from.ID)}
+		return false
+	}
+	req.rep.head = !res.NeedHead
+	if res.Have <= len(req.texts) {
+		req.rep.acked = res.Have
+	}
+	req.rep.final = res.Final
+	return req.rep.head && req.rep.acked == len(req.texts) && (res.Final || !req.state.final())
+}
--- /dev/null
+++ b/internal/stream/peer.go
@@ -0,0 +1,179 @@
+package stream
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// fetchWait bounds how long a streamFetch waits for an event.
+const fetchWait = 2 * time.Second
+
+// Handlers returns the handlers of the messages of this package.
+func (tab *Table) Handlers() map[wick.MessageType]wick.PeerHandler {
+	return map[wick.MessageType]wick.PeerHandler{
+		wick.MsgStreamCopy:  tab.handleCopy,
+		wick.MsgStreamTake:  tab.handleTake,
+		wick.MsgStreamFetch: tab.handleFetch,
+	}
+}
+
+func decode(body []byte, into any) error {
+	if err := cbor.Unmarshal(body, into); err != nil {
+		return eris.Wrapf(wick.ErrInvalid, "stream: message body: %v", err)
+	}
+	return nil
+}
+
+func (tab *Table) handleCopy(_ context.Context, from wick.EntryID, body []byte) (any, error) {
+	var cop copyBody
+	if err := decode(body, &cop); err != nil {
+		return nil, err
+	}
+	rep := copyReply{Results: make([]copyResult, len(cop.Items))}
+	for idx := range cop.Items {
+		rep.Results[idx] = tab.takeCopy(from, &cop.Items[idx])
+	}
+	return rep, nil
+}
+
+// takeCopy extends a replica.
+func (tab *Table) takeCopy(from wick.EntryID, itm *copyItem) copyResult {
+	req := tab.find(itm.ID)
+	if req == nil {
+		if itm.Head == nil {
+			return copyResult{NeedHead: true}
+		}
+		if tab.refused() {
+			return copyResult{Full: true}
+		}
+		req = newRequest(tab, *itm.Head)
+		if err := tab.insert(req); err != nil {
+			return copyResult{Full: true}
+		}
+	}
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	if req.holding && req.state != StateHandedOver {
+		return copyResult{Taken: true, Have: len(req.texts)}
+	}
+	if req.state.final() {
+		return copyResult{Have: len(req.texts), Final: true}
+	}
+	if req.state == StateHandedOver {
+		if err := req.fire(trgCopy); err != nil {
+			return copyResult{Full: true}
+		}
+		req.holding, req.successor = false, ""
+	}
+	req.source, req.heard = from, tab.now()
+	if itm.MaybeRan {
+		req.tries.maybeRan = max(1, req.tries.maybeRan)
+	}
+	if itm.After <= len(req.texts) {
+		for idx, text := range itm.Texts {
+			if itm.After+idx == len(req.texts) {
+				req.add(text)
+			}
+		}
+		req.takeFinal(itm)
+	}
+	return copyResult{Have: len(req.texts), Final: req.state.final()}
+}
+
+// takeFinal ends a replica that has every event. The caller holds req.mu.
+func (req *Request) takeFinal(itm *copyItem) {
+	if itm.After+len(itm.Texts) != len(req.texts) {
+		return
+	}
+	switch {
+	case itm.End != nil:
+		if err := req.fire(trgFinish); err != nil {
+			return
+		}
+		req.end = *itm.End
+	case itm.Failure != nil:
+		if err := req.fire(trgFail); err != nil {
+			return
+		}
+		req.fail = itm.Failure.failure()
+	default:
+		return
+	}
+	req.verified = -1
+	req.ended = req.tab.now()
+	req.notify()
+}
+
+func (tab *Table) handleTake(_ context.Context, _ wick.EntryID, body []byte) (any, error) {
+	var tak takeBody
+	if err := decode(body, &tak); err != nil {
+		return nil, err
+	}
+	req := tab.find(tak.ID)
+	if req == nil || tab.draining.Load() {
+		return takeReply{}, nil
+	}
+	req.mu.Lock()
+	switch {
+	case req.holding && req.state != StateHandedOver:
+		// A repeat of a message whose reply was lost.
+		same := len(req.texts) >= tak.Events && req.digestAt(tak.Events) == tak.Digest
+		req.mu.Unlock()
+		return takeReply{Taken: same}, nil
+	case req.state != StateQueued || len(req.texts) != tak.Events || req.digestAt(tak.Events) != tak.Digest:
+		req.mu.Unlock()
+		return takeReply{}, nil
+	}
+	req.holding, req.grace, req.verified = true, movedGrace, -1
+	req.mu.Unlock()
+	metrics.GetOrRegisterCounter("stream.taken", nil).Inc(1)
+	ok := tab.start(req, nil, tak.KV)
+	if ok {
+		tab.markDirty(req)
+	}
+	return takeReply{Taken: ok}, nil
+}
+
+func (tab *Table) handleFetch(ctx context.Context, _ wick.EntryID, body []byte) (any, error) {
+	var fet fetchBody
+	if err := decode(body, &fet); err != nil {
+		return nil, err
+	}
+	req := tab.find(fet.ID)
+	if req == nil || req.Head.Customer != fet.Customer {
+		return fetchReply{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(fet.WaitMillis.Duration(), fetchWait))
+	defer cancel()
+	cur := Cursor{Events: fet.Events, Digest: fet.Digest, Checked: fet.Checked}
+	rdr := req.Attach(cur)
+	defer rdr.Close()
+	bat, err := rdr.Next(ctx)
+	rep := fetchReply{Found: true}
+	var fai *FailError
+	switch {
+	case err == nil:
+		rep.Texts = limitTexts(bat.Texts, batchBytes)
+		req.mu.Lock()
+		rep.Digest = req.digestAt(fet.Events + len(rep.Texts))
+		req.mu.Unlock()
+		if bat.Done && len(rep.Texts) == len(bat.Texts) {
+			rep.End = &bat.End
+		}
+	case eris.Is(err, ErrHandedOver):
+		req.mu.Lock()
+		rep.Successor = req.successor
+		req.mu.Unlock()
+	case eris.Is(err, errNotHolder):
+		rep.Waiting = true
+	case eris.As(err, &fai):
+		rep.Failure = fai.wire()
+	}
+	return rep, nil
+}
--- /dev/null
+++ b/internal/stream/plain.go
@@ -0,0 +1,370 @@
+package stream
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/internal/invar"
+	"github.com/wagtailwick/wagtailwick/internal/retry"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	// plainTimeout bounds a plain call without a deadline, and every call
+	// that is not idempotent once it was sent.
+	plainTimeout = 60 * time.Second
+	// plainTries bounds the endpoints that one plain call is offered to.
+	plainTries = 3
+	// claimWait bounds the wait for a claim that runs for another attempt.
+	claimWait = 5 * time.Second
+	// recordWait bounds how long a reply waits for its record, recordTime how
+	// long the record is tried after that.
+	recordWait = time.Second
+	recordTime = 30 * time.Second
+)
+
+// A PlainQuery is one call of a plain service.
+type PlainQuery struct {
+	Customer wick.Customer
+	Service  wick.Service
+	// Route is the call's path prefix, which evidence for versions is kept by.
+	Route   string
+	Method  string
+	Path    string
+	Headers []wick.Header
+	Body    []byte
+	// Key is the caller's idempotency key, or "".
+	Key        wick.IdempotencyKey
+	Idempotent bool
+	// Deduplicates is set when the service's endpoints deduplicate by key.
+	Deduplicates bool
+	Priority     wick.Priority
+	Deadline     time.Time
+}
+
+// fingerprint identifies the content of the call.
+func (que *PlainQuery) fingerprint() wick.Fingerprint {
+	sum := sha256.New()
+	for _, part := range []string{string(que.Service), que.Method, que.Path} {
+		_, _ = sum.Write([]byte(part)) // never fails
+		_, _ = sum.Write([]byte{0})
+	}
+	_, _ = sum.Write(que.Body)
+	return wick.Fingerprint(hex.EncodeToString(sum.Sum(nil)))
+}
+
+// A PlainAnswer is the reply to a plain call.
+type PlainAnswer struct {
+	Reply wick.PlainReply
+	// Replayed is set when the reply was recorded for an earlier call with
+	// the same key.
+	Replayed bool
+}
+
+// Call sends a plain call. An error is a *FailError or the error of ctx. A call
+// that is not idempotent goes on after the end of ctx, once it was sent.
+func (tab *Table) Call(ctx context.Context, que PlainQuery) (PlainAnswer, error) {
+	if tab.refused() {
+		return PlainAnswer{}, refusal(wick.ErrLeaving)
+	}
+	size := int64(len(que.Body)) + requestBytes
+	if tab.bytes.Add(size) > tab.cfg.MaxBytes || tab.calls.Add(1) > tab.cfg.MaxRequests {
+		tab.bytes.Add(-size)
+		return PlainAnswer{}, refusal(eris.Wrap(wick.ErrBusy, "stream: table is full"))
+	}
+	done := func() {
+		tab.calls.Add(-1)
+		tab.bytes.Add(-size)
+	}
+	release, err := tab.cfg.Admitter.Admit(ctx, wick.AdmitQuery{
+		Service: que.Service, Customer: que.Customer, Priority: que.Priority, Cost: 1, Deadline: que.Deadline,
+	})
+	if err != nil {
+		done()
+		return PlainAnswer{}, refusal(err)
+	}
+	cal := &call{tab: tab, que: que, caller: ctx}
+	type answer struct {
+		ans PlainAnswer
+		err error
+	}
+	answers := make(chan answer, 1)
+	tab.wg.Go(func() {
+		defer done()
+		ans, err := cal.run()
+		cal.mu.Lock()
+		out := cal.out
+		cal.mu.Unlock()
+		release(out)
+		answers <- answer{ans, err}
+		cal.finishRecord()
+	})
+	select {
+	case got := <-answers:
+		return got.ans, got.err
+	case <-ctx.Done():
+		return PlainAnswer{}, ctx.Err()
+	}
+}
+
+// A call runs one plain call.
+type call struct {
+	tab *Table
+	que PlainQuery
+	// caller is the caller's context.
+	caller context.Context //nolint:containedctx // the call may outlive it by design
+	// mu guards the fields up to out, since hedges run at once.
+	mu      sync.Mutex
+	tries   attempts
+	exclude []wick.VMID
+	out     wick.Outcome
+	// record is set while an outcome is not recorded.
+	record func(ctx context.Context) error
+}
+
+func (cal *call) run() (PlainAnswer, error) {
+	ctx, cancel := context.WithTimeout(cal.caller, plainTimeout)
+	defer cancel()
+	if !cal.que.Deadline.IsZero() {
+		var stop context.CancelFunc
+		ctx, stop = context.WithDeadline(ctx, cal.que.Deadline)
+		defer stop()
+	}
+	switch {
+	case cal.que.Idempotent:
+		return cal.idempotent(ctx)
+	case cal.que.Key == "":
+		return cal.once(ctx, wick.NewAttemptID())
+	}
+	return cal.claimed(ctx)
+}
+
+// fail returns the failure of the call after its attempts.
+func (cal *call) fail(ctx context.Context, err error) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		err = wick.ErrDeadline
+	}
+	cal.mu.Lock()
+	defer cal.mu.Unlock()
+	return cal.tries.failure(cal.tab.chk, err)
+}
+
+func (cal *call) mayHaveRun() bool {
+	cal.mu.Lock()
+	defer cal.mu.Unlock()
+	return cal.tries.maybeRan > 0
+}
+
+// idempotent sends the call until it is answered, within the retry budget.
+func (cal *call) idempotent(ctx context.Context) (PlainAnswer, error) {
+	var err error
+	for num := range plainTries {
+		var rep wick.PlainReply
+		if rep, err = cal.hedged(ctx); err == nil {
+			cal.tab.bud.Success()
+			return PlainAnswer{Reply: rep}, nil
+		}
+		if ctx.Err() != nil || num == plainTries-1 {
+			break
+		}
+		if !errors.Is(err, wick.ErrLeaving) && !cal.tab.bud.Take() {
+			break
+		}
+		if !retry.Sleep(ctx, retry.Backoff(num, backoffBase, backoffMax)) {
+			break
+		}
+	}
+	return PlainAnswer{}, cal.fail(ctx, err)
+}
+
+// hedged sends the call, and a second time if hedging is on and it is slow.
+func (cal *call) hedged(ctx context.Context) (wick.PlainReply, error) {
+	type sent struct {
+		asg wick.Assignment
+		rep wick.PlainReply
+		err error
+	}
+	var all [2]sent
+	hed := retry.Hedge{After: cal.tab.cfg.HedgeAfter, Budget: cal.tab.bud}
+	results := make(chan int, 2)
+	won, err := hed.Do(ctx, func(ctx context.Context, num int) error {
+		// Each slot is written before its number is sent to results.
+		defer func() { results <- num }()
+		sen := &all[num]
+		if sen.asg, sen.err = cal.pick(ctx); sen.err == nil {
+			sen.rep, sen.err = cal.send(ctx, sen.asg, wick.NewAttemptID())
+		}
+		return sen.err
+	})
+	for num := range results {
+		if num == won {
+			break
+		}
+	}
+	return all[won].rep, err
+}
+
+// once sends the call at most once. An attempt that provably did not run is
+// offered to another endpoint.
+func (cal *call) once(ctx context.Context, att wick.AttemptID) (PlainAnswer, error) {
+	var err error
+	for range plainTries {
+		var asg wick.Assignment
+		if asg, err = cal.pick(ctx); err != nil {
+			break
+		}
+		if err = ctx.Err(); err != nil {
+			asg.Done(wick.Outcome{Cancelled: true})
+			break
+		}
+		// A call that may change something is not cancelled once it was sent.
+		sending, cancel := context.WithTimeout(context.WithoutCancel(ctx), plainTimeout)
+		var rep wick.PlainReply
+		rep, err = cal.send(sending, asg, att)
+		cancel()
+		if err == nil {
+			return PlainAnswer{Reply: rep}, nil
+		}
+		if cal.mayHaveRun() {
+			err = eris.Wrapf(wick.ErrUnknownOutcome, "stream: %v", err)
+			break
+		}
+	}
+	return PlainAnswer{}, cal.fail(ctx, err)
+}
+
+// claimed sends the call under a claim of its key.
+func (cal *call) claimed(ctx context.Context) (PlainAnswer, error) {
+	claim := wick.ClaimQuery{
+		Service: cal.que.Service, Customer: cal.que.Customer, Key: cal.que.Key,
+		Fingerprint: cal.que.fingerprint(), Attempt: wick.NewAttemptID(), Deduplicates: cal.que.Deduplicates,
+	}
+	res, err := cal.claim(ctx, claim)
+	switch {
+	case err != nil && cal.que.Deduplicates && errors.Is(err, wick.ErrUnavailable):
+		// The endpoint keeps the call from running twice.
+		return cal.once(ctx, claim.Attempt)
+	case err != nil:
+		return PlainAnswer{}, refusal(err)
+	}
+	switch res.State {
+	case wick.ClaimDone:
+		metrics.GetOrRegisterCounter("stream.replayed", nil).Inc(1)
+		return PlainAnswer{Reply: res.Reply, Replayed: true}, nil
+	case wick.ClaimUnknown:
+		return PlainAnswer{}, &FailError{Err: wick.ErrUnknownOutcome, Executed: ExecutedUnknown}
+	case wick.ClaimRunning:
+		return PlainAnswer{}, &FailError{Err: ErrClaimRunning, Executed: ExecutedUnknown, RetryAfter: time.Second}
+	case wick.ClaimGranted:
+		ans, err := cal.once(ctx, claim.Attempt)
+		cal.recordOutcome(claim, ans, err)
+		return ans, err
+	}
+	return PlainAnswer{}, refusal(eris.Wrapf(wick.ErrUnavailable, "stream: claim state %q", res.State))
+}
+
+// claim asks for the claim and waits while it runs for another attempt.
+func (cal *call) claim(ctx context.Context, claim wick.ClaimQuery) (wick.ClaimResult, error) {
+	began := cal.tab.now()
+	for num := 0; ; num++ {
+		res, err := cal.tab.cfg.Ledger.Claim(ctx, claim)
+		if err != nil || res.State != wick.ClaimRunning {
+			return res, err
+		}
+		if cal.tab.now().Sub(began) >= claimWait || !retry.Sleep(ctx, retry.Backoff(num, backoffBase, backoffMax)) {
+			return res, nil
+		}
+	}
+}
+
+// recordOutcome records how the claimed call ended. A reply does not wait long
+// for its record; finishRecord goes on.
+func (cal *call) recordOutcome(claim wick.ClaimQuery, ans PlainAnswer, err error) {
+	out := wick.ClaimOutcome{State: wick.OutcomeDone, Reply: ans.Reply}
+	if err != nil {
+		out = wick.ClaimOutcome{State: wick.OutcomeUnknown}
+		if !cal.mayHaveRun() {
+			out.State = wick.OutcomeNotExecuted
+		}
+	}
+	cal.record = func(ctx context.Context) error { return cal.tab.cfg.Ledger.Record(ctx, claim, out) }
+	cal.tryRecord(recordWait)
+}
+
+func (cal *call) tryRecord(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(cal.caller), limit)
+	defer cancel()
+	for num := 0; ; num++ {
+		err := cal.record(ctx)
+		if err == nil {
+			cal.record = nil
+			return
+		}
+		if !retry.Sleep(ctx, retry.Backoff(num, backoffBase, backoffMax)) {
+			logrus.WithError(err).Warn("stream: outcome of a claim not recorded yet")
+			return
+		}
+	}
+}
+
+// finishRecord records what recordOutcome could not.
+func (cal *call) finishRecord() {
+	if cal.record != nil {
+		cal.tryRecord(recordTime)
+	}
+}
+
+// pick waits for an endpoint that did not fail this call.
+func (cal *call) pick(ctx context.Context) (wick.Assignment, error) {
+	for num := 0; ; num++ {
+		cal.mu.Lock()
+		exclude := slices.Clone(cal.exclude)
+		cal.mu.Unlock()
+		if num > 0 {
+			exclude = nil
+		}
+		asg, err := cal.tab.cfg.Router.Pick(wick.RouteQuery{
+			Service: cal.que.Service, Customer: cal.que.Customer, Route: cal.que.Route,
+			Exclude: exclude, Deadline: cal.que.Deadline, Now: cal.tab.now(),
+		})
+		if err == nil || num >= plainTries || errors.Is(err, wick.ErrDeadline) {
+			return asg, err
+		}
+		if !retry.Sleep(ctx, retry.Backoff(num, backoffBase, backoffMax)) {
+			return asg, err
+		}
+	}
+}
+
+// send runs one attempt.
+func (cal *call) send(ctx context.Context, asg wick.Assignment, att wick.AttemptID) (wick.PlainReply, error) {
+	cal.tab.chk.Check(cal.que.Idempotent || !cal.mayHaveRun(), invar.AtMostOnce,
+		"a second attempt of a call that is not idempotent: %s %s", cal.que.Method, cal.que.Path)
+	cal.mu.Lock()
+	cal.tries.begin()
+	cal.mu.Unlock()
+	began := cal.tab.now()
+	rep, err := cal.tab.cfg.Plain.Call(ctx, asg.VM, wick.PlainCall{
+		Attempt: att, Key: cal.que.Key, Method: cal.que.Method, Path: cal.que.Path,
+		Headers: cal.que.Headers, Body: cal.que.Body,
+	})
+	out := wick.Outcome{Err: err, FirstToken: cal.tab.now().Sub(began), Cancelled: err != nil && ctx.Err() != nil}
+	asg.Done(out)
+	cal.mu.Lock()
+	defer cal.mu.Unlock()
+	cal.out = out
+	if err != nil {
+		cal.tries.settle(phaseOf(err, cal.tab.trusts(asg.VM), false))
+		cal.exclude = append(cal.exclude, asg.VM.ID)
+	}
+	return rep, err
+}
--- /dev/null
+++ b/internal/stream/reader.go
@@ -0,0 +1,178 @@
+package stream
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/internal/invar"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// A Cursor is a caller's place in the events of a request. Its zero value is
+// the start. Its text form "<events>-<digest>" is the event id, so that a
+// continuation on another entry is checked against what the caller received.
+type Cursor struct {
+	// Events is the number of events received.
+	Events int
+	// Digest identifies the received texts if Checked is set.
+	Digest  uint64
+	Checked bool
+}
+
+// String returns the event id.
+func (cur Cursor) String() string { return string(cur.Append(nil)) }
+
+// Append appends the event id.
+func (cur Cursor) Append(buf []byte) []byte {
+	buf = strconv.AppendInt(buf, int64(cur.Events), 10)
+	if cur.Checked {
+		buf = append(buf, '-')
+		buf = strconv.AppendUint(buf, cur.Digest, 16)
+	}
+	return buf
+}
+
+// ParseCursor parses an event id. An id without a digest is accepted, but it
+// cannot be continued where the log may differ from what the caller received.
+func ParseCursor(text string) (Cursor, error) {
+	if text == "" {
+		return Cursor{}, nil
+	}
+	num, dig, checked := strings.Cut(text, "-")
+	events, err := strconv.ParseUint(num, 10, 31)
+	if err != nil {
+		return Cursor{}, eris.Wrap(wick.ErrInvalid, "event id")
+	}
+	cur := Cursor{Events: int(events), Checked: checked}
+	if checked {
+		if cur.Digest, err = strconv.ParseUint(dig, 16, 64); err != nil {
+			return Cursor{}, eris.Wrap(wick.ErrInvalid, "event id")
+		}
+	}
+	return cur, nil
+}
+
+// A Batch is what a reader gets at once.
+type Batch struct {
+	// Texts are the next events. The reader must not change them.
+	Texts []string
+	// Done is set when Texts end the complete answer, which End describes.
+	Done bool
+	End  wick.Generated
+}
+
+// A Reader returns the events of a request after a cursor exactly once and in
+// order. It must be closed.
+type Reader struct {
+	tab *Table
+	req *Request
+	cur Cursor
+	// remote is set when another entry holds the request.
+	remote *remote
+}
+
+// Attach returns a reader of a request that this entry holds.
+func (req *Request) Attach(cur Cursor) *Reader {
+	req.mu.Lock()
+	req.readers++
+	req.mu.Unlock()
+	return &Reader{tab: req.tab, req: req, cur: cur}
+}
+
+// Close detaches the reader.
+func (rdr *Reader) Close() {
+	if rdr.req == nil {
+		return
+	}
+	rdr.req.mu.Lock()
+	rdr.req.readers--
+	rdr.req.idle = rdr.tab.now()
+	rdr.req.mu.Unlock()
+	rdr.req = nil
+}
+
+// Next waits for the next events. Its error is a *FailError, ErrHandedOver or
+// the error of ctx. After a batch with Done it must not be called again.
+func (rdr *Reader) Next(ctx context.Context) (Batch, error) {
+	if rdr.remote != nil {
+		return rdr.remoteNext(ctx)
+	}
+	for {
+		bat, wake, err := rdr.req.after(&rdr.cur)
+		if err != nil || wake == nil {
+			return bat, err
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		}
+	}
+}
+
+// after returns the events after the cursor and moves it, or a channel that is
+// closed at the next change.
+func (req *Request) after(cur *Cursor) (Batch, <-chan struct{}, error) {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	if req.state == StateHandedOver {
+		return Batch{}, nil, ErrHandedOver
+	}
+	if !req.holding && !req.state.final() {
+		return Batch{}, nil, errNotHolder
+	}
+	num := len(req.texts)
+	if cur.Events > num {
+		if req.state.final() {
+			return Batch{}, nil, req.diverged()
+		}
+		return Batch{}, req.waiter(), nil
+	}
+	if !req.matches(cur) {
+		return Batch{}, nil, req.diverged()
+	}
+	bat := Batch{Texts: req.texts[cur.Events:num:num]}
+	switch req.state {
+	case StateDone:
+		bat.Done, bat.End = true, req.end
+		req.tab.chk.Check(wick.Tokens(num) == req.end.Count, invar.WholeAnswer,
+			"%s: answer of %d tokens ends at %d", req.Head.ID, req.end.Count, num)
+	case StateFailed:
+		if len(bat.Texts) == 0 {
+			return Batch{}, nil, req.fail
+		}
+	case StateQueued, StateRunning, StateHandedOver:
+		if len(bat.Texts) == 0 {
+			return Batch{}, req.waiter(), nil
+		}
+	}
+	*cur = Cursor{Events: num, Digest: req.digestAt(num), Checked: true}
+	return bat, nil, nil
+}
+
+// matches reports whether the log continues what the caller received. The
+// caller holds req.mu and has checked that the log is long enough.
+func (req *Request) matches(cur *Cursor) bool {
+	if cur.Checked {
+		return cur.Digest == req.digestAt(cur.Events)
+	}
+	return cur.Events <= req.verified || req.verified < 0
+}
+
+func (req *Request) diverged() *FailError {
+	return &FailError{Err: ErrDiverged, Executed: ExecutedUnknown}
+}
+
+// waiter returns the channel of the next change. The caller holds req.mu.
+func (req *Request) waiter() <-chan struct{} {
+	if req.wake == nil {
+		req.wake = make(chan struct{})
+	}
+	return req.wake
+}
+
+// Cursor returns the reader's place.
+func (rdr *Reader) Cursor() Cursor { return rdr.cur }
--- /dev/null
+++ b/internal/stream/request.go
@@ -0,0 +1,273 @@
+package stream
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/internal/invar"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// A Head is the part of a request that never changes.
+type Head struct {
+	ID       wick.RequestID `cbor:"id"`
+	Customer wick.Customer  `cbor:"customer"`
+	Service  wick.Service   `cbor:"service"`
+	// Route is the call's path, which evidence for versions is kept by.
+	Route  string      `cbor:"route"`
+	Prompt wick.Prompt `cbor:"prompt"`
+	// MaxTokens bounds the answer. It is positive.
+	MaxTokens wick.Tokens   `cbor:"maxTokens"`
+	Priority  wick.Priority `cbor:"priority"`
+	// DeadlineMillis is in Unix milliseconds; 0 is no deadline.
+	DeadlineMillis int64 `cbor:"deadlineMillis"`
+	// CreatedMillis is in Unix milliseconds.
+	CreatedMillis int64 `cbor:"createdMillis"`
+}
+
+// Deadline returns the deadline, which is zero for none.
+func (hea *Head) Deadline() time.Time {
+	if hea.DeadlineMillis == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(hea.DeadlineMillis)
+}
+
+// inputBytes returns the size of the prompt.
+func (hea *Head) inputBytes() int64 {
+	num := len(hea.Prompt.Text)
+	for _, msg := range hea.Prompt.Messages {
+		num += len(msg.Role) + len(msg.Content)
+	}
+	return int64(num)
+}
+
+// A Request is one model request that this entry holds: as its holder, which
+// runs it, or as a replica.
+type Request struct {
+	tab *Table
+	// Head is immutable.
+	Head Head
+
+	mu    sync.Mutex
+	state State
+	// texts holds the answer; texts[i] is the event with id i+1. It only grows.
+	texts []string
+	// digests[i] identifies texts[:i+1]. It has the length of texts.
+	digests []uint64
+	// bytes is what the request adds to the table's bytes.
+	bytes int64
+	end   wick.Generated
+	fail  *FailError
+	// wake is closed at the next change. It is nil while nobody waits.
+	wake chan struct{}
+
+	// current is the attempt whose events are accepted, or "".
+	current wick.AttemptID
+	// vm runs the current attempt.
+	vm    wick.VM
+	tries attempts
+	// frozen is set while the request is handed over: no attempt is accepted
+	// and the end of the runner does not end the request.
+	frozen bool
+	// epoch numbers the runners, so that one that was replaced changes
+	// nothing.
+	epoch int
+	// holding is set while this entry runs the request or has finished it.
+	holding bool
+	// verified is the number of events that callers may name without a
+	// digest: later ones may differ from what an earlier holder sent.
+	verified int
+	// stop ends the runner. It is nil unless holding.
+	stop context.CancelFunc
+	// source is the entry that sends copies to this replica.
+	source wick.EntryID
+	// heard is when the last copy came.
+	heard time.Time
+	// successor runs the request after a handover.
+	successor wick.EntryID
+	rep       replica
+	// readers counts attached readers, idle is when the last one left.
+	readers int
+	idle    time.Time
+	// grace is how long the request goes on without a reader.
+	grace time.Duration
+	ended time.Time
+}
+
+// A replica is what the holder knows about its replica.
+type replica struct {
+	to wick.Member
+	// head is set when the replica has the head.
+	head bool
+	// acked is the number of events that the replica has.
+	acked int
+	// final is set when the replica has the final state.
+	final bool
+	// refused lists entries that run the request themselves.
+	refused []wick.EntryID
+}
+
+// newRequest returns a request in the state queued.
+func newRequest(tab *Table, hea Head) *Request {
+	return &Request{
+		tab: tab, Head: hea, state: StateQueued, bytes: hea.inputBytes() + requestBytes,
+		idle: tab.now(), heard: tab.now(), grace: idleGrace,
+	}
+}
+
+// digestAfter extends the digest of a prefix by one event.
+func digestAfter(prev uint64, text string) uint64 {
+	var dig xxhash.Digest
+	dig.Reset()
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], prev)
+	_, _ = dig.Write(buf[:]) // never fails
+	_, _ = dig.WriteString(text)
+	return dig.Sum64()
+}
+
+// digestAt returns the digest of the first num events. The caller holds req.mu.
+func (req *Request) digestAt(num int) uint64 {
+	if num == 0 {
+		return 0
+	}
+	return req.digests[num-1]
+}
+
+// add appends one event. The caller holds req.mu.
+func (req *Request) add(text string) {
+	req.digests = append(req.digests, digestAfter(req.digestAt(len(req.texts)), text))
+	req.texts = append(req.texts, text)
+	num := int64(len(text)) + eventBytes
+	req.bytes += num
+	req.tab.bytes.Add(num)
+}
+
+// notify wakes all waiting readers. The caller holds req.mu.
+func (req *Request) notify() {
+	if req.wake != nil {
+		close(req.wake)
+		req.wake = nil
+	}
+}
+
+// begin makes att the current attempt and returns the tokens to continue from.
+func (req *Request) begin(epoch int, att wick.AttemptID, vm wick.VM) []string {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	if !req.frozen && req.epoch == epoch && req.state == StateRunning {
+		req.current, req.vm = att, vm
+	}
+	req.tries.begin()
+	return req.texts[:len(req.texts):len(req.texts)]
+}
+
+// accept takes one token of an attempt. Only the next index of the current
+// attempt extends the log; a repeated index is dropped.
+func (req *Request) accept(att wick.AttemptID, tok wick.Token) error {
+	req.mu.Lock()
+	if !req.tab.off.attemptCheck {
+		switch {
+		case req.current != att || (tok.Attempt != "" && tok.Attempt != att):
+			req.mu.Unlock()
+			return errStale
+		case tok.Index < wick.Tokens(len(req.texts)):
+			req.mu.Unlock()
+			return nil
+		case tok.Index > wick.Tokens(len(req.texts)):
+			req.mu.Unlock()
+			return eris.Wrapf(errGap, "index %d", tok.Index)
+		case tok.Index >= req.Head.MaxTokens || len(tok.Text) > maxTokenBytes:
+			req.mu.Unlock()
+			return eris.Wrap(wick.ErrTruncated, "token outside of the answer's bounds")
+		}
+	}
+	req.add(tok.Text)
+	req.notify()
+	req.mu.Unlock()
+	req.tab.markDirty(req)
+	return nil
+}
+
+// cut makes the attempt's later events stale and reports whether the attempt
+// was still current.
+func (req *Request) cut(att wick.AttemptID) bool {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	if req.current != att {
+		return false
+	}
+	req.current = ""
+	return true
+}
+
+// settle ends an attempt with the engine's result. A complete answer ends the
+// request.
+func (req *Request) settle(att wick.AttemptID, gen wick.Generated, err error, pha phase) error {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	req.tries.settle(pha)
+	if req.current != att {
+		return errStale
+	}
+	req.current = ""
+	if err != nil {
+		return err
+	}
+	if gen.Attempt != "" && gen.Attempt != att {
+		return eris.Wrap(wick.ErrTruncated, "end marker of another attempt")
+	}
+	if gen.Finish != wick.FinishStop && gen.Finish != wick.FinishLength {
+		return eris.Wrap(wick.ErrTruncated, "no end marker")
+	}
+	if gen.Count != wick.Tokens(len(req.texts)) {
+		return eris.Wrapf(wick.ErrTruncated, "%d tokens announced, %d received", gen.Count, len(req.texts))
+	}
+	return req.finish(gen)
+}
+
+// finish ends the request with a complete answer. The caller holds req.mu.
+func (req *Request) finish(gen wick.Generated) error {
+	if err := req.fire(trgFinish); err != nil {
+		return err
+	}
+	req.tab.chk.Check(gen.Count == wick.Tokens(len(req.texts)), invar.WholeAnswer,
+		"%s: %d tokens announced, %d in the log", req.Head.ID, gen.Count, len(req.texts))
+	req.end = gen
+	req.conclude()
+	return nil
+}
+
+// abort ends the request with an explicit failure.
+func (req *Request) abort(epoch int, err error) {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	if req.epoch != epoch || req.frozen || req.state.final() || req.state == StateHandedOver {
+		return
+	}
+	req.current = ""
+	req.fail = req.tries.failure(req.tab.chk, err)
+	if err := req.fire(trgFail); err == nil {
+		req.conclude()
+	}
+}
+
+// conclude follows every change to a final state. The caller holds req.mu.
+func (req *Request) conclude() {
+	req.ended = req.tab.now()
+	req.notify()
+	req.tab.markDirty(req)
+}
+
+// State returns the state on this entry.
+func (req *Request) State() State {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	return req.state
+}
--- /dev/null
+++ b/internal/stream/run.go
@@ -0,0 +1,379 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/internal/retry"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	// bytesPerToken estimates prompt tokens before an engine has counted them.
+	bytesPerToken = 4
+	// maxAttempts bounds attempts that fail without a notice; migrations are
+	// not counted.
+	maxAttempts = 8
+	// newPatience and oldPatience bound the wait for an endpoint before and
+	// after the first token. Work that has begun is worth a longer wait.
+	newPatience = 10 * time.Second
+	oldPatience = 30 * time.Second
+	// pinPatience is how long a continuation waits for its own version.
+	pinPatience = time.Second
+	repickEvery = 100 * time.Millisecond
+	backoffBase = 20 * time.Millisecond
+	backoffMax  = time.Second
+	// exportTimeout bounds a KV export, exportNotice is the notice below
+	// which a prefill on the next endpoint is started at once.
+	exportTimeout = time.Second
+	exportNotice  = 3 * time.Second
+	cancelTimeout = time.Second
+	// maxRunTime bounds requests without a deadline.
+	maxRunTime = time.Hour
+)
+
+// start runs a request that this entry holds from now on.
+func (tab *Table) start(req *Request, release func(wick.Outcome), handle wick.KVHandle) bool {
+	deadline := req.Head.Deadline()
+	if deadline.IsZero() {
+		deadline = tab.now().Add(maxRunTime)
+	}
+	ctx, cancel := context.WithDeadline(tab.ctx, deadline)
+	req.mu.Lock()
+	err := req.fire(trgStart)
+	if err == nil {
+		req.holding, req.stop, req.idle = true, cancel, tab.now()
+		req.epoch++
+	}
+	epoch := req.epoch
+	req.mu.Unlock()
+	if err != nil {
+		cancel()
+		if release != nil {
+			release(wick.Outcome{Cancelled: true})
+		}
+		return false
+	}
+	run := &runner{tab: tab, req: req, handle: handle, epoch: epoch}
+	tab.wg.Go(func() {
+		defer cancel()
+		if release == nil {
+			release = run.admit(ctx)
+		}
+		if release != nil {
+			run.loop(ctx)
+			release(run.out)
+		}
+	})
+	return true
+}
+
+// A runner runs one request on this entry, attempt after attempt.
+type runner struct {
+	tab     *Table
+	req     *Request
+	exclude []wick.VMID
+	// version gave the tokens so far, or is "".
+	version wick.ModelVersion
+	handle  wick.KVHandle
+	epoch   int
+	out     wick.Outcome
+	failed  int
+}
+
+// admit waits for admission of work that was accepted before.
+func (run *runner) admit(ctx context.Context) func(wick.Outcome) {
+	for num := 0; ; num++ {
+		release, err := run.tab.cfg.Admitter.Admit(ctx, run.tab.admitQuery(&run.req.Head, true))
+		if err == nil {
+			return release
+		}
+		if !retry.Sleep(ctx, retry.Backoff(num, backoffBase, backoffMax)) {
+			run.giveUp(ctx, err)
+			return nil
+		}
+	}
+}
+
+// giveUp ends the request with the reason that ended its context, or err.
+func (run *runner) giveUp(ctx context.Context, err error) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		err = wick.ErrDeadline
+	case ctx.Err() != nil && run.tab.ctx.Err() != nil:
+		err = wick.ErrStopped
+	case ctx.Err() != nil:
+		err = ErrCancelled
+	}
+	run.out = wick.Outcome{Err: err, Cancelled: ctx.Err() != nil}
+	run.req.abort(run.epoch, err)
+}
+
+func (run *runner) loop(ctx context.Context) {
+	asg, err := run.pick(ctx)
+	for err == nil {
+		var next *wick.Assignment
+		next, err = run.attempt(ctx, asg)
+		if err == nil && next == nil {
+			run.tab.bud.Success()
+			return
+		}
+		if next != nil {
+			asg, err = *next, nil
+			continue
+		}
+		if errors.Is(err, errStale) || ctx.Err() != nil {
+			break
+		}
+		run.exclude = append(run.exclude, asg.VM.ID)
+		if err = run.mayRetry(ctx, err); err == nil {
+			asg, err = run.pick(ctx)
+		}
+	}
+	run.giveUp(ctx, err)
+}
+
+// mayRetry returns nil when another attempt may start after a failed one. A
+// request that was accepted waits for the retry budget rather than failing.
+func (run *runner) mayRetry(ctx context.Context, err error) error {
+	if errors.Is(err, wick.ErrLeaving) {
+		return nil
+	}
+	run.failed++
+	logrus.WithError(err).WithField("request", run.req.Head.ID).Debug("stream: attempt failed")
+	for num := range maxAttempts {
+		if run.failed >= maxAttempts {
+			return err
+		}
+		if run.tab.bud.Take() {
+			return nil
+		}
+		if !retry.Sleep(ctx, retry.Backoff(num, backoffBase, backoffMax)) {
+			return err
+		}
+	}
+	return err
+}
+
+func (run *runner) query() wick.RouteQuery {
+	hea := &run.req.Head
+	input := hea.Prompt.Text
+	if len(hea.Prompt.Messages) > 0 {
+		var bld strings.Builder
+		for _, msg := range hea.Prompt.Messages {
+			bld.WriteString(msg.Role + "\n" + msg.Content + "\n")
+		}
+		input = bld.String()
+	}
+	return wick.RouteQuery{
+		Service: hea.Service, Customer: hea.Customer, Request: hea.ID, Route: hea.Route,
+		Input: input, InputTokens: wick.Tokens(len(input) / bytesPerToken),
+		MaxTokens: hea.MaxTokens, Exclude: run.exclude, Version: run.version,
+		Deadline: hea.Deadline(), Now: run.tab.now(),
+	}
+}
+
+// pick waits for an endpoint. Without one the exclusions and later the version
+// are given up, since an answer of a mixed version is better than none.
+func (run *runner) pick(ctx context.Context) (wick.Assignment, error) {
+	began := run.tab.now()
+	for num := 0; ; num++ {
+		asg, err := run.pickNow(run.tab.now().Sub(began) >= pinPatience)
+		if err == nil {
+			return asg, nil
+		}
+		patience := newPatience
+		if run.failed > 0 || run.version != "" {
+			patience = oldPatience
+		}
+		if errors.Is(err, wick.ErrDeadline) || run.tab.now().Sub(began) >= patience {
+			return asg, err
+		}
+		if !retry.Sleep(ctx, retry.Backoff(num, backoffBase, backoffMax)) {
+			return asg, err
+		}
+	}
+}
+
+// pickNow asks for an endpoint once, and once more with less demands when
+// there is none.
+func (run *runner) pickNow(anyVersion bool) (wick.Assignment, error) {
+	query := run.query()
+	asg, err := run.tab.cfg.Router.Pick(query)
+	if err == nil || errors.Is(err, wick.ErrDeadline) {
+		return asg, err
+	}
+	query.Exclude = nil
+	if anyVersion || errors.Is(err, wick.ErrNotFound) {
+		query.Version = ""
+	}
+	return run.tab.cfg.Router.Pick(query)
+}
+
+type result struct {
+	gen   wick.Generated
+	err   error
+	phase phase
+	out   wick.Outcome
+}
+
+// attempt runs one attempt. It returns the next assignment when the work had
+// to leave the endpoint.
+func (run *runner) attempt(ctx context.Context, asg wick.Assignment) (*wick.Assignment, error) {
+	att := wick.NewAttemptID()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, 1)
+	gen := wick.Generation{
+		Attempt: att, Service: run.req.Head.Service, Version: asg.Version,
+		Prompt: run.req.Head.Prompt, MaxTokens: run.req.Head.MaxTokens,
+		Priority: run.req.Head.Priority, Continue: run.req.begin(run.epoch, att, asg.VM), Import: run.handle,
+	}
+	run.handle = ""
+	run.tab.wg.Go(func() { results <- run.generate(ctx, asg, gen) })
+	moving := run.tab.cfg.Router.Moving(asg.VM.ID)
+	var repick <-chan time.Time
+	for {
+		select {
+		case res := <-results:
+			return nil, run.settle(asg, att, res)
+		case <-moving:
+			moving, repick = nil, time.After(0)
+		case <-repick:
+			next := run.moveTo(asg)
+			if next == nil {
+				repick = time.After(repickEvery)
+				continue
+			}
+			run.export(ctx, asg.VM, att)
+			return run.leave(asg, att, next, results)
+		case <-ctx.Done():
+			run.abandon(asg.VM, att)
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// generate calls the engine and reports the outcome to the router.
+func (run *runner) generate(ctx context.Context, asg wick.Assignment, gen wick.Generation) result {
+	began := run.tab.now()
+	var first time.Duration
+	num := 0
+	res := result{}
+	res.gen, res.err = run.tab.cfg.Engine.Generate(ctx, asg.VM, gen, func(tok wick.Token) error {
+		if num == 0 {
+			first = run.tab.now().Sub(began)
+		}
+		num++
+		return run.req.accept(gen.Attempt, tok)
+	})
+	out := wick.Outcome{
+		Err: res.err, FirstToken: first, Cancelled: res.err != nil && (ctx.Err() != nil || errors.Is(res.err, errStale)),
+		CachedTokens: res.gen.CachedTokens, PromptTokens: res.gen.PromptTokens,
+	}
+	if num > 1 {
+		out.BetweenTokens = (run.tab.now().Sub(began) - first) / time.Duration(num-1)
+	}
+	asg.Done(out)
+	res.out = out
+	res.phase = phaseOf(res.err, run.tab.trusts(asg.VM), num > 0)
+	return res
+}
+
+func (tab *Table) trusts(vm wick.VM) bool { return tab.cfg.Trusts == nil || tab.cfg.Trusts(vm) }
+
+// settle takes the result of an attempt into the request.
+func (run *runner) settle(asg wick.Assignment, att wick.AttemptID, res result) error {
+	run.out = res.out
+	if res.phase == phaseMaybeRan && run.req.count() > 0 {
+		run.version = asg.Version
+	}
+	return run.req.settle(att, res.gen, res.err, res.phase)
+}
+
+func (req *Request) count() int {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	return len(req.texts)
+}
+
+// moveTo picks the next endpoint before the old one is given up, so that a
+// notice costs nothing while there is no other capacity.
+func (run *runner) moveTo(asg wick.Assignment) *wick.Assignment {
+	run.exclude = append(run.exclude, asg.VM.ID)
+	if run.req.count() > 0 {
+		run.version = asg.Version
+	}
+	next, err := run.tab.cfg.Router.Pick(run.query())
+	if err != nil {
+		query := run.query()
+		query.Exclude, query.Version = []wick.VMID{asg.VM.ID}, ""
+		if next, err = run.tab.cfg.Router.Pick(query); err != nil {
+			return nil
+		}
+	}
+	return &next
+}
+
+// export copies the KV cache of the attempt when there is time for it.
+func (run *runner) export(ctx context.Context, vm wick.VM, att wick.AttemptID) {
+	notice := exportTimeout
+	if !vm.ReclaimAt.IsZero() {
+		notice = vm.ReclaimAt.Sub(run.tab.now()) - exportNotice
+	}
+	if notice <= 0 || run.req.count() == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(notice, exportTimeout))
+	defer cancel()
+	if handle, err := run.tab.cfg.Engine.Export(ctx, vm, att); err == nil {
+		run.handle = handle
+	}
+}
+
+// leave gives up the attempt for the next assignment unless it has ended.
+func (run *runner) leave(
+	asg wick.Assignment, att wick.AttemptID, next *wick.Assignment, results <-chan result,
+) (*wick.Assignment, error) {
+	select {
+	case res := <-results:
+		err := run.settle(asg, att, res)
+		if err == nil || errors.Is(err, errStale) {
+			next.Done(wick.Outcome{Cancelled: true})
+			return nil, err
+		}
+	default:
+		run.abandon(asg.VM, att)
+	}
+	metrics.GetOrRegisterCounter("stream.moved", nil).Inc(1)
+	return next, nil
+}
+
+// abandon makes the attempt stale and cancels it at the endpoint.
+func (run *runner) abandon(vm wick.VM, att wick.AttemptID) {
+	run.req.cut(att)
+	run.tab.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(run.tab.ctx), cancelTimeout)
+		defer cancel()
+		if err := run.tab.cfg.Engine.Cancel(ctx, vm, att); err != nil {
+			logrus.WithError(err).Debug("stream: cancel failed")
+		}
+	})
+}
+
+// cancel ends a running request because no caller reads it.
+func (req *Request) cancel() {
+	req.mu.Lock()
+	epoch, stop := req.epoch, req.stop
+	req.mu.Unlock()
+	req.abort(epoch, eris.Wrap(ErrCancelled, "stream"))
+	if stop != nil {
+		stop()
+	}
+}
