--- /dev/null
+++ b/internal/peer/call.go
@@ -0,0 +1,213 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// redialPause keeps an unreachable peer from causing a handshake per call.
+const redialPause = 250 * time.Millisecond
+
+// A link is the outgoing side to one peer.
+type link struct {
+	// pending holds one element per call that has not ended.
+	pending chan struct{}
+	// lastUse is the end of the last call, in Unix nanoseconds.
+	lastUse atomic.Int64
+	// lastReply is the arrival of the last reply, in Unix nanoseconds.
+	lastReply atomic.Int64
+
+	// dialing is held during a handshake, so that concurrent calls share it.
+	dialing chan struct{}
+	mu      sync.Mutex
+	conn    *quic.Conn
+	address string
+	// retryAt is the earliest time for the next handshake after a failure.
+	retryAt time.Time
+}
+
+// drop closes the connection if it is con, or any connection if con is nil.
+func (lnk *link) drop(con *quic.Conn) {
+	lnk.mu.Lock()
+	defer lnk.mu.Unlock()
+	if lnk.conn != nil && (con == nil || lnk.conn == con) {
+		lnk.conn.CloseWithError(0, "dropped") //nolint:errcheck // the connection is given up
+		lnk.conn = nil
+	}
+}
+
+// current returns the open connection to an address, or nil.
+func (lnk *link) current(address string) *quic.Conn {
+	lnk.mu.Lock()
+	defer lnk.mu.Unlock()
+	if lnk.conn == nil || lnk.address != address || lnk.conn.Context().Err() != nil {
+		return nil
+	}
+	return lnk.conn
+}
+
+// maxLinks bounds outgoing connections: the view of 64 members and as many
+// that left it recently.
+const maxLinks = 128
+
+// link returns the link to a peer. The longest unused link is dropped when
+// there are too many.
+func (trn *Transport) link(eid wick.EntryID) (*link, error) {
+	trn.mu.Lock()
+	defer trn.mu.Unlock()
+	if trn.closing {
+		return nil, eris.Wrap(wick.ErrStopped, "peer transport closed")
+	}
+	if lnk := trn.links[eid]; lnk != nil {
+		return lnk, nil
+	}
+	if len(trn.links) >= maxLinks {
+		var victim wick.EntryID
+		for other, lnk := range trn.links {
+			if len(lnk.pending) == 0 && (victim == "" || lnk.lastUse.Load() < trn.links[victim].lastUse.Load()) {
+				victim = other
+			}
+		}
+		if victim == "" {
+			return nil, eris.Wrap(wick.ErrBusy, "too many peers in use")
+		}
+		trn.links[victim].drop(nil)
+		delete(trn.links, victim)
+	}
+	lnk := &link{pending: make(chan struct{}, trn.limits.MaxPending), dialing: make(chan struct{}, 1)}
+	trn.links[eid] = lnk
+	return lnk, nil
+}
+
+// connect returns an open connection to a peer.
+func (trn *Transport) connect(ctx context.Context, lnk *link, to wick.Member) (*quic.Conn, error) {
+	if con := lnk.current(to.Address); con != nil {
+		return con, nil
+	}
+	select {
+	case lnk.dialing <- struct{}{}:
+		defer func() { <-lnk.dialing }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if con := lnk.current(to.Address); con != nil {
+		return con, nil
+	}
+	lnk.mu.Lock()
+	wait := lnk.address == to.Address && time.Now().Before(lnk.retryAt)
+	lnk.mu.Unlock()
+	if wait {
+		return nil, errors.New("the last handshake failed")
+	}
+	addr, err := net.ResolveUDPAddr("udp", to.Address)
+	if err != nil {
+		return nil, err
+	}
+	con, err := trn.qtr.Dial(ctx, addr, trn.clientTLS(to.ID), trn.config())
+	lnk.drop(nil)
+	lnk.mu.Lock()
+	defer lnk.mu.Unlock()
+	lnk.address = to.Address
+	if err != nil {
+		lnk.retryAt = time.Now().Add(redialPause)
+		return nil, err
+	}
+	if trn.ctx.Err() != nil {
+		con.CloseWithError(0, "closing") //nolint:errcheck // the connection is given up
+		return nil, wick.ErrStopped
+	}
+	lnk.conn = con
+	return con, nil
+}
+
+// Call sends a message to an entry and waits for the reply.
+func (trn *Transport) Call(ctx context.Context, to wick.Member, typ wick.MessageType, body, out any) error {
+	if to.Address == "" {
+		return eris.Wrapf(wick.ErrNotFound, "no address of %s", to.ID)
+	}
+	env := wick.Envelope{Version: wick.ProtocolVersion, Type: typ, From: trn.eid, Incarnation: trn.inc}
+	var err error
+	if env.Body, err = Encode(body); err != nil {
+		return err
+	}
+	data, err := EncodeEnvelope(env)
+	if err != nil {
+		return err
+	}
+	lnk, err := trn.link(to.ID)
+	if err != nil {
+		return err
+	}
+	select {
+	case lnk.pending <- struct{}{}:
+		defer func() {
+			lnk.lastUse.Store(time.Now().UnixNano())
+			<-lnk.pending
+		}()
+	default:
+		return eris.Wrapf(wick.ErrBusy, "%d calls to %s are pending", trn.limits.MaxPending, to.ID)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	defer context.AfterFunc(trn.ctx, cancel)()
+	answer, err := trn.roundTrip(ctx, lnk, to, typ, data)
+	if err != nil {
+		return eris.Wrapf(resetError(err), "%s to %s: %s", typ, to.ID, err.Error())
+	}
+	trn.cnt.add(dirReceived, typ, len(answer))
+	return decodeReply(answer, to.ID, typ, out)
+}
+
+// roundTrip runs one exchange. A connection that is found closed before the
+// stream opens is replaced once: nothing was sent on it.
+func (trn *Transport) roundTrip(ctx context.Context, lnk *link, to wick.Member, typ wick.MessageType, data []byte) ([]byte, error) {
+	var str *quic.Stream
+	var con *quic.Conn
+	for try := 0; ; try++ {
+		var err error
+		if con, err = trn.connect(ctx, lnk, to); err != nil {
+			return nil, err
+		}
+		if str, err = con.OpenStreamSync(ctx); err == nil {
+			break
+		}
+		if ctx.Err() != nil || try > 0 {
+			return nil, err
+		}
+		lnk.drop(con)
+	}
+	start := time.Now()
+	defer context.AfterFunc(ctx, func() { reset(str, resetTimeout) })()
+	_, werr := str.Write(data)
+	if werr == nil {
+		trn.cnt.add(dirSent, typ, len(data))
+		str.Close() //nolint:errcheck // a closed stream shows in the read
+	}
+	// After a refused write the reply or the reset still tells the reason.
+	answer, err := io.ReadAll(io.LimitReader(str, wick.MaxMessageBytes+1))
+	if err == nil {
+		lnk.lastReply.Store(time.Now().UnixNano())
+		str.CancelRead(resetTooLarge)
+		return answer, nil
+	}
+	if werr != nil && resetError(err) == wick.ErrUnavailable { //nolint:errorlint // resetError returns the sentinel itself
+		err = werr
+	}
+	if ctx.Err() != nil && lnk.lastReply.Load() < start.UnixNano() {
+		// Nothing came from the peer since the call began: it may have
+		// restarted and know nothing of the connection.
+		lnk.drop(con)
+	}
+	reset(str, resetTimeout)
+	return nil, err
+}
