--- /dev/null
+++ b/internal/notice/notice_test.go
@@ -0,0 +1,132 @@
+package notice_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/notice"
+	"github.com/wagtailwick/wagtailwick/internal/peer"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+var start = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func stop(ver int) notice.Stop {
+	return notice.Stop{Move: wick.MoveID(fmt.Sprintf("%d-mv", ver)), Service: "svc", Version: "v2", Reason: "late"}
+}
+
+// Guards against sets that differ by the order of arrival, grow without bound
+// or take malformed stops.
+func TestStopBounds(t *testing.T) {
+	var up, down notice.Set
+	const count = 1500
+	for num := 1; num <= count; num++ {
+		up.AddStops(stop(num))
+		down.AddStops(stop(count + 1 - num))
+	}
+	one, _ := up.Digests()
+	two, _ := down.Digests()
+	if one != two || len(up.Stops()) != 1024 || !up.Stopped("1500-mv") || up.Stopped("400-mv") {
+		t.Fatalf("digests %d and %d of %d stops", one, two, len(up.Stops()))
+	}
+	if got := up.AddStops(stop(count), stop(1), notice.Stop{Move: "x-mv"}, notice.Stop{Move: "7"}, notice.Stop{Move: wick.MoveID("9-" + strings.Repeat("x", 300))}); len(got) != 0 {
+		t.Fatalf("taken: %+v", got)
+	}
+}
+
+// Guards against leaving endpoints that are forgotten while the list lags, or
+// that never expire because peers give them back.
+func TestLeavingExpiry(t *testing.T) {
+	var set notice.Set
+	listed := []wick.VM{{ID: "vm1", Role: wick.RoleEndpoint, State: wick.VMLeaving}, {ID: "e1", Role: wick.RoleEntry, State: wick.VMLeaving}}
+	if got := set.SetList(listed, start); len(got) != 1 {
+		t.Fatal(got)
+	}
+	listed[0].State = wick.VMLive
+	for _, tc := range []struct {
+		after  time.Duration
+		listed bool
+		want   bool
+	}{
+		{time.Hour, true, true},
+		{time.Hour + time.Second, false, true},
+		{time.Hour + 10*time.Minute, false, true},
+		{time.Hour + 10*time.Minute + time.Second, false, false},
+	} {
+		vms := listed
+		if !tc.listed {
+			vms = nil
+		}
+		set.SetList(vms, start.Add(tc.after))
+		if got := set.IsLeaving("vm1"); got != tc.want {
+			t.Errorf("after %v: leaving is %t, want %t", tc.after, got, tc.want)
+		}
+	}
+	if set.AddLeaving(start.Add(2*time.Hour), notice.Leaving{VM: "vm1"}); set.IsLeaving("vm1") {
+		t.Error("an expired endpoint came back from a peer")
+	}
+	for num := range 5000 {
+		set.AddLeaving(start, notice.Leaving{VM: wick.VMID(fmt.Sprint("x", num))})
+	}
+	if got := len(set.Leaving()); got != 4096 {
+		t.Errorf("%d leaving endpoints", got)
+	}
+	// Full sets must fit into one message.
+	data, err := peer.Encode(set.Leaving())
+	if err != nil || len(data) > wick.MaxMessageBytes*3/4 {
+		t.Errorf("%d bytes, %v", len(data), err)
+	}
+}
+
+// Guards against notices that reach only the direct view of their origin, or
+// that an entry misses for good because a message was lost.
+func TestSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const entries = 40
+		ntw := &peer.Network{}
+		ntw.SetFaults(peer.Faults{Delay: 2 * time.Millisecond, Loss: 0.1, Duplicate: 0.1, Reorder: 0.1}, 3)
+		eid := func(num int) wick.EntryID { return wick.EntryID(fmt.Sprint("e", num%entries)) }
+		var spr [entries]*notice.Spreader
+		for num := range spr {
+			loc := ntw.Join(eid(num), 1)
+			spr[num] = &notice.Spreader{Set: &notice.Set{}, Peers: loc, Clock: wick.SystemClock{}, View: func() (out []wick.Member) {
+				for _, step := range []int{1, 3, 9, 27} {
+					out = append(out, wick.Member{ID: eid(num + step)})
+				}
+				return out
+			}}
+			loc.Handle(wick.MsgStop, spr[num].HandleStop)
+			loc.Handle(wick.MsgLeaving, spr[num].HandleLeaving)
+		}
+		// The last entry is cut off from everyone at first.
+		ntw.SetReach(func(from, to wick.EntryID) bool { return from != eid(entries-1) && to != eid(entries-1) })
+		calls := 0
+		spr[5].Set.OnStop(func(notice.Stop) { calls++ })
+		spr[0].Stop(context.Background(), stop(7))
+		spr[1].Leaving(context.Background(), notice.Leaving{VM: "vm1"})
+		time.Sleep(time.Second)
+		for num := range entries - 1 {
+			if !spr[num].Set.Stopped("7-mv") || !spr[num].Set.IsLeaving("vm1") {
+				t.Errorf("entry %d misses a notice", num)
+			}
+		}
+		ntw.SetReach(nil)
+		last := spr[entries-1]
+		for range 3 {
+			stops, leaving := spr[4].Set.Digests()
+			last.Heard(context.Background(), wick.Member{ID: eid(4)}, stops, leaving)
+			time.Sleep(6 * time.Second)
+		}
+		if !last.Set.Stopped("7-mv") || !last.Set.IsLeaving("vm1") || calls != 1 {
+			t.Errorf("digests did not repair: %+v, %d calls", last.Set.Dump(), calls)
+		}
+		for num := range spr {
+			spr[num].Wait()
+		}
+		time.Sleep(time.Minute)
+	})
+}
