lease: hold duties by lease objects

Cause: duties and ledger shards need a holder that is usually unique, and a holder that was paused must notice it.

A keeper acquires and gives up duties as a function of the membership and calls start and stop hooks.

--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,142 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/fake"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+func newLease(sto wick.Store, id wick.EntryID, inc wick.Incarnation) *Lease {
+	return New(sto, wick.SystemClock{}, "duty", id, inc)
+}
+
+func assertStep(t *testing.T, lea *Lease, want State) {
+	t.Helper()
+	if state, err := lea.Step(t.Context()); state != want {
+		t.Fatalf("state %s, want %s (error %v)", state, want, err)
+	}
+}
+
+func assertFence(t *testing.T, lea *Lease, want wick.Fence) {
+	t.Helper()
+	if fence, ok := lea.Holds(); !ok || fence != want {
+		t.Fatalf("fence %d held %v, want %d", fence, ok, want)
+	}
+}
+
+// TestPausedHolder guards against a holder that resumes after its expiry and
+// goes on with the old fencing number.
+func TestPausedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sto := &fake.Store{}
+		one, two := newLease(sto, "e1", 1), newLease(sto, "e2", 1)
+		assertStep(t, one, Held)
+		assertFence(t, one, 1)
+		assertStep(t, two, Free)
+		time.Sleep(Expiry)
+		if _, ok := one.Holds(); ok {
+			t.Fatal("holder past its expiry still holds")
+		}
+		assertStep(t, two, Held)
+		assertFence(t, two, 2)
+		assertStep(t, one, Lost)
+		assertStep(t, one, Free)
+	})
+}
+
+// TestLostResponse guards against treating an own write whose response was
+// lost as the write of another holder.
+func TestLostResponse(t *testing.T) {
+	sto := &fake.Store{}
+	lea := newLease(sto, "e1", 1)
+	sto.SetFaults(fake.StoreFaults{LoseAnswers: 1}, 1)
+	assertStep(t, lea, Held)
+	assertStep(t, lea, Held)
+	assertFence(t, lea, 1)
+}
+
+// TestOutage guards against a holder that never becomes suspect, or that
+// loses an unchallenged lease, while the platform is down.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sto := &fake.Store{}
+		lea := newLease(sto, "e1", 1)
+		assertStep(t, lea, Held)
+		sto.SetFaults(fake.StoreFaults{Down: true}, 1)
+		assertStep(t, lea, Suspect)
+		time.Sleep(time.Minute)
+		assertStep(t, lea, Suspect)
+		sto.SetFaults(fake.StoreFaults{}, 1)
+		assertStep(t, lea, Held)
+		assertFence(t, lea, 1)
+	})
+}
+
+// TestRestart guards against a restarted entry that waits for the expiry of
+// its own dead process, or that keeps its fencing number.
+func TestRestart(t *testing.T) {
+	sto := &fake.Store{}
+	assertStep(t, newLease(sto, "e1", 1), Held)
+	next := newLease(sto, "e1", 2)
+	assertStep(t, next, Held)
+	assertFence(t, next, 2)
+}
+
+// TestKeepers guards against duties without a holder after a member leaves or
+// dies, and against start and stop calls that don't pair up.
+func TestKeepers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sto := &fake.Store{}
+		duties := []wick.Duty{"a", "b", "c", "d", "e", "f", "g", "h"}
+		mems := make([]wick.Member, 0, 3)
+		for num := range 3 {
+			mems = append(mems, wick.Member{ID: wick.EntryID(fmt.Sprint("e", num)), State: wick.EntryServing})
+		}
+		view := make(chan []wick.Member, 1)
+		view <- mems
+		read := func() []wick.Member {
+			now := <-view
+			view <- now
+			return now
+		}
+		running := make(chan int, 1)
+		running <- 0
+		add := func(num int) { running <- <-running + num }
+		hks := Hooks{
+			Start: func(wick.Duty, wick.Fence) { add(1) },
+			Stop:  func(wick.Duty, wick.Fence) { add(-1) },
+		}
+		cancels := make([]context.CancelFunc, 0, len(mems))
+		for _, mem := range mems {
+			kee := NewKeeper(sto, mem.ID, 1, read, func(now []wick.Member) []wick.Duty {
+				return Spread(duties, now, mem.ID)
+			}, WithHooks(hks))
+			ctx, cancel := context.WithCancel(t.Context())
+			cancels = append(cancels, cancel)
+			go kee.Run(ctx)
+		}
+		check := func(want int) {
+			t.Helper()
+			time.Sleep(3 * Expiry)
+			synctest.Wait()
+			got := <-running
+			running <- got
+			if got != want {
+				t.Fatalf("%d duties run, want %d", got, want)
+			}
+		}
+		check(len(duties))
+		cancels[0]()
+		<-view
+		view <- mems[1:]
+		check(len(duties))
+		cancels[1]()
+		cancels[2]()
+		check(0)
+	})
+}
