vmlist: pass the list of VMs on within a zone

Cause: one entry per zone reads the platform's list; the others had no way to learn the endpoints. At the target a whole list of 10,000 endpoints is about 2.5 MB, far over the 3 KB/s that a node may spend on control.

Change: a pull names what the reader has and gets the changes since, or the whole list in pages that take effect together.

Conclusion: an unchanged list costs a reply without VMs; random changes over two sources leave reader and source equal.

--- /dev/null
+++ b/internal/vmlist/vmlist_test.go
@@ -0,0 +1,92 @@
+package vmlist
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// pull runs one exchange from a reader to a source.
+func pull(t rapid.TB, reader, source *List) Changes {
+	t.Helper()
+	body, err := cbor.Marshal(reader.Next())
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep, err := source.Handle(context.Background(), "reader", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	chg, ok := rep.(Changes)
+	if !ok {
+		t.Fatalf("reply is a %T", rep)
+	}
+	reader.Apply(chg)
+	return chg
+}
+
+func assertSame(t rapid.TB, reader, source *List) {
+	t.Helper()
+	if got, want := reader.VMs(), source.VMs(); !reflect.DeepEqual(got, want) {
+		t.Fatalf("reader has %v, source has %v", got, want)
+	}
+}
+
+func machines(num int, version wick.ModelVersion) []wick.VM {
+	vms := make([]wick.VM, num)
+	for idx := range vms {
+		vms[idx] = wick.VM{ID: wick.VMID(fmt.Sprintf("vm%05d", idx)), Versions: []wick.ModelVersion{version}, State: wick.VMLive}
+	}
+	return vms
+}
+
+// TestRandomChanges guards against a reader that misses a change or keeps a
+// removed VM, also when it changes its source.
+func TestRandomChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sources := []*List{New("a", 1), New("b", 1)}
+		reader := New("c", 1)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			src := sources[rapid.IntRange(0, 1).Draw(t, "source")]
+			vms := machines(rapid.IntRange(1, 8).Draw(t, "count"), wick.ModelVersion(rapid.StringMatching("v[12]").Draw(t, "version")))
+			from := rapid.IntRange(0, len(vms)-1).Draw(t, "from")
+			src.Set(vms[from:])
+			pull(t, reader, src)
+			assertSame(t, reader, src)
+		}
+	})
+}
+
+// TestPages guards against a long list that is shown in part or that loses a
+// change made between two pages.
+func TestPages(t *testing.T) {
+	source, reader := New("a", 1), New("b", 1)
+	source.Set(machines(2*maxChanges+10, "v1"))
+	if chg := pull(t, reader, source); !chg.More {
+		t.Fatal("first page holds the whole list")
+	}
+	if num := len(reader.VMs()); num != 0 {
+		t.Fatalf("reader shows %d VMs of a list in part", num)
+	}
+	source.Set(machines(2*maxChanges+5, "v1")[3:])
+	for range 3 {
+		pull(t, reader, source)
+	}
+	assertSame(t, reader, source)
+}
+
+// TestUnchanged guards against traffic while nothing changes.
+func TestUnchanged(t *testing.T) {
+	source, reader := New("a", 1), New("b", 1)
+	source.Set(machines(500, "v1"))
+	pull(t, reader, source)
+	if chg := pull(t, reader, source); len(chg.VMs)+len(chg.Removed) != 0 {
+		t.Errorf("second pull brought %d VMs", len(chg.VMs))
+	}
+}
