stream: simulate entries, endpoints and callers under faults

Change: a seeded simulation on synctest with five scenarios; named tests for what it found: late events between the end of an engine call and its settlement, an origin that restarts within 3 s under its id, a resume at the replica itself.

--- a/internal/stream/copy.go
+++ b/internal/stream/copy.go
@@ -212,7 +212,7 @@
 	ctx, cancel := context.WithTimeout(tab.ctx, copyTimeout)
 	defer cancel()
 	var rep copyReply
-	if err := tab.cfg.Peers.Call(ctx, to, wick.MsgStreamCopy, copyBody{items}, &rep); err != nil {
+	if err := tab.cfg.Peers.Call(ctx, to, wick.MsgStreamCopy, copyBody{tab.cfg.Incarnation, items}, &rep); err != nil {
 		return rep, eris.Wrap(err, "stream: copy")
 	}
 	if len(rep.Results) != len(items) {
--- a/internal/stream/peer.go
+++ b/internal/stream/peer.go
@@ -37,13 +37,13 @@
 	}
 	rep := copyReply{Results: make([]copyResult, len(cop.Items))}
 	for idx := range cop.Items {
-		rep.Results[idx] = tab.takeCopy(from, &cop.Items[idx])
+		rep.Results[idx] = tab.takeCopy(from, cop.Incarnation, &cop.Items[idx])
 	}
 	return rep, nil
 }
 
 // takeCopy extends a replica.
-func (tab *Table) takeCopy(from wick.EntryID, itm *copyItem) copyResult {
+func (tab *Table) takeCopy(from wick.EntryID, inc wick.Incarnation, itm *copyItem) copyResult {
 	req := tab.find(itm.ID)
 	if req == nil {
 		if itm.Head == nil {
@@ -71,7 +71,7 @@
 		}
 		req.holding, req.successor = false, ""
 	}
-	req.source, req.heard = from, tab.now()
+	req.source, req.sourceInc, req.heard = from, inc, tab.now()
 	if itm.MaybeRan {
 		req.tries.maybeRan = max(1, req.tries.maybeRan)
 	}
--- /dev/null
+++ b/internal/stream/plain_test.go
@@ -0,0 +1,163 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// A simPlain is a plain service and a ledger.
+type simPlain struct {
+	mu sync.Mutex
+	// errs are the errors of the next calls; nil is a reply.
+	errs  []error
+	sent  int
+	delay time.Duration
+	// claims holds the state and reply by key.
+	claims   map[wick.IdempotencyKey]wick.ClaimResult
+	down     bool
+	recorded []wick.ClaimOutcomeState
+}
+
+func (sim *simPlain) Call(ctx context.Context, _ wick.VM, _ wick.PlainCall) (wick.PlainReply, error) {
+	if !wait(ctx, sim.delay) {
+		return wick.PlainReply{}, wick.ErrUnknownOutcome
+	}
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	sim.sent++
+	if len(sim.errs) > 0 {
+		err := sim.errs[0]
+		sim.errs = sim.errs[1:]
+		if err != nil {
+			return wick.PlainReply{}, err
+		}
+	}
+	return wick.PlainReply{Status: 201, Body: []byte("ok")}, nil
+}
+
+func (*simPlain) Load(context.Context, wick.VM) (wick.LoadReport, error) {
+	return wick.LoadReport{}, nil
+}
+
+func (sim *simPlain) Claim(_ context.Context, que wick.ClaimQuery) (wick.ClaimResult, error) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	if sim.down {
+		return wick.ClaimResult{}, wick.ErrUnavailable
+	}
+	res, ok := sim.claims[que.Key]
+	if ok {
+		return res, nil
+	}
+	sim.claims[que.Key] = wick.ClaimResult{State: wick.ClaimRunning}
+	return wick.ClaimResult{State: wick.ClaimGranted}, nil
+}
+
+func (sim *simPlain) Record(_ context.Context, que wick.ClaimQuery, out wick.ClaimOutcome) error {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	sim.recorded = append(sim.recorded, out.State)
+	switch out.State {
+	case wick.OutcomeDone:
+		sim.claims[que.Key] = wick.ClaimResult{State: wick.ClaimDone, Reply: out.Reply}
+	case wick.OutcomeUnknown:
+		sim.claims[que.Key] = wick.ClaimResult{State: wick.ClaimUnknown}
+	case wick.OutcomeNotExecuted:
+		delete(sim.claims, que.Key)
+	}
+	return nil
+}
+
+// Guards against calls that run twice, and against refusals that deny an
+// execution which may have happened (P4, P5).
+func TestPlainCall(t *testing.T) {
+	lost, unsent := wick.ErrUnknownOutcome, wick.ErrNotSent
+	for name, tst := range map[string]struct {
+		que      PlainQuery
+		sim      *simPlain
+		calls    int
+		sent     int
+		want     error
+		executed Executed
+		replayed bool
+		recorded wick.ClaimOutcomeState
+	}{
+		"idempotent is retried":             {PlainQuery{Idempotent: true}, &simPlain{errs: []error{lost, lost}}, 1, 3, nil, "", false, ""},
+		"idempotent gives up":               {PlainQuery{Idempotent: true}, &simPlain{errs: []error{lost, lost, lost}}, 1, 3, lost, ExecutedUnknown, false, ""},
+		"idempotent never ran":              {PlainQuery{Idempotent: true}, &simPlain{errs: []error{unsent, unsent, unsent}}, 1, 3, unsent, ExecutedNo, false, ""},
+		"no key is sent once":               {PlainQuery{}, &simPlain{errs: []error{lost}}, 1, 1, lost, ExecutedUnknown, false, ""},
+		"no key, not sent, next endpoint":   {PlainQuery{}, &simPlain{errs: []error{unsent}}, 1, 2, nil, "", false, ""},
+		"no key, not sent, then lost":       {PlainQuery{}, &simPlain{errs: []error{unsent, lost}}, 1, 2, lost, ExecutedUnknown, false, ""},
+		"key is recorded":                   {PlainQuery{Key: "k"}, &simPlain{}, 1, 1, nil, "", false, wick.OutcomeDone},
+		"key is replayed":                   {PlainQuery{Key: "k"}, &simPlain{}, 2, 1, nil, "", true, wick.OutcomeDone},
+		"key, lost reply":                   {PlainQuery{Key: "k"}, &simPlain{errs: []error{lost}}, 2, 1, lost, ExecutedUnknown, false, wick.OutcomeUnknown},
+		"key, never sent":                   {PlainQuery{Key: "k"}, &simPlain{errs: []error{unsent, unsent, unsent}}, 1, 3, unsent, ExecutedNo, false, wick.OutcomeNotExecuted},
+		"key, ledger down":                  {PlainQuery{Key: "k"}, &simPlain{down: true}, 1, 0, wick.ErrUnavailable, ExecutedNo, false, ""},
+		"key, ledger down, but deduplicate": {PlainQuery{Key: "k", Deduplicates: true}, &simPlain{down: true}, 1, 1, nil, "", false, ""},
+		"key, running elsewhere": {
+			PlainQuery{Key: "k"},
+			&simPlain{claims: map[wick.IdempotencyKey]wick.ClaimResult{"k": {State: wick.ClaimRunning}}},
+			1, 0, ErrClaimRunning, ExecutedUnknown, false, "",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				wld, sim := newWorld(1, faults{}, disabled{}), tst.sim
+				if sim.claims == nil {
+					sim.claims = make(map[wick.IdempotencyKey]wick.ClaimResult)
+				}
+				tab := New(Config{Router: wld, Admitter: wld, Plain: sim, Ledger: sim, Invar: &wld.chk})
+				var ans PlainAnswer
+				var err error
+				for range tst.calls {
+					ans, err = tab.Call(t.Context(), tst.que)
+				}
+				if !errors.Is(err, tst.want) || sim.sent != tst.sent || ans.Replayed != tst.replayed {
+					t.Errorf("got %v, %d sent, replayed %v", err, sim.sent, ans.Replayed)
+				}
+				var fai *FailError
+				if tst.want != nil && (!errors.As(err, &fai) || fai.Executed != tst.executed) {
+					t.Errorf("executed: got %+v, want %q", fai, tst.executed)
+				}
+				if tst.recorded != "" && (len(sim.recorded) != 1 || sim.recorded[0] != tst.recorded) {
+					t.Errorf("recorded %v, want %q", sim.recorded, tst.recorded)
+				}
+				if len(wld.violations) > 0 || wld.open != 0 {
+					t.Errorf("violations %v, %d assignments open", wld.violations, wld.open)
+				}
+				for _, oth := range wld.entries {
+					oth.kill()
+				}
+			})
+		})
+	}
+}
+
+// Guards against a booking that is cancelled, or not recorded, because its
+// caller disconnects after it was sent.
+func TestPlainCallOutlivesCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wld := newWorld(1, faults{}, disabled{})
+		sim := &simPlain{delay: 10 * time.Second, claims: make(map[wick.IdempotencyKey]wick.ClaimResult)}
+		tab := New(Config{Router: wld, Admitter: wld, Plain: sim, Ledger: sim, Invar: &wld.chk})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := tab.Call(ctx, PlainQuery{Key: "k"}); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v", err)
+		}
+		time.Sleep(time.Minute)
+		tab.Close()
+		if len(sim.recorded) != 1 || sim.recorded[0] != wick.OutcomeDone {
+			t.Errorf("recorded %v", sim.recorded)
+		}
+		for _, oth := range wld.entries {
+			oth.kill()
+		}
+	})
+}
--- a/internal/stream/remote.go
+++ b/internal/stream/remote.go
@@ -61,10 +61,14 @@
 func (rdr *Reader) remoteNext(ctx context.Context) (Batch, error) {
 	began := rdr.tab.now()
 	for num := 0; ; num++ {
-		if rdr.local() {
+		here, known := rdr.local()
+		if here {
 			return rdr.Next(ctx)
 		}
 		bat, fnd, err := rdr.askAll(ctx)
+		if known {
+			fnd = max(fnd, foundTrace)
+		}
 		switch {
 		case err != nil || fnd == foundEvents:
 			return bat, err
@@ -115,23 +119,24 @@
 	return Batch{}, fnd, nil
 }
 
-// local moves the reader to this entry if it runs the request by now.
-func (rdr *Reader) local() bool {
+// local moves the reader to this entry if it runs the request by now. It also
+// reports whether this entry knows the request at all.
+func (rdr *Reader) local() (here, known bool) {
 	req := rdr.tab.find(rdr.remote.rid)
 	if req == nil || req.Head.Customer != rdr.remote.cus {
-		return false
+		return false, false
 	}
 	if req.readable() {
 		here := req.Attach(rdr.cur)
 		rdr.req, rdr.remote = here.req, nil
-		return true
+		return true, true
 	}
 	req.mu.Lock()
 	defer req.mu.Unlock()
 	if rdr.remote.holder == "" {
 		rdr.remote.holder = req.successor
 	}
-	return false
+	return false, true
 }
 
 // places returns the entries to ask: the last holder, the origin, the head of
--- a/internal/stream/request.go
+++ b/internal/stream/request.go
@@ -69,6 +69,9 @@
 
 	// current is the attempt whose events are accepted, or "".
 	current wick.AttemptID
+	// sealed is the last attempt whose engine call returned. Its events are
+	// stale even before the runner has settled it.
+	sealed wick.AttemptID
 	// vm runs the current attempt.
 	vm    wick.VM
 	tries attempts
@@ -86,7 +89,8 @@
 	// stop ends the runner. It is nil unless holding.
 	stop context.CancelFunc
 	// source is the entry that sends copies to this replica.
-	source wick.EntryID
+	source    wick.EntryID
+	sourceInc wick.Incarnation
 	// heard is when the last copy came.
 	heard time.Time
 	// successor runs the request after a handover.
@@ -174,7 +178,7 @@
 	req.mu.Lock()
 	if !req.tab.off.attemptCheck {
 		switch {
-		case req.current != att || (tok.Attempt != "" && tok.Attempt != att):
+		case req.current != att || req.sealed == att || (tok.Attempt != "" && tok.Attempt != att):
 			req.mu.Unlock()
 			return errStale
 		case tok.Index < wick.Tokens(len(req.texts)):
@@ -195,6 +199,13 @@
 	return nil
 }
 
+// seal makes events after the end of an attempt stale.
+func (req *Request) seal(att wick.AttemptID) {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	req.sealed = att
+}
+
 // cut makes the attempt's later events stale and reports whether the attempt
 // was still current.
 func (req *Request) cut(att wick.AttemptID) bool {
--- a/internal/stream/run.go
+++ b/internal/stream/run.go
@@ -273,6 +273,7 @@
 		num++
 		return run.req.accept(gen.Attempt, tok)
 	})
+	run.req.seal(gen.Attempt)
 	out := wick.Outcome{
 		Err: res.err, FirstToken: first, Cancelled: res.err != nil && (ctx.Err() != nil || errors.Is(res.err, errStale)),
 		CachedTokens: res.gen.CachedTokens, PromptTokens: res.gen.PromptTokens,
--- /dev/null
+++ b/internal/stream/sim_test.go
@@ -0,0 +1,392 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+var (
+	stepsFlag = flag.Int("steps", 40, "requests per seed")
+	seedFlag  = flag.Uint64("seed", 1, "first seed")
+	seedsFlag = flag.Uint64("seeds", 5, "number of seeds per scenario")
+)
+
+// A scenario says which faults a run has and what callers may see.
+type scenario struct {
+	faults faults
+	// reclaims, drains, deaths and pauses switch the events on.
+	reclaims, drops, drains, deaths, pauses, reconnects bool
+	// mayFail allows explicit failures. A wrong answer is never allowed.
+	mayFail bool
+	// shortest is the shortest notice of a drain in milliseconds. A rolling
+	// restart has the time that it needs.
+	shortest int
+}
+
+var scenarios = map[string]scenario{
+	"announced": {reclaims: true, drains: true, reconnects: true, shortest: 3000},
+	"drain":     {drains: true, shortest: 6000},
+	"deaths":    {deaths: true, reconnects: true},
+	"sampled": {
+		faults:   faults{sampled: true, truncate: 0.2, late: 0.2},
+		reclaims: true, drops: true, drains: true, deaths: true, pauses: true, reconnects: true, mayFail: true,
+		shortest: 1000,
+	},
+	"everything": {
+		faults: faults{
+			truncate: 0.1, wrongCount: 0.05, duplicate: 0.02, gap: 0.002, late: 0.2,
+			notSent: 0.05, reject: 0.05, loseReply: 0.02,
+		},
+		reclaims: true, drops: true, drains: true, deaths: true, pauses: true, reconnects: true, mayFail: true,
+		shortest: 1000,
+	},
+}
+
+// tally counts what callers of a run saw.
+type tally struct {
+	mu                                          sync.Mutex
+	complete, failed, refused, resumed, unknown int
+	reasons                                     map[string]int
+}
+
+func (tal *tally) add(field *int) {
+	tal.mu.Lock()
+	defer tal.mu.Unlock()
+	*field++
+}
+
+// runSim runs one seed and returns the violations.
+func runSim(t *testing.T, scn scenario, seed uint64, off disabled, tal *tally) []string {
+	t.Helper()
+	logrus.SetOutput(io.Discard)
+	uuid.SetRand(&lockedReader{rnd: rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8), byte(seed >> 16)})})
+	defer uuid.SetRand(nil)
+	var wld *world
+	synctest.Test(t, func(t *testing.T) {
+		wld = newWorld(seed, scn.faults, off)
+		ctx, cancel := context.WithCancel(t.Context())
+		var drivers, callers sync.WaitGroup
+		drivers.Go(func() { wld.reclaim(ctx, scn) })
+		drivers.Go(func() { wld.churn(ctx, scn) })
+		for num := range *stepsFlag {
+			callers.Go(func() {
+				time.Sleep(wld.millis(0, 20000))
+				wld.caller(scn, fmt.Sprintf("prompt %d of %d", num, seed), tal)
+			})
+		}
+		callers.Wait()
+		cancel()
+		drivers.Wait()
+		for _, ent := range wld.entries {
+			ent.kill()
+			ent.tab.Close()
+		}
+		time.Sleep(time.Minute)
+		if wld.open != 0 {
+			wld.violatef("%d assignments not done", wld.open)
+		}
+	})
+	return wld.violations
+}
+
+type lockedReader struct {
+	mu  sync.Mutex
+	rnd *rand.ChaCha8
+}
+
+func (rea *lockedReader) Read(buf []byte) (int, error) {
+	rea.mu.Lock()
+	defer rea.mu.Unlock()
+	return rea.rnd.Read(buf)
+}
+
+// reclaim takes endpoints away, with notice or without, and starts new ones.
+func (wld *world) reclaim(ctx context.Context, scn scenario) {
+	next := 6
+	for scn.reclaims && wait(ctx, wld.millis(200, 3000)) {
+		wld.mu.Lock()
+		var live []*simEndpoint
+		for num := range next {
+			if end := wld.endpoints[wick.VMID(fmt.Sprintf("vm%d", num))]; !end.leaving {
+				live = append(live, end)
+			}
+		}
+		wld.mu.Unlock()
+		if len(live) <= 2 {
+			if next < 20 {
+				wld.addEndpoint(next)
+				next++
+			}
+			continue
+		}
+		end := live[wld.intn(len(live))]
+		notice := wld.millis(2000, 8000)
+		if scn.drops && wld.intn(2) == 0 {
+			notice = 0
+		}
+		wld.mu.Lock()
+		end.leaving = true
+		wld.mu.Unlock()
+		go func() {
+			time.Sleep(notice / 10)
+			close(end.moving)
+			time.Sleep(notice - notice/10)
+			close(end.gone)
+		}()
+	}
+}
+
+// churn drains, kills and pauses entries, one at a time.
+func (wld *world) churn(ctx context.Context, scn scenario) {
+	for num, inc := 0, wick.Incarnation(2); ctx.Err() == nil; num, inc = (num+1)%5, inc+1 {
+		if !wait(ctx, wld.millis(500, 4000)) {
+			return
+		}
+		wld.mu.Lock()
+		ent := wld.entries[num]
+		wld.mu.Unlock()
+		kinds := []func(*simEntry, wick.Incarnation, scenario){}
+		if scn.drains {
+			kinds = append(kinds, wld.drain)
+		}
+		if scn.deaths {
+			kinds = append(kinds, wld.die)
+		}
+		if scn.pauses {
+			kinds = append(kinds, wld.pause)
+		}
+		if len(kinds) > 0 {
+			kinds[wld.intn(len(kinds))](ent, inc, scn)
+		}
+	}
+}
+
+func (wld *world) setState(ent *simEntry, sta wick.EntryState) {
+	wld.mu.Lock()
+	defer wld.mu.Unlock()
+	ent.mem.State, ent.drained = sta, time.Now()
+}
+
+func (wld *world) drain(ent *simEntry, inc wick.Incarnation, scn scenario) {
+	wld.setState(ent, wick.EntryDraining)
+	if err := ent.tab.Drain(ent.life, wld.millis(scn.shortest, 9000)); err != nil && !scn.mayFail {
+		wld.violatef("drain: %v", err)
+	}
+	wld.replace(ent, inc)
+}
+
+func (wld *world) die(ent *simEntry, inc wick.Incarnation, _ scenario) {
+	wld.replace(ent, inc)
+	// Deaths are one at a time: the replicas have to take over before the next.
+	time.Sleep(8 * time.Second)
+}
+
+// replace ends the process of an entry and starts another one later.
+func (wld *world) replace(ent *simEntry, inc wick.Incarnation) {
+	wld.mu.Lock()
+	ent.lost = time.Now()
+	wld.mu.Unlock()
+	ent.kill()
+	ent.tab.Close()
+	time.Sleep(wld.millis(3100, 5000))
+	wld.boot(int(ent.mem.ID[1]-'0'), inc)
+}
+
+func (wld *world) pause(ent *simEntry, _ wick.Incarnation, _ scenario) {
+	resume := make(chan struct{})
+	wld.mu.Lock()
+	ent.resume, ent.pausing, ent.lost = resume, true, time.Now()
+	wld.mu.Unlock()
+	time.Sleep(wld.millis(500, 6000))
+	wld.mu.Lock()
+	ent.pausing, ent.lost = false, time.Time{}
+	wld.mu.Unlock()
+	close(resume)
+}
+
+// choose returns an entry as the load balancer does: it notices a drain or a
+// loss after a second.
+func (wld *world) choose() *simEntry {
+	for {
+		wld.mu.Lock()
+		ent := wld.entries[wld.rnd.IntN(len(wld.entries))]
+		late := ent.mem.State == wick.EntryDraining && time.Since(ent.drained) > time.Second
+		ok := ent.lost.IsZero() && !late
+		wld.mu.Unlock()
+		if ok {
+			return ent
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// caller makes one request, reconnects as often as needed and checks what it
+// received.
+func (wld *world) caller(scn scenario, prompt string, tal *tally) {
+	ent := wld.choose()
+	req, err := ent.tab.Accept(ent.life, Head{
+		Customer: "cus", Service: "svc", Prompt: wick.Prompt{Text: prompt}, MaxTokens: 200,
+	})
+	if err != nil {
+		tal.add(&tal.refused)
+		wld.checkFailure(scn, prompt, 0, err, tal)
+		return
+	}
+	rid := req.Head.ID
+	rdr := req.Attach(Cursor{})
+	var got strings.Builder
+	for {
+		ctx, cancel := context.WithTimeout(ent.life, 4*time.Second)
+		if scn.reconnects && wld.chance(0.02) {
+			ctx, cancel = context.WithTimeout(ent.life, wld.millis(1, 100))
+		}
+		bat, err := rdr.Next(ctx)
+		cancel()
+		if err == nil {
+			got.WriteString(strings.Join(bat.Texts, ""))
+			if bat.Done {
+				break
+			}
+			continue
+		}
+		var fai *FailError
+		if errors.As(err, &fai) && ent.life.Err() == nil && !errors.Is(err, wick.ErrStopped) {
+			rdr.Close()
+			wld.checkFailure(scn, prompt, rdr.Cursor().Events, err, tal)
+			return
+		}
+		cur, _ := ParseCursor(rdr.Cursor().String())
+		rdr.Close()
+		time.Sleep(wld.millis(1, 1500))
+		tal.add(&tal.resumed)
+		ent = wld.choose()
+		rdr = ent.tab.Resume(rid, "cus", cur)
+	}
+	rdr.Close()
+	if scn.faults.sampled {
+		if !wld.logged(prompt, got.String()) {
+			wld.violatef("%s: answer mixed from several continuations: %q", prompt, got.String())
+		}
+	} else if got.String() != answer(prompt) {
+		wld.violatef("%s: wrong answer:\n got %q\nwant %q", prompt, got.String(), answer(prompt))
+	}
+	tal.add(&tal.complete)
+}
+
+// logged reports whether an entry has exactly this answer in its log.
+func (wld *world) logged(prompt, text string) bool {
+	found := false
+	for _, ent := range wld.entries {
+		ent.tab.each(func(req *Request) {
+			req.mu.Lock()
+			defer req.mu.Unlock()
+			found = found || (req.Head.Prompt.Text == prompt && strings.Join(req.texts, "") == text)
+		})
+	}
+	return found
+}
+
+// where describes which entries hold the request of a prompt.
+func (wld *world) where(prompt string) string {
+	var bld strings.Builder
+	for _, ent := range wld.entries {
+		ent.tab.each(func(req *Request) {
+			req.mu.Lock()
+			defer req.mu.Unlock()
+			if req.Head.Prompt.Text == prompt {
+				fmt.Fprintf(&bld, "%s inc %d lost %v: %s holding %v source %s replica %s, id %s; ",
+					ent.mem.ID, ent.mem.Incarnation, !ent.lost.IsZero(), req.state, req.holding, req.source,
+					req.rep.to.ID, req.Head.ID)
+			}
+		})
+	}
+	return bld.String()
+}
+
+// checkFailure asserts that a failure is allowed and tells the truth.
+func (wld *world) checkFailure(scn scenario, prompt string, events int, err error, tal *tally) {
+	var fai *FailError
+	if !errors.As(err, &fai) {
+		wld.violatef("%s: failure without a reason: %v", prompt, err)
+		return
+	}
+	wld.mu.Lock()
+	ran := wld.ran[prompt]
+	wld.mu.Unlock()
+	if fai.Executed == ExecutedNo && ran > 0 {
+		wld.violatef("%s: refused as not executed after %d attempts: %v", prompt, ran, err)
+	}
+	// Before the first event of an entry that dies, a caller has no id to
+	// resume with.
+	// A refusal before acceptance loses nothing when the notice is short.
+	short := scn.reclaims && errors.Is(err, wick.ErrLeaving) && fai.Executed == ExecutedNo
+	if !scn.mayFail && !short && (events > 0 || !scn.deaths) {
+		wld.violatef("%s: failed after %d events: %v; %s", prompt, events, err, wld.where(prompt))
+	}
+	tal.mu.Lock()
+	defer tal.mu.Unlock()
+	tal.failed++
+	if fai.Executed == ExecutedUnknown {
+		tal.unknown++
+	}
+	if tal.reasons == nil {
+		tal.reasons = make(map[string]int)
+	}
+	tal.reasons[err.Error()]++
+}
+
+// Guards against answers that are lost, mixed up or shown as complete when
+// they are not, and against refusals that deny an execution (P1, P3, P4, P7).
+func TestSimulation(t *testing.T) {
+	for name, scn := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			var tal tally
+			for seed := *seedFlag; seed < *seedFlag+*seedsFlag; seed++ {
+				if vios := runSim(t, scn, seed, disabled{}, &tal); len(vios) > 0 {
+					t.Errorf("seed %d: %d violations, first: %.2000s", seed, len(vios), vios[0])
+				}
+				if t.Failed() {
+					break
+				}
+			}
+			t.Logf("%d complete, %d failed (%d unknown), %d refused, %d resumed, reasons %v",
+				tal.complete, tal.failed, tal.unknown, tal.refused, tal.resumed, tal.reasons)
+		})
+	}
+}
+
+// Guards against a simulation that would not notice a missing mechanism.
+func TestSimulationSeesMissingMechanism(t *testing.T) {
+	for name, tst := range map[string]struct {
+		scenario string
+		off      disabled
+	}{
+		"attempt check": {"everything", disabled{attemptCheck: true}},
+		"replica":       {"deaths", disabled{replica: true}},
+		"handover":      {"drain", disabled{handover: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := *seedFlag; seed < *seedFlag+*seedsFlag; seed++ {
+				if vios := runSim(t, scenarios[tst.scenario], seed, tst.off, &tally{}); len(vios) > 0 {
+					t.Logf("seed %d: %d violations, first: %.200s", seed, len(vios), vios[0])
+					return
+				}
+			}
+			t.Error("no violation without the mechanism")
+		})
+	}
+}
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -56,15 +56,17 @@
 // A Config wires a Table. All interfaces but Clock must be set; Plain and
 // Ledger only for plain calls.
 type Config struct {
-	Self     wick.EntryID
-	Zone     wick.Zone
-	Router   wick.Router
-	Admitter wick.Admitter
-	Engine   wick.Engine
-	Plain    wick.Plain
-	Ledger   wick.Ledger
-	Peers    wick.Peers
-	Members  Members
+	Self wick.EntryID
+	// Incarnation must grow with every start of the entry.
+	Incarnation wick.Incarnation
+	Zone        wick.Zone
+	Router      wick.Router
+	Admitter    wick.Admitter
+	Engine      wick.Engine
+	Plain       wick.Plain
+	Ledger      wick.Ledger
+	Peers       wick.Peers
+	Members     Members
 	// Clock is the system's clock if nil.
 	Clock wick.Clock
 	// Invar counts violations; nil is a checker of the table's own.
@@ -325,7 +327,7 @@
 		case cancel:
 			req.cancel()
 		default:
-			tab.takeOverIfSilent(req, now)
+			tab.takeOverIfLost(req, now, mems)
 		}
 	})
 }
--- a/internal/stream/take.go
+++ b/internal/stream/take.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,17 +29,24 @@
 	maxTakers = 3
 )
 
-// takeOverIfSilent runs a replica whose origin was silent for too long.
-func (tab *Table) takeOverIfSilent(req *Request, now time.Time) {
+// takeOverIfLost runs a replica whose origin was silent for too long or has
+// restarted.
+func (tab *Table) takeOverIfLost(req *Request, now time.Time, mems []wick.Member) {
 	req.mu.Lock()
-	source := req.source
-	due := req.silent(now)
+	source, inc := req.source, req.sourceInc
+	replica, silent := req.isReplica(), now.Sub(req.heard) >= silence
 	req.mu.Unlock()
-	if !due || now.Sub(tab.cfg.Members.LastHeard(source)) < silence {
+	if !replica {
+		return
+	}
+	restarted := slices.ContainsFunc(mems, func(mem wick.Member) bool {
+		return mem.ID == source && mem.Incarnation > inc
+	})
+	if !restarted && (!silent || now.Sub(tab.cfg.Members.LastHeard(source)) < silence) {
 		return
 	}
 	req.mu.Lock()
-	if !req.silent(now) {
+	if !req.isReplica() {
 		req.mu.Unlock()
 		return
 	}
@@ -54,10 +62,10 @@
 	}
 }
 
-// silent reports whether this is a replica that had no copy for too long. The
+// isReplica reports whether this entry holds the request for another one. The
 // caller holds req.mu.
-func (req *Request) silent(now time.Time) bool {
-	return !req.holding && req.state == StateQueued && req.source != "" && now.Sub(req.heard) >= silence
+func (req *Request) isReplica() bool {
+	return !req.holding && req.state == StateQueued && req.source != ""
 }
 
 // Drain ends the work of this entry in order: new work is accepted for 2 s, or
--- a/internal/stream/wire.go
+++ b/internal/stream/wire.go
@@ -33,7 +33,9 @@
 
 // A copyBody is the body of a streamCopy.
 type copyBody struct {
-	Items []copyItem `cbor:"items"`
+	// Incarnation is the sender's, so that its restart is noticed.
+	Incarnation wick.Incarnation `cbor:"incarnation"`
+	Items       []copyItem       `cbor:"items"`
 }
 
 // A copyResult is the replica's answer to one item.
