front: add the HTTP server for callers

Cause: callers need model calls, plain calls, resume and readiness. Change: hertz server with Bearer keys, limits on bodies, headers, slow senders and connections, server-sent events with checked event ids, RFC 9457 problems from one table (docs/problems.md). A response that is not complete ends without [DONE] and without its last chunk. Found by tests: a connection over the limit was answered before its request, which clients reject; a poll for an unknown id said that it was running. Conclusion: tests pass with -race.

--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,234 @@
+// Package front is the HTTP server for callers: OpenAI-style model calls,
+// calls of plain services, resume, and readiness for the load balancer.
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/internal/stream"
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// Defaults of Config. The body has to fit into one message to a peer with its
+// CBOR overhead.
+const (
+	defaultMaxBody        = 768 << 10
+	defaultMaxHeader      = 16 << 10
+	defaultMaxConnections = 10000
+	defaultReadTimeout    = 10 * time.Second
+	defaultIdleTimeout    = 60 * time.Second
+	defaultWriteTimeout   = 10 * time.Second
+	defaultMaxTokens      = 8192
+	maxDeadline           = 24 * time.Hour
+	maxKeyBytes           = 255
+	// middlePriority is the priority of requests without X-Priority.
+	middlePriority = wick.Priority(5)
+	maxRefusals    = 64
+)
+
+// A Config wires a Server. Zero limits are defaults.
+type Config struct {
+	Table *stream.Table
+	// Bundle returns the active bundle, or nil before there is one.
+	Bundle   func() *bundle.Bundle
+	Listener net.Listener
+	// MaxBody and MaxHeader are in bytes.
+	MaxBody   int
+	MaxHeader int
+	// MaxConnections bounds open connections.
+	MaxConnections int
+	// ReadTimeout bounds the time of sending one request, IdleTimeout the
+	// time between requests, WriteTimeout one write of a response.
+	ReadTimeout  time.Duration
+	IdleTimeout  time.Duration
+	WriteTimeout time.Duration
+	// MaxTokens bounds max_tokens, and is its default.
+	MaxTokens wick.Tokens
+}
+
+func (cfg *Config) setDefaults() {
+	for _, num := range []struct {
+		field *int
+		value int
+	}{
+		{&cfg.MaxBody, defaultMaxBody},
+		{&cfg.MaxHeader, defaultMaxHeader},
+		{&cfg.MaxConnections, defaultMaxConnections},
+	} {
+		if *num.field == 0 {
+			*num.field = num.value
+		}
+	}
+	for _, dur := range []struct {
+		field *time.Duration
+		value time.Duration
+	}{
+		{&cfg.ReadTimeout, defaultReadTimeout},
+		{&cfg.IdleTimeout, defaultIdleTimeout},
+		{&cfg.WriteTimeout, defaultWriteTimeout},
+	} {
+		if *dur.field == 0 {
+			*dur.field = dur.value
+		}
+	}
+	if cfg.MaxTokens == 0 {
+		cfg.MaxTokens = defaultMaxTokens
+	}
+}
+
+// A Server serves callers on one listener.
+type Server struct {
+	cfg Config
+	hrz *server.Hertz
+}
+
+// New returns a server. Serve must be called.
+func New(cfg Config) *Server {
+	cfg.setDefaults()
+	lis := &limitListener{
+		Listener: cfg.Listener, limit: int64(cfg.MaxConnections), readTimeout: cfg.ReadTimeout,
+		writeTimeout: cfg.WriteTimeout, refusing: make(chan struct{}, maxRefusals),
+	}
+	hrz := server.New(
+		server.WithListener(lis), server.WithTransport(standard.NewTransporter),
+		server.WithSenseClientDisconnection(true),
+		server.WithMaxRequestBodySize(cfg.MaxBody), server.WithMaxHeaderBytes(cfg.MaxHeader),
+		server.WithReadTimeout(cfg.ReadTimeout), server.WithIdleTimeout(cfg.IdleTimeout),
+		server.WithDisablePrintRoute(true), server.WithDisablePreParseMultipartForm(true),
+		server.WithRedirectTrailingSlash(false),
+	)
+	srv := &Server{cfg: cfg, hrz: hrz}
+	hrz.Use(recovery.Recovery())
+	hrz.GET("/readyz", srv.readyz)
+	hrz.POST(routeChat, srv.signedIn(srv.chat))
+	hrz.POST(routeText, srv.signedIn(srv.text))
+	hrz.GET("/v1/requests/:id/events", srv.signedIn(srv.events))
+	hrz.GET("/v1/requests/:id", srv.signedIn(srv.request))
+	hrz.Any("/s/:service/*path", srv.signedIn(srv.plain))
+	hrz.NoRoute(func(_ context.Context, rct *app.RequestContext) {
+		kindNoService.refuse("no such path").write(rct)
+	})
+	return srv
+}
+
+// Serve serves until Shutdown.
+func (srv *Server) Serve() error { return eris.Wrap(srv.hrz.Run(), "front") }
+
+// Shutdown closes the listener and waits for open connections until ctx ends.
+// Table.Drain goes before it.
+func (srv *Server) Shutdown(ctx context.Context) error {
+	return eris.Wrap(srv.hrz.Shutdown(ctx), "front")
+}
+
+// readyz tells the load balancer whether to send new work here.
+func (srv *Server) readyz(_ context.Context, rct *app.RequestContext) {
+	if !srv.cfg.Table.Ready() || srv.cfg.Bundle() == nil {
+		kindNotReady.refuse("").write(rct)
+		return
+	}
+	rct.String(200, "ready\n")
+}
+
+// A caller is the sender of one request.
+type caller struct {
+	bun      *bundle.Bundle
+	customer wick.Customer
+	deadline time.Time
+	priority wick.Priority
+	key      wick.IdempotencyKey
+}
+
+type handler func(ctx context.Context, rct *app.RequestContext, cal caller)
+
+// signedIn checks the key and the common headers.
+func (srv *Server) signedIn(next handler) app.HandlerFunc {
+	return func(ctx context.Context, rct *app.RequestContext) {
+		bun := srv.cfg.Bundle()
+		if bun == nil {
+			kindNotReady.refuse("no bundle yet").write(rct)
+			return
+		}
+		cal := caller{bun: bun}
+		var ok bool
+		if cal.customer, ok = authenticate(bun, string(rct.GetHeader("Authorization"))); !ok {
+			kindUnauthorized.refuse("").write(rct)
+			return
+		}
+		if prb := cal.readHeaders(
+			string(rct.GetHeader("X-Deadline-Millis")), string(rct.GetHeader("X-Priority")),
+			string(rct.GetHeader("Idempotency-Key")),
+		); prb != nil {
+			prb.write(rct)
+			return
+		}
+		next(ctx, rct, cal)
+	}
+}
+
+// authenticate finds the customer of a Bearer key. Every hash is compared in
+// constant time, so that the time tells nothing about the keys.
+func authenticate(bun *bundle.Bundle, header string) (wick.Customer, bool) {
+	scheme, key, ok := strings.Cut(header, " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return "", false
+	}
+	sum := sha256.Sum256([]byte(key))
+	have := []byte(hex.EncodeToString(sum[:]))
+	var found wick.Customer
+	matched := 0
+	for idx := range bun.Customers {
+		cus := &bun.Customers[idx]
+		if subtle.ConstantTimeCompare(have, []byte(cus.KeyHash)) == 1 {
+			found, matched = cus.Name, matched+1
+		}
+	}
+	return found, matched == 1
+}
+
+// readHeaders parses the headers that all calls share.
+func (cal *caller) readHeaders(deadline, priority, key string) *problem {
+	cal.priority = middlePriority
+	if deadline != "" {
+		num, err := strconv.ParseInt(deadline, 10, 64)
+		if err != nil || num <= 0 || num > maxDeadline.Milliseconds() {
+			return kindInvalid.refuse("X-Deadline-Millis is not a number of milliseconds up to 24 h")
+		}
+		cal.deadline = time.Now().Add(time.Duration(num) * time.Millisecond)
+	}
+	if priority != "" {
+		num, err := strconv.ParseUint(priority, 10, 8)
+		if err != nil || wick.Priority(num) > wick.MaxPriority {
+			return kindInvalid.refuse("X-Priority is not a number from 0 to 9")
+		}
+		cal.priority = wick.Priority(num)
+	}
+	if len(key) > maxKeyBytes || strings.ContainsFunc(key, func(chr rune) bool { return chr < ' ' || chr > '~' }) {
+		return kindInvalid.refuse("Idempotency-Key is longer than 255 bytes or not printable")
+	}
+	cal.key = wick.IdempotencyKey(key)
+	return nil
+}
+
+// service returns the service of a name and kind, or nil.
+func (cal *caller) service(name wick.Service, knd bundle.ServiceKind) *bundle.Service {
+	for idx := range cal.bun.Services {
+		if svc := &cal.bun.Services[idx]; svc.Name == name && svc.Kind == knd {
+			return svc
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/front/model.go
@@ -0,0 +1,185 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"github.com/wagtailwick/wagtailwick/internal/stream"
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	routeChat = "/v1/chat/completions"
+	routeText = "/v1/completions"
+	// pollTime is how long GET /v1/requests/{id} waits for the end.
+	pollTime = 2 * time.Second
+)
+
+// A modelBody is the OpenAI-style body of a model call. Unknown fields are
+// ignored, since clients send many.
+type modelBody struct {
+	Model               wick.Service   `json:"model"`
+	Messages            []wick.Message `json:"messages"`
+	Prompt              string         `json:"prompt"`
+	Stream              bool           `json:"stream"`
+	MaxTokens           *wick.Tokens   `json:"max_tokens"`
+	MaxCompletionTokens *wick.Tokens   `json:"max_completion_tokens"`
+}
+
+// parseModel checks the body of a model call.
+func parseModel(raw []byte, route string, limit wick.Tokens) (modelBody, wick.Tokens, *problem) {
+	var bod modelBody
+	if err := json.Unmarshal(raw, &bod); err != nil {
+		return bod, 0, kindInvalid.refuse("the body is not JSON of the expected form")
+	}
+	switch {
+	case bod.Model == "":
+		return bod, 0, kindInvalid.refuse("model is missing")
+	case route == routeChat && (len(bod.Messages) == 0 || bod.Prompt != ""):
+		return bod, 0, kindInvalid.refuse("messages are missing, or prompt is given")
+	case route == routeText && (bod.Prompt == "" || len(bod.Messages) > 0):
+		return bod, 0, kindInvalid.refuse("prompt is missing, or messages are given")
+	}
+	tokens := limit
+	for _, num := range []*wick.Tokens{bod.MaxTokens, bod.MaxCompletionTokens} {
+		if num != nil && *num <= 0 {
+			return bod, 0, kindInvalid.refuse("max_tokens is not positive")
+		}
+		if num != nil {
+			tokens = min(tokens, *num)
+		}
+	}
+	return bod, tokens, nil
+}
+
+func (srv *Server) chat(ctx context.Context, rct *app.RequestContext, cal caller) {
+	srv.model(ctx, rct, cal, routeChat)
+}
+
+func (srv *Server) text(ctx context.Context, rct *app.RequestContext, cal caller) {
+	srv.model(ctx, rct, cal, routeText)
+}
+
+// model accepts a model call and answers it.
+func (srv *Server) model(ctx context.Context, rct *app.RequestContext, cal caller, route string) {
+	bod, tokens, prb := parseModel(rct.Request.Body(), route, srv.cfg.MaxTokens)
+	if prb != nil {
+		prb.write(rct)
+		return
+	}
+	if cal.service(bod.Model, bundle.KindModel) == nil {
+		kindNoService.refuse("model names no model service").write(rct)
+		return
+	}
+	hea := stream.Head{
+		Customer: cal.customer, Service: bod.Model, Route: route, MaxTokens: tokens, Priority: cal.priority,
+		Prompt: wick.Prompt{Text: bod.Prompt, Messages: bod.Messages},
+	}
+	if !cal.deadline.IsZero() {
+		hea.DeadlineMillis = cal.deadline.UnixMilli()
+	}
+	req, err := srv.cfg.Table.Accept(ctx, hea)
+	if err != nil {
+		problemOf(err).write(rct)
+		return
+	}
+	rct.Response.Header.Set("X-Request-Id", string(req.Head.ID))
+	rdr := req.Attach(stream.Cursor{})
+	if bod.Stream {
+		// The headers go out at once: the caller needs the id to resume.
+		srv.writeEvents(ctx, rct, rdr, nil)
+		return
+	}
+	srv.writeWhole(ctx, rct, rdr, req.Head.ID)
+}
+
+// events resumes an answer after the last event id.
+func (srv *Server) events(ctx context.Context, rct *app.RequestContext, cal caller) {
+	cur, err := stream.ParseCursor(sse.GetLastEventID(&rct.Request))
+	if err != nil {
+		kindInvalid.refuse("Last-Event-ID is not an event id").write(rct)
+		return
+	}
+	rid := wick.RequestID(rct.Param("id"))
+	rdr := srv.cfg.Table.Resume(rid, cal.customer, cur)
+	bat, err := rdr.Next(ctx)
+	if err != nil {
+		rdr.Close()
+		srv.fail(rct, err, rid)
+		return
+	}
+	rct.Response.Header.Set("X-Request-Id", string(rid))
+	srv.writeEvents(ctx, rct, rdr, &bat)
+}
+
+// request returns a complete answer, or 202 while it is not complete.
+func (srv *Server) request(ctx context.Context, rct *app.RequestContext, cal caller) {
+	rid := wick.RequestID(rct.Param("id"))
+	rdr := srv.cfg.Table.Resume(rid, cal.customer, stream.Cursor{})
+	polling, cancel := context.WithTimeout(ctx, pollTime)
+	defer cancel()
+	var bld strings.Builder
+	bat, err := readWhole(polling, &rdr, &bld)
+	defer rdr.Close()
+	switch {
+	case err == nil:
+		rct.Response.Header.Set("X-Request-Id", string(rid))
+		rct.Data(200, "application/json", encodeWhole(rdr.Info(), bld.String(), bat))
+	case errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil && rdr.Info().ID == "":
+		srv.fail(rct, &stream.FailError{Err: wick.ErrNotFound, Executed: stream.ExecutedUnknown}, rid)
+	case errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil:
+		rct.Response.Header.Set("Retry-After", "1")
+		rct.JSON(202, map[string]any{"id": rid, "state": "running", "events": rdr.Cursor().Events})
+	default:
+		srv.fail(rct, err, rid)
+	}
+}
+
+// fail writes the problem of a request that was accepted.
+func (*Server) fail(rct *app.RequestContext, err error, rid wick.RequestID) {
+	prb := problemOf(err)
+	prb.RequestID = rid
+	prb.write(rct)
+}
+
+// readWhole reads a complete answer, wherever the request moves. The caller
+// closes the reader that is left in rdr.
+func readWhole(ctx context.Context, rdr **stream.Reader, bld *strings.Builder) (stream.Batch, error) {
+	for {
+		bat, err := (*rdr).Next(ctx)
+		if errors.Is(err, stream.ErrHandedOver) {
+			next := (*rdr).Follow()
+			(*rdr).Close()
+			*rdr = next
+			continue
+		}
+		if err != nil {
+			return bat, err //nolint:wrapcheck // a *stream.FailError or the error of ctx
+		}
+		for _, text := range bat.Texts {
+			bld.WriteString(text)
+		}
+		if bat.Done {
+			return bat, nil
+		}
+	}
+}
+
+// writeWhole answers a call without streaming.
+func (srv *Server) writeWhole(ctx context.Context, rct *app.RequestContext, rdr *stream.Reader, rid wick.RequestID) {
+	var bld strings.Builder
+	bat, err := readWhole(ctx, &rdr, &bld)
+	defer rdr.Close()
+	if err != nil {
+		srv.fail(rct, err, rid)
+		return
+	}
+	rct.Data(200, "application/json", encodeWhole(rdr.Info(), bld.String(), bat))
+}
--- a/internal/stream/peer.go
+++ b/internal/stream/peer.go
@@ -155,12 +155,13 @@
 	rdr := req.Attach(cur)
 	defer rdr.Close()
 	bat, err := rdr.Next(ctx)
-	rep := fetchReply{Found: true}
+	rep := fetchReply{Found: true, Info: req.Head.info()}
 	var fai *FailError
 	switch {
 	case err == nil:
 		rep.Texts = limitTexts(bat.Texts, batchBytes)
 		req.mu.Lock()
+		rep.Before = bat.From.Digest
 		rep.Digest = req.digestAt(fet.Events + len(rep.Texts))
 		req.mu.Unlock()
 		if bat.Done && len(rep.Texts) == len(bat.Texts) {
--- a/internal/stream/reader.go
+++ b/internal/stream/reader.go
@@ -55,8 +55,23 @@
 	return cur, nil
 }
 
+// Advance returns the checked cursor after one more event.
+func (cur Cursor) Advance(text string) Cursor {
+	return Cursor{Events: cur.Events + 1, Digest: digestAfter(cur.Digest, text), Checked: true}
+}
+
+// An Info is what a caller's response tells about a request.
+type Info struct {
+	ID            wick.RequestID
+	Service       wick.Service
+	Route         string
+	CreatedMillis int64
+}
+
 // A Batch is what a reader gets at once.
 type Batch struct {
+	// From is the checked cursor before Texts.
+	From Cursor
 	// Texts are the next events. The reader must not change them.
 	Texts []string
 	// Done is set when Texts end the complete answer, which End describes.
@@ -67,9 +82,10 @@
 // A Reader returns the events of a request after a cursor exactly once and in
 // order. It must be closed.
 type Reader struct {
-	tab *Table
-	req *Request
-	cur Cursor
+	tab  *Table
+	req  *Request
+	cur  Cursor
+	info Info
 	// remote is set when another entry holds the request.
 	remote *remote
 }
@@ -126,15 +142,22 @@
 	}
 	num := len(req.texts)
 	if cur.Events > num {
-		if req.state.final() {
+		switch req.state {
+		case StateDone:
 			return Batch{}, nil, req.diverged()
+		case StateFailed:
+			return Batch{}, nil, req.fail
+		case StateQueued, StateRunning, StateHandedOver:
 		}
 		return Batch{}, req.waiter(), nil
 	}
 	if !req.matches(cur) {
 		return Batch{}, nil, req.diverged()
 	}
-	bat := Batch{Texts: req.texts[cur.Events:num:num]}
+	bat := Batch{
+		From:  Cursor{Events: cur.Events, Digest: req.digestAt(cur.Events), Checked: true},
+		Texts: req.texts[cur.Events:num:num],
+	}
 	switch req.state {
 	case StateDone:
 		bat.Done, bat.End = true, req.end
@@ -174,5 +197,18 @@
 	return req.wake
 }
 
+// Info describes the request. Its ID is "" until an entry that knows the
+// request has answered.
+func (rdr *Reader) Info() Info {
+	if rdr.req != nil {
+		return rdr.req.Head.info()
+	}
+	return rdr.info
+}
+
+func (hea *Head) info() Info {
+	return Info{ID: hea.ID, Service: hea.Service, Route: hea.Route, CreatedMillis: hea.CreatedMillis}
+}
+
 // Cursor returns the reader's place.
 func (rdr *Reader) Cursor() Cursor { return rdr.cur }
--- a/internal/stream/remote.go
+++ b/internal/stream/remote.go
@@ -182,6 +182,7 @@
 
 // take moves the reader over a reply.
 func (rdr *Reader) take(mem wick.Member, rep fetchReply) (Batch, found, error) {
+	rdr.info = rep.Info
 	switch {
 	case rep.Failure != nil:
 		return Batch{}, foundEvents, rep.Failure.failure()
@@ -195,8 +196,8 @@
 	if len(rep.Texts) == 0 && rep.End == nil {
 		return Batch{}, foundHolder, nil
 	}
+	bat := Batch{From: Cursor{Events: rdr.cur.Events, Digest: rep.Before, Checked: true}, Texts: rep.Texts}
 	rdr.cur = Cursor{Events: rdr.cur.Events + len(rep.Texts), Digest: rep.Digest, Checked: true}
-	bat := Batch{Texts: rep.Texts}
 	if rep.End != nil {
 		bat.Done, bat.End = true, *rep.End
 	}
--- a/internal/stream/wire.go
+++ b/internal/stream/wire.go
@@ -93,7 +93,10 @@
 	Successor wick.EntryID `cbor:"successor,omitempty"`
 	Texts     []string     `cbor:"texts,omitempty"`
 	// Digest identifies all events up to the last of Texts.
-	Digest  uint64          `cbor:"digest"`
+	Digest uint64 `cbor:"digest"`
+	// Before identifies the events before Texts.
+	Before  uint64          `cbor:"before"`
+	Info    Info            `cbor:"info"`
 	End     *wick.Generated `cbor:"end,omitempty"`
 	Failure *wireFailure    `cbor:"failure,omitempty"`
 }
