stream: wait for queued requests in a drain, and drop removed ones

Cause: a drain could hand over a request that still waited for admission, which then ran here as well; without a peer the set of uncopied requests kept removed ones.

--- /dev/null
+++ b/internal/front/bench_test.go
@@ -0,0 +1,35 @@
+package front
+
+import (
+	"testing"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"github.com/wagtailwick/wagtailwick/internal/stream"
+)
+
+// A discard is a response body that keeps nothing.
+type discard struct{}
+
+func (discard) Write(buf []byte) (int, error) { return len(buf), nil }
+
+func (discard) Flush() error { return nil }
+
+func (discard) Finalize() error { return nil }
+
+// BenchmarkEventToken measures the encoding of one token as an event.
+func BenchmarkEventToken(b *testing.B) {
+	rct := app.NewContext(0)
+	rct.Response.HijackWriter(discard{})
+	wri := sse.NewWriter(rct)
+	rdr := &stream.Reader{}
+	var enc encoder
+	bat := stream.Batch{Texts: []string{"token"}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := enc.send(wri, rdr, &bat); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/stream/copy.go
+++ b/internal/stream/copy.go
@@ -117,7 +117,7 @@
 	for req := range reqs {
 		req.mu.Lock()
 		mem, ok := req.target(mems)
-		skip := !req.holding || req.state == StateHandedOver
+		skip := req.removed || !req.holding || req.state == StateHandedOver
 		req.mu.Unlock()
 		switch {
 		case skip:
--- a/internal/stream/fakes_test.go
+++ b/internal/stream/fakes_test.go
@@ -19,6 +19,8 @@
 
 // faults are probabilities per attempt or message.
 type faults struct {
+	// slowAdmit is the share of requests that wait for admission.
+	slowAdmit float64
 	// sampled makes every attempt give other tokens, as sampling does.
 	sampled bool
 
@@ -250,8 +252,11 @@
 	return wld.endpoints[vid].moving
 }
 
-// Admit accepts everything at once.
-func (*world) Admit(context.Context, wick.AdmitQuery) (func(wick.Outcome), error) {
+// Admit accepts everything, a tenth of it after a wait.
+func (wld *world) Admit(ctx context.Context, _ wick.AdmitQuery) (func(wick.Outcome), error) {
+	if wld.chance(wld.faults.slowAdmit) && !wait(ctx, wld.millis(1, 3000)) {
+		return nil, ctx.Err()
+	}
 	return func(wick.Outcome) {}, nil
 }
 
--- a/internal/stream/plain_test.go
+++ b/internal/stream/plain_test.go
@@ -17,6 +17,7 @@
 	// errs are the errors of the next calls; nil is a reply.
 	errs  []error
 	sent  int
+	begun int
 	delay time.Duration
 	// claims holds the state and reply by key.
 	claims   map[wick.IdempotencyKey]wick.ClaimResult
@@ -25,6 +26,9 @@
 }
 
 func (sim *simPlain) Call(ctx context.Context, _ wick.VM, _ wick.PlainCall) (wick.PlainReply, error) {
+	sim.mu.Lock()
+	sim.begun++
+	sim.mu.Unlock()
 	if !wait(ctx, sim.delay) {
 		return wick.PlainReply{}, wick.ErrUnknownOutcome
 	}
@@ -139,6 +143,40 @@
 	}
 }
 
+// Guards against hedges of calls that are not idempotent, and against hedges
+// whose second assignment is never ended.
+func TestPlainHedge(t *testing.T) {
+	for name, tst := range map[string]struct {
+		que  PlainQuery
+		sent int
+	}{
+		"idempotent": {PlainQuery{Idempotent: true}, 1},
+		"other":      {PlainQuery{}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				wld, sim := newWorld(1, faults{}, disabled{}), &simPlain{delay: 10 * time.Second}
+				tab := New(Config{Router: wld, Admitter: wld, Plain: sim, Invar: &wld.chk, HedgeAfter: time.Second})
+				if _, err := tab.Call(t.Context(), tst.que); err != nil {
+					t.Error(err)
+				}
+				tab.Close()
+				time.Sleep(time.Minute)
+				// The slower attempt is cancelled.
+				if sim.sent != tst.sent || sim.begun != map[bool]int{true: 2, false: 1}[tst.que.Idempotent] {
+					t.Errorf("%d begun, %d sent", sim.begun, sim.sent)
+				}
+				if len(wld.violations) > 0 || wld.open != 0 {
+					t.Errorf("violations %v, %d assignments open", wld.violations, wld.open)
+				}
+				for _, oth := range wld.entries {
+					oth.kill()
+				}
+			})
+		})
+	}
+}
+
 // Guards against a booking that is cancelled, or not recorded, because its
 // caller disconnects after it was sent.
 func TestPlainCallOutlivesCaller(t *testing.T) {
--- a/internal/stream/request.go
+++ b/internal/stream/request.go
@@ -102,6 +102,8 @@
 	// grace is how long the request goes on without a reader.
 	grace time.Duration
 	ended time.Time
+	// removed is set when the table no longer holds the request.
+	removed bool
 }
 
 // A replica is what the holder knows about its replica.
@@ -150,7 +152,9 @@
 	req.texts = append(req.texts, text)
 	num := int64(len(text)) + eventBytes
 	req.bytes += num
-	req.tab.bytes.Add(num)
+	if !req.removed {
+		req.tab.bytes.Add(num)
+	}
 }
 
 // notify wakes all waiting readers. The caller holds req.mu.
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -103,6 +103,8 @@
 	bytes atomic.Int64
 	// calls counts plain calls that run.
 	calls atomic.Int64
+	// admitting counts model requests that wait for admission.
+	admitting atomic.Int64
 
 	// refuseAt is when new work is refused, in Unix nanoseconds; 0 is never.
 	refuseAt atomic.Int64
@@ -212,6 +214,7 @@
 		return
 	}
 	req.mu.Lock()
+	req.removed = true
 	num := req.bytes
 	req.mu.Unlock()
 	tab.count.Add(-1)
@@ -269,11 +272,13 @@
 	}
 	hea.ID = wick.NewRequestID(tab.cfg.Self)
 	hea.CreatedMillis = tab.now().UnixMilli()
+	// Until it is admitted, the request is neither run nor handed over here.
 	req := newRequest(tab, hea)
-	req.holding = true
 	if err := tab.insert(req); err != nil {
 		return nil, refusal(err)
 	}
+	tab.admitting.Add(1)
+	defer tab.admitting.Add(-1)
 	release, err := tab.cfg.Admitter.Admit(ctx, tab.admitQuery(&req.Head, false))
 	if err == nil && tab.ctx.Err() != nil {
 		release(wick.Outcome{Cancelled: true})
--- a/internal/stream/take.go
+++ b/internal/stream/take.go
@@ -110,7 +110,7 @@
 
 // running returns the number of requests and plain calls that this entry runs.
 func (tab *Table) running() int {
-	num := int(tab.calls.Load())
+	num := int(tab.calls.Load() + tab.admitting.Load())
 	tab.each(func(req *Request) {
 		if req.runs() {
 			num++
