--- a/internal/stream/remote.go
+++ b/internal/stream/remote.go
@@ -61,10 +61,14 @@
 func (rdr *Reader) remoteNext(ctx context.Context) (Batch, error) {
 	began := rdr.tab.now()
 	for num := 0; ; num++ {
-		if rdr.local() {
+		here, known := rdr.local()
+		if here {
 			return rdr.Next(ctx)
 		}
 		bat, fnd, err := rdr.askAll(ctx)
+		if known {
+			fnd = max(fnd, foundTrace)
+		}
 		switch {
 		case err != nil || fnd == foundEvents:
 			return bat, err
@@ -115,23 +119,24 @@
 	return Batch{}, fnd, nil
 }
 
-// local moves the reader to this entry if it runs the request by now.
-func (rdr *Reader) local() bool {
+// local moves the reader to this entry if it runs the request by now. It also
+// reports whether this entry knows the request at all.
+func (rdr *Reader) local() (here, known bool) {
 	req := rdr.tab.find(rdr.remote.rid)
 	if req == nil || req.Head.Customer != rdr.remote.cus {
-		return false
+		return false, false
 	}
 	if req.readable() {
 		here := req.Attach(rdr.cur)
 		rdr.req, rdr.remote = here.req, nil
-		return true
+		return true, true
 	}
 	req.mu.Lock()
 	defer req.mu.Unlock()
 	if rdr.remote.holder == "" {
 		rdr.remote.holder = req.successor
 	}
-	return false
+	return false, true
 }
 
 // places returns the entries to ask: the last holder, the origin, the head of
@@ -177,6 +182,7 @@
 
 // take moves the reader over a reply.
 func (rdr *Reader) take(mem wick.Member, rep fetchReply) (Batch, found, error) {
+	rdr.info = rep.Info
 	switch {
 	case rep.Failure != nil:
 		return Batch{}, foundEvents, rep.Failure.failure()
@@ -190,8 +196,8 @@
 	if len(rep.Texts) == 0 && rep.End == nil {
 		return Batch{}, foundHolder, nil
 	}
+	bat := Batch{From: Cursor{Events: rdr.cur.Events, Digest: rep.Before, Checked: true}, Texts: rep.Texts}
 	rdr.cur = Cursor{Events: rdr.cur.Events + len(rep.Texts), Digest: rep.Digest, Checked: true}
-	bat := Batch{Texts: rep.Texts}
 	if rep.End != nil {
 		bat.Done, bat.End = true, *rep.End
 	}
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -56,15 +56,17 @@
 // A Config wires a Table. All interfaces but Clock must be set; Plain and
 // Ledger only for plain calls.
 type Config struct {
-	Self     wick.EntryID
-	Zone     wick.Zone
-	Router   wick.Router
-	Admitter wick.Admitter
-	Engine   wick.Engine
-	Plain    wick.Plain
-	Ledger   wick.Ledger
-	Peers    wick.Peers
-	Members  Members
+	Self wick.EntryID
+	// Incarnation must grow with every start of the entry.
+	Incarnation wick.Incarnation
+	Zone        wick.Zone
+	Router      wick.Router
+	Admitter    wick.Admitter
+	Engine      wick.Engine
+	Plain       wick.Plain
+	Ledger      wick.Ledger
+	Peers       wick.Peers
+	Members     Members
 	// Clock is the system's clock if nil.
 	Clock wick.Clock
 	// Invar counts violations; nil is a checker of the table's own.
@@ -101,6 +103,8 @@
 	bytes atomic.Int64
 	// calls counts plain calls that run.
 	calls atomic.Int64
+	// admitting counts model requests that wait for admission.
+	admitting atomic.Int64
 
 	// refuseAt is when new work is refused, in Unix nanoseconds; 0 is never.
 	refuseAt atomic.Int64
@@ -210,6 +214,7 @@
 		return
 	}
 	req.mu.Lock()
+	req.removed = true
 	num := req.bytes
 	req.mu.Unlock()
 	tab.count.Add(-1)
@@ -267,11 +272,13 @@
 	}
 	hea.ID = wick.NewRequestID(tab.cfg.Self)
 	hea.CreatedMillis = tab.now().UnixMilli()
+	// Until it is admitted, the request is neither run nor handed over here.
 	req := newRequest(tab, hea)
-	req.holding = true
 	if err := tab.insert(req); err != nil {
 		return nil, refusal(err)
 	}
+	tab.admitting.Add(1)
+	defer tab.admitting.Add(-1)
 	release, err := tab.cfg.Admitter.Admit(ctx, tab.admitQuery(&req.Head, false))
 	if err == nil && tab.ctx.Err() != nil {
 		release(wick.Outcome{Cancelled: true})
@@ -325,7 +332,7 @@
 		case cancel:
 			req.cancel()
 		default:
-			tab.takeOverIfSilent(req, now)
+			tab.takeOverIfLost(req, now, mems)
 		}
 	})
 }
--- a/internal/stream/wire.go
+++ b/internal/stream/wire.go
@@ -33,7 +33,9 @@
 
 // A copyBody is the body of a streamCopy.
 type copyBody struct {
-	Items []copyItem `cbor:"items"`
+	// Incarnation is the sender's, so that its restart is noticed.
+	Incarnation wick.Incarnation `cbor:"incarnation"`
+	Items       []copyItem       `cbor:"items"`
 }
 
 // A copyResult is the replica's answer to one item.
@@ -91,7 +93,10 @@
 	Successor wick.EntryID `cbor:"successor,omitempty"`
 	Texts     []string     `cbor:"texts,omitempty"`
 	// Digest identifies all events up to the last of Texts.
-	Digest  uint64          `cbor:"digest"`
+	Digest uint64 `cbor:"digest"`
+	// Before identifies the events before Texts.
+	Before  uint64          `cbor:"before"`
+	Info    Info            `cbor:"info"`
 	End     *wick.Generated `cbor:"end,omitempty"`
 	Failure *wireFailure    `cbor:"failure,omitempty"`
 }
