ledger: grant claims by conditional updates of one object per shard

Cause: a call that is not idempotent must run at most once although entries crash, pause and lose responses, with no state of our own on VMs.

Change: a claim is a conditional update of the shard's open segment, an object whose name never changes and that is never deleted. Full segments are sealed by a conditional update, copied to <shard>-<n>, and deleted 24 h later, after the list in the open segment has stopped naming them.

--- /dev/null
+++ b/internal/ledger/chain.go
@@ -0,0 +1,255 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	// Retention is how long a sealed segment is kept after sealing.
+	Retention = 24 * time.Hour
+	// retentionSlack is added by whoever deletes, because sealing and
+	// deleting entries may have different clocks.
+	retentionSlack = 10 * time.Minute
+	// maxRetained bounds the list of sealed segments in the open one. At 30
+	// bytes each it takes 120 KB, and the indexes of 256 KB segments take
+	// about 32 MB.
+	maxRetained = 4096
+	// maxTrash bounds the deletions of one write.
+	maxTrash = 16
+	// callTimeout bounds one platform call, which normally takes milliseconds.
+	callTimeout = 2 * time.Second
+)
+
+// errChanged reports that the open segment has changed since it was read.
+var errChanged = errors.New("ledger: open segment has changed")
+
+// errCached reports that a decision needs a new read of the open segment.
+var errCached = errors.New("ledger: open segment has to be read again")
+
+// A chain is a shard's segments as this entry last saw them. One goroutine
+// uses it at a time.
+type chain struct {
+	sto   wick.Store
+	shard wick.Shard
+	cfg   *settings
+	// rev is the revision of seg, zero when the shard has none yet.
+	rev wick.Revision
+	seg *segment
+	// size is the length of seg's JSON.
+	size int
+	// pos holds the index of each key in seg.Claims.
+	pos map[digest]int
+	// index holds the sorted key bits of each sealed segment, 8 bytes a claim.
+	index map[uint64][]uint64
+	// reads and writes count platform calls.
+	reads, writes int64
+}
+
+// load reads the open segment. An absent one is an empty chain: the first
+// write requires that it does not exist, which settles stale reads.
+func (chn *chain) load(ctx context.Context, now time.Time) error {
+	chn.forget()
+	obj, err := chn.get(ctx, openKey(chn.shard))
+	seg := &segment{Shard: chn.shard, Seq: 1, Opened: unix(now)}
+	if err == nil {
+		err = json.Unmarshal(obj.Data, seg)
+	} else if errors.Is(err, wick.ErrNotFound) {
+		err = nil
+	}
+	if err != nil {
+		return err
+	}
+	chn.seg, chn.rev, chn.size = seg, obj.Revision, len(obj.Data)
+	chn.pos = make(map[digest]int, len(seg.Claims))
+	for idx := range seg.Claims {
+		chn.pos[seg.Claims[idx].Key] = idx
+	}
+	return chn.loadIndexes(ctx)
+}
+
+// forget drops the open segment, whose value in the platform is uncertain.
+func (chn *chain) forget() { chn.seg, chn.rev, chn.pos = nil, 0, nil }
+
+func (chn *chain) loadIndexes(ctx context.Context) error {
+	listed := make(map[uint64]bool, len(chn.seg.Retained))
+	for _, ref := range chn.seg.Retained {
+		listed[ref.Seq] = true
+		if _, ok := chn.index[ref.Seq]; ok {
+			continue
+		}
+		old, err := chn.sealed(ctx, ref.Seq)
+		if err != nil {
+			return err
+		}
+		chn.addIndex(old)
+	}
+	for seq := range chn.index {
+		if !listed[seq] {
+			delete(chn.index, seq)
+		}
+	}
+	return nil
+}
+
+func (chn *chain) addIndex(seg *segment) {
+	bits := make([]uint64, len(seg.Claims))
+	for idx := range seg.Claims {
+		bits[idx] = seg.Claims[idx].Key.bits()
+	}
+	slices.Sort(bits)
+	if chn.index == nil {
+		chn.index = make(map[uint64][]uint64)
+	}
+	chn.index[seg.Seq] = bits
+}
+
+// sealed reads a sealed segment. One that is listed but not found was deleted
+// since, or the read is stale; in either case nothing may be concluded.
+func (chn *chain) sealed(ctx context.Context, seq uint64) (*segment, error) {
+	obj, err := chn.get(ctx, sealedKey(chn.shard, seq))
+	if errors.Is(err, wick.ErrNotFound) {
+		return nil, errChanged
+	}
+	if err != nil {
+		return nil, err
+	}
+	seg := &segment{}
+	if err := json.Unmarshal(obj.Data, seg); err != nil {
+		return nil, eris.Wrap(err, "ledger: decode sealed segment")
+	}
+	if seg.Seq != seq || seg.Sealed == 0 {
+		return nil, errChanged
+	}
+	return seg, nil
+}
+
+// find returns the newest record of a key, or nil.
+func (chn *chain) find(ctx context.Context, key digest) (*claim, error) {
+	if idx, ok := chn.pos[key]; ok {
+		clm := chn.seg.Claims[idx]
+		return &clm, nil
+	}
+	for idx := len(chn.seg.Retained) - 1; idx >= 0; idx-- {
+		seq := chn.seg.Retained[idx].Seq
+		if _, ok := slices.BinarySearch(chn.index[seq], key.bits()); !ok {
+			continue
+		}
+		seg, err := chn.sealed(ctx, seq)
+		if err != nil {
+			return nil, err
+		}
+		for jdx := range seg.Claims {
+			if seg.Claims[jdx].Key == key {
+				return &seg.Claims[jdx], nil
+			}
+		}
+	}
+	return nil, nil //nolint:nilnil // no record is no error
+}
+
+// set changes the open segment in memory.
+func (chn *chain) set(clm claim) {
+	if idx, ok := chn.pos[clm.Key]; ok {
+		chn.seg.Claims[idx] = clm
+		return
+	}
+	chn.pos[clm.Key] = len(chn.seg.Claims)
+	chn.seg.Claims = append(chn.seg.Claims, clm)
+}
+
+// put writes the open segment on the condition that nobody else has. After an
+// error the chain has to be loaded again.
+func (chn *chain) put(ctx context.Context) error {
+	chn.seg.WriteID = wick.NewWriteID()
+	data, err := json.Marshal(chn.seg)
+	if err != nil {
+		chn.forget()
+		return eris.Wrap(err, "ledger: encode")
+	}
+	chn.writes++
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rev, err := chn.sto.Put(cctx, openKey(chn.shard), data, chn.rev)
+	if err != nil {
+		chn.forget()
+		return err
+	}
+	chn.rev, chn.size = rev, len(data)
+	return nil
+}
+
+// full tells whether the open segment has to be sealed.
+func (chn *chain) full(now time.Time) bool {
+	old := now.Sub(time.Unix(chn.seg.Opened, 0)) >= chn.cfg.segmentAge
+	return len(chn.seg.Claims) > 0 && (old || chn.size >= chn.cfg.segmentBytes)
+}
+
+// roll replaces a full segment by an empty one, in memory; the next put makes
+// it durable. Before, it seals the segment by a conditional update and copies
+// it. Any entry can go on with a roll that another began, because a sealed
+// segment does not change and all copies of it are equal.
+func (chn *chain) roll(ctx context.Context, now time.Time) error {
+	if chn.seg.Sealed == 0 {
+		if !chn.full(now) {
+			return nil
+		}
+		if len(chn.seg.Retained) >= maxRetained {
+			return eris.Wrap(wick.ErrBusy, "ledger: too many retained segments")
+		}
+		chn.seg.Sealed = unix(now)
+		if num := len(chn.seg.Retained); num > 0 {
+			chn.seg.Sealed = max(chn.seg.Sealed, chn.seg.Retained[num-1].Sealed)
+		}
+		if err := chn.put(ctx); err != nil {
+			return err
+		}
+	}
+	dup := *chn.seg
+	dup.Retained, dup.Trash = nil, nil
+	data, err := json.Marshal(&dup)
+	if err != nil {
+		return eris.Wrap(err, "ledger: encode")
+	}
+	chn.writes++
+	cctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err = chn.sto.Put(cctx, sealedKey(chn.shard, dup.Seq), data, 0)
+	// A conflict means that the copy exists already.
+	if err != nil && !errors.Is(err, wick.ErrConflict) {
+		return err
+	}
+	chn.addIndex(&dup)
+	refs := append(slices.Clone(chn.seg.Retained), sealedRef{Seq: dup.Seq, Sealed: dup.Sealed})
+	chn.seg = &segment{
+		Shard: chn.shard, Seq: dup.Seq + 1, Opened: unix(now), Retained: refs, Trash: chn.seg.Trash,
+	}
+	chn.pos = make(map[digest]int)
+	return nil
+}
+
+// expire moves segments past the retention period from the list to the trash,
+// in memory. The objects are deleted only after the shorter list is durable.
+func (chn *chain) expire(now time.Time) {
+	limit := unix(now.Add(-Retention - retentionSlack))
+	for len(chn.seg.Retained) > 0 && len(chn.seg.Trash) < maxTrash && chn.seg.Retained[0].Sealed < limit {
+		seq := chn.seg.Retained[0].Seq
+		chn.seg.Trash = append(chn.seg.Trash, seq)
+		chn.seg.Retained = chn.seg.Retained[1:]
+		delete(chn.index, seq)
+	}
+}
+
+func (chn *chain) get(ctx context.Context, key wick.ObjectKey) (wick.Object, error) {
+	chn.reads++
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return chn.sto.Get(ctx, key)
+}
