--- a/internal/ledger/chain.go
+++ b/internal/ledger/chain.go
@@ -24,6 +24,8 @@
 	maxRetained = 4096
 	// maxTrash bounds the deletions of one write.
 	maxTrash = 16
+	// maxRecent bounds the sealed segments in memory, of up to 700 KB each.
+	maxRecent = 2
 	// callTimeout bounds one platform call, which normally takes milliseconds.
 	callTimeout = 2 * time.Second
 )
@@ -49,10 +51,28 @@
 	pos map[digest]int
 	// index holds the sorted key bits of each sealed segment, 8 bytes a claim.
 	index map[uint64][]uint64
+	// recent holds the last sealed segments used, at most maxRecent, since the
+	// outcomes of a segment's last claims come shortly after its sealing.
+	recent []*sealedSegment
 	// reads and writes count platform calls.
 	reads, writes int64
 }
 
+// A sealedSegment is a sealed segment with the index of each key.
+type sealedSegment struct {
+	seg *segment
+	pos map[digest]int
+}
+
+// positions returns the index of each key in claims.
+func positions(claims []claim) map[digest]int {
+	pos := make(map[digest]int, len(claims))
+	for idx := range claims {
+		pos[claims[idx].Key] = idx
+	}
+	return pos
+}
+
 // load reads the open segment. An absent one is an empty chain: the first
 // write requires that it does not exist, which settles stale reads.
 func (chn *chain) load(ctx context.Context, now time.Time) error {
@@ -68,10 +88,7 @@
 		return err
 	}
 	chn.seg, chn.rev, chn.size = seg, obj.Revision, len(obj.Data)
-	chn.pos = make(map[digest]int, len(seg.Claims))
-	for idx := range seg.Claims {
-		chn.pos[seg.Claims[idx].Key] = idx
-	}
+	chn.pos = positions(seg.Claims)
 	return chn.loadIndexes(ctx)
 }
 
@@ -131,6 +148,29 @@
 	return seg, nil
 }
 
+// recall returns a sealed segment, from memory if it was used lately.
+func (chn *chain) recall(ctx context.Context, seq uint64) (*sealedSegment, error) {
+	for _, old := range chn.recent {
+		if old.seg.Seq == seq {
+			return old, nil
+		}
+	}
+	seg, err := chn.sealed(ctx, seq)
+	if err != nil {
+		return nil, err
+	}
+	return chn.remember(seg), nil
+}
+
+func (chn *chain) remember(seg *segment) *sealedSegment {
+	old := &sealedSegment{seg: seg, pos: positions(seg.Claims)}
+	chn.recent = append(chn.recent, old)
+	if len(chn.recent) > maxRecent {
+		chn.recent = slices.Clone(chn.recent[1:])
+	}
+	return old
+}
+
 // find returns the newest record of a key, or nil.
 func (chn *chain) find(ctx context.Context, key digest) (*claim, error) {
 	if idx, ok := chn.pos[key]; ok {
@@ -142,14 +182,13 @@
 		if _, ok := slices.BinarySearch(chn.index[seq], key.bits()); !ok {
 			continue
 		}
-		seg, err := chn.sealed(ctx, seq)
+		old, err := chn.recall(ctx, seq)
 		if err != nil {
 			return nil, err
 		}
-		for jdx := range seg.Claims {
-			if seg.Claims[jdx].Key == key {
-				return &seg.Claims[jdx], nil
-			}
+		if jdx, ok := old.pos[key]; ok {
+			clm := old.seg.Claims[jdx]
+			return &clm, nil
 		}
 	}
 	return nil, nil //nolint:nilnil // no record is no error
@@ -227,6 +266,7 @@
 		return err
 	}
 	chn.addIndex(&dup)
+	chn.remember(&dup)
 	refs := append(slices.Clone(chn.seg.Retained), sealedRef{Seq: dup.Seq, Sealed: dup.Sealed})
 	chn.seg = &segment{
 		Shard: chn.shard, Seq: dup.Seq + 1, Opened: unix(now), Retained: refs, Trash: chn.seg.Trash,
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -95,6 +95,7 @@
 		shd.mu.Lock()
 		if len(shd.queue) == 0 {
 			shd.running = false
+			shd.chn.recent = nil
 			shd.mu.Unlock()
 			return
 		}
