--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,207 @@
+package config
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/fake"
+	"github.com/wagtailwick/wagtailwick/internal/peer"
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+var (
+	steps = flag.Int("steps", 40, "steps of a randomised run")
+	seed  = flag.Uint64("seed", 1, "first seed of the randomised runs")
+	seeds = flag.Uint64("seeds", 6, "number of randomised runs")
+)
+
+// wait lets the time pass and checks all nodes every 100 ms, and every 10 ms
+// after a start, when a node may serve with an older version for a moment.
+func (sim *sim) wait(dur time.Duration, need int) {
+	for end := time.Now().Add(dur); time.Now().Before(end); {
+		tick := 100 * time.Millisecond
+		for _, nod := range sim.nodes {
+			if time.Since(nod.born) < 500*time.Millisecond {
+				tick = 10 * time.Millisecond
+			}
+		}
+		time.Sleep(tick)
+		sim.observe(need)
+	}
+}
+
+// finish ends all nodes and lets their goroutines end.
+func (sim *sim) finish() {
+	for _, nod := range sim.nodes {
+		sim.stop(nod)
+	}
+	time.Sleep(2 * time.Minute)
+}
+
+// forge offers documents that must never come into force, and old ones.
+func (sim *sim) forge(ctx context.Context) {
+	ver := wick.BundleVersion(1000 + sim.rnd.Uint64N(1<<40))
+	pairs := [][2]string{{"ann", "ann"}, {"ann", "eve"}, {"eve", "ben"}}
+	pick := pairs[sim.rnd.IntN(len(pairs))]
+	sgd := signed(pick[0], pick[1], ver)
+	target := sim.nodes[sim.rnd.IntN(len(sim.nodes))]
+	switch sim.rnd.IntN(4) {
+	case 0:
+		sgd.Signature = nil
+	case 1:
+		sim.store.Put(ctx, bundle.Key(wick.KindBundle, ver), sgd.Submission, 0)
+		sim.store.Put(ctx, bundle.Key(wick.KindSignature, ver), sgd.Signature, 0)
+	case 2:
+		// A late push of an old version, which is signed.
+		if old := sim.nodes[0].keeper.held().Version; old > 1 {
+			ver = 1 + wick.BundleVersion(sim.rnd.Uint64N(uint64(old)))
+			sub, err := sim.store.Get(ctx, bundle.Key(wick.KindBundle, ver))
+			sig, serr := sim.store.Get(ctx, bundle.Key(wick.KindSignature, ver))
+			if err == nil && serr == nil {
+				sgd = bundle.Signed{Version: ver, Submission: sub.Data, Signature: sig.Data}
+			}
+		}
+	}
+	body, _ := peer.Encode(pushBody{Version: sgd.Version, Signed: &sgd})
+	target.keeper.HandlePush(ctx, sim.nodes[0].mem.ID, body)
+}
+
+// step makes one random change.
+func (sim *sim) step(ctx context.Context, zones int) {
+	pick := func() wick.Zone { return wick.Zone("z" + strconv.Itoa(sim.rnd.IntN(zones))) }
+	cut := func(one, two wick.Zone, on bool) {
+		sim.mu.Lock()
+		defer sim.mu.Unlock()
+		if one != two {
+			sim.cut[[2]wick.Zone{min(one, two), max(one, two)}] = on
+		}
+	}
+	switch sim.rnd.IntN(10) {
+	case 0, 1, 2:
+		racers := 1 + sim.rnd.IntN(3)
+		go sim.signNext(ctx, racers)
+	case 3, 4:
+		for range 1 + sim.rnd.IntN(2) {
+			nod := sim.nodes[sim.rnd.IntN(len(sim.nodes))]
+			sim.stop(nod)
+			sim.start(nod)
+			sim.restarts++
+		}
+	case 5:
+		cut("", pick(), sim.rnd.IntN(3) > 0)
+	case 6:
+		cut(pick(), pick(), sim.rnd.IntN(3) > 0)
+	case 7:
+		zone, on := pick(), sim.rnd.IntN(2) > 0
+		cut("", zone, on)
+		for num := range zones {
+			cut(zone, wick.Zone("z"+strconv.Itoa(num)), on)
+		}
+	case 8:
+		flt := fake.StoreFaults{Down: sim.rnd.IntN(3) == 0, LatencyMillis: wick.Millis(sim.rnd.IntN(400)), LoseAnswers: wick.Share(sim.rnd.Float64() / 2), StaleReads: wick.Share(sim.rnd.Float64() / 3)}
+		sim.mu.Lock()
+		sim.down = flt.Down
+		sim.mu.Unlock()
+		sim.store.SetFaults(flt, sim.rnd.Uint64())
+		sim.ntw.SetFaults(peer.Faults{Delay: time.Millisecond, Jitter: 20 * time.Millisecond, Loss: wick.Share(sim.rnd.Float64() * 0.03), Duplicate: 0.05, Reorder: 0.05}, sim.rnd.Uint64())
+	case 9:
+		sim.forge(ctx)
+	}
+}
+
+// randomRun runs one seed and returns the violations.
+func randomRun(t *testing.T, num uint64, bar bare) (sim *sim) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		rnd := rand.New(rand.NewPCG(num, 2))
+		entries, zones := 3+rnd.IntN(4), 2+rnd.IntN(3)
+		sim = newSim(t, entries, zones, num, bar)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for _, nod := range sim.nodes {
+			sim.start(nod)
+		}
+		sim.signNext(ctx, 2)
+		for range *steps {
+			sim.step(ctx, zones)
+			sim.wait(500*time.Millisecond+time.Duration(sim.rnd.Int64N(int64(4*time.Second))), 1)
+		}
+		// Everything heals: all nodes must agree within the bound.
+		sim.mu.Lock()
+		clear(sim.cut)
+		sim.down = false
+		sim.mu.Unlock()
+		sim.store.SetFaults(fake.StoreFaults{}, 1)
+		sim.wait(3*within, 1)
+		for _, nod := range sim.nodes {
+			if act, ready := nod.keeper.Active(); !ready || act.Bundle.Version < sim.last || !act.Confirmed {
+				sim.failf("%s after healing: %+v, last is %d", nod.mem.ID, nod.keeper.Dump(), sim.last)
+			}
+		}
+		cancel()
+		sim.finish()
+	})
+	return sim
+}
+
+// Guards P8 against restarts, partitions, platform faults, racing operators
+// and forged bundles. Longer runs: go test ./internal/config -run TestP8
+// -args -steps N -seed S -seeds K.
+func TestP8(t *testing.T) {
+	type result struct{ adopted, restarts int }
+	results := make(chan result, *seeds)
+	worst := make(chan time.Duration, *seeds)
+	t.Run("seeds", func(t *testing.T) {
+		for num := *seed; num < *seed+*seeds; num++ {
+			t.Run(fmt.Sprint("seed", num), func(t *testing.T) {
+				t.Parallel()
+				sim := randomRun(t, num, bare{})
+				for _, vio := range sim.violations {
+					t.Errorf("seed %d: %s", num, vio)
+				}
+				results <- result{sim.adopted, sim.restarts}
+				worst <- sim.worst
+			})
+		}
+	})
+	close(results)
+	close(worst)
+	var sum result
+	for res := range results {
+		sum.adopted += res.adopted
+		sum.restarts += res.restarts
+	}
+	var slowest time.Duration
+	for took := range worst {
+		slowest = max(slowest, took)
+	}
+	t.Logf("%d seeds of %d steps: %d adoptions, %d restarts, worst time to active %v", *seeds, *steps, sum.adopted, sum.restarts, slowest)
+}
+
+// Guards against a run that can't find anything: without a mechanism, it must.
+func TestP8WithoutMechanism(t *testing.T) {
+	for name, bar := range map[string]bare{
+		"signatures": {anySignature: true},
+		"order":      {anyVersion: true},
+		"peers":      {alone: true},
+		"start":      {hasty: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for num := uint64(1); num <= 40; num++ {
+				if sim := randomRun(t, num, bar); len(sim.violations) > 0 {
+					t.Logf("seed %d: %s", num, sim.violations[0])
+					return
+				}
+			}
+			t.Error("no violation in 40 seeds")
+		})
+	}
+}
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -23,7 +23,7 @@
 	zoneFanout  = 1
 	maxSample   = 3
 	// suspectEvery spaces attempts to reach a suspect member.
-	suspectEvery = 5 * time.Second
+	suspectEvery = 3 * time.Second
 )
 
 // A Sample is one member as a heartbeat carries it.
