Add fakes of cloud, engines and plain services, and the standin command

Cause: the entry's tests and the demo need the outside systems with faults that can be switched on at run time.

The fakes use only the time package, so they run under testing/synctest. A stale List of the store fake now carries the stale revision; with the new one a watcher missed the change for good. A stale read before any second write shows the current state instead of none. The command wagtailwick standin runs the servers and registers endpoints with a cloud stand-in.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -28,6 +28,7 @@
 // commands lists every command in the order of the help text.
 var commands = []command{
 	versionCommand,
+	standinCommand,
 }
 
 // Main runs the command that args name and returns the exit code.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -98,8 +98,8 @@
 	if rep.Status != http.StatusOK {
 		return wick.Generated{}, refused(rep, op)
 	}
-	rdr := reader{att: gen.Attempt, optional: cli.AttemptOptional, next: wick.Tokens(len(gen.Continue)), sink: sink}
-	out, err := rdr.run(rep)
+	chk := Checker{Attempt: gen.Attempt, AttemptOptional: cli.AttemptOptional, Next: wick.Tokens(len(gen.Continue)), Sink: sink}
+	out, err := chk.run(rep)
 	if err != nil {
 		if ctx.Err() != nil {
 			err = errors.Join(context.Cause(ctx), err)
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -67,18 +67,21 @@
 	CachedTokens wick.Tokens `json:"cached_tokens"`
 }
 
-// A reader checks the events of one attempt and passes its tokens on.
-type reader struct {
-	att      wick.AttemptID
-	optional bool
-	// next is the only index that is accepted as a new token.
-	next wick.Tokens
-	sink func(wick.Token) error
-	end  *wick.Generated
+// A Checker checks the events of one attempt and passes its tokens on.
+type Checker struct {
+	Attempt wick.AttemptID
+	// AttemptOptional accepts events that name no attempt.
+	AttemptOptional bool
+	// Next is the only index that is accepted as a new token.
+	Next wick.Tokens
+	// Sink gets every token once, in order.
+	Sink func(wick.Token) error
+
+	end *wick.Generated
 }
 
 // run reads until the end marker.
-func (rdr *reader) run(rep *wire.Reply) (wick.Generated, error) {
+func (chk *Checker) run(rep *wire.Reply) (wick.Generated, error) {
 	scn := bufio.NewScanner(rep)
 	scn.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
 	var data []byte
@@ -92,10 +95,10 @@
 			continue
 		}
 		if string(data) == Done {
-			return rdr.finish(rep)
+			return chk.finish(rep)
 		}
 		if len(data) > 0 {
-			if err := rdr.event(data); err != nil {
+			if err := chk.decode(data); err != nil {
 				return wick.Generated{}, err
 			}
 		}
@@ -120,29 +123,41 @@
 	return append(data, bytes.TrimPrefix(val, []byte(" "))...)
 }
 
-func (rdr *reader) finish(rep *wire.Reply) (wick.Generated, error) {
-	if rdr.end == nil {
+func (chk *Checker) finish(rep *wire.Reply) (wick.Generated, error) {
+	out, err := chk.End()
+	if err == nil {
+		rep.SetStall(drainWait)
+		_, _ = io.CopyN(io.Discard, rep, drainBytes)
+	}
+	return out, err
+}
+
+// End returns the end of the answer when the end marker has been read.
+func (chk *Checker) End() (wick.Generated, error) {
+	if chk.end == nil {
 		return wick.Generated{}, errNoMarker
 	}
-	rep.SetStall(drainWait)
-	_, _ = io.CopyN(io.Discard, rep, drainBytes)
-	return *rdr.end, nil
+	return *chk.end, nil
 }
 
-// event handles one event. Events of other attempts and repeated events are
-// dropped; a gap fails the attempt.
-func (rdr *reader) event(data []byte) error {
+func (chk *Checker) decode(data []byte) error {
 	var evt Event
 	if err := json.Unmarshal(data, &evt); err != nil {
 		return err
 	}
-	if evt.Attempt != rdr.att && (evt.Attempt != "" || !rdr.optional) {
+	return chk.Event(evt)
+}
+
+// Event handles one event. Events of other attempts and repeated events are
+// dropped; a gap fails the attempt.
+func (chk *Checker) Event(evt Event) error {
+	if evt.Attempt != chk.Attempt && (evt.Attempt != "" || !chk.AttemptOptional) {
 		return nil
 	}
 	if len(evt.Error) > 0 {
 		return fmt.Errorf("%w: %.200s", errEngine, evt.Error)
 	}
-	if len(evt.Choices) == 0 || rdr.end != nil {
+	if len(evt.Choices) == 0 || chk.end != nil {
 		return nil
 	}
 	cho := evt.Choices[0]
@@ -152,36 +167,36 @@
 	}
 	// An engine may send the last token and the finish reason in one event.
 	if cho.FinishReason == "" || text != "" {
-		if err := rdr.token(evt.Index, text); err != nil {
+		if err := chk.token(evt.Index, text); err != nil {
 			return err
 		}
 	}
 	if cho.FinishReason != "" {
-		return rdr.setEnd(evt, cho.FinishReason)
+		return chk.setEnd(evt, cho.FinishReason)
 	}
 	return nil
 }
 
-func (rdr *reader) token(idx wick.Tokens, text string) error {
-	if idx < rdr.next {
+func (chk *Checker) token(idx wick.Tokens, text string) error {
+	if idx < chk.Next {
 		return nil
 	}
-	if idx > rdr.next {
-		return fmt.Errorf("token %d follows token %d", idx, rdr.next-1)
+	if idx > chk.Next {
+		return fmt.Errorf("token %d follows token %d", idx, chk.Next-1)
 	}
-	rdr.next++
-	return rdr.sink(wick.Token{Attempt: rdr.att, Index: idx, Text: text})
+	chk.Next++
+	return chk.Sink(wick.Token{Attempt: chk.Attempt, Index: idx, Text: text})
 }
 
-func (rdr *reader) setEnd(evt Event, reason wick.FinishReason) error {
+func (chk *Checker) setEnd(evt Event, reason wick.FinishReason) error {
 	if reason != wick.FinishStop && reason != wick.FinishLength {
 		return fmt.Errorf("%w: %.40s", errFinish, reason)
 	}
-	if evt.Usage == nil || evt.Usage.CompletionTokens != rdr.next {
+	if evt.Usage == nil || evt.Usage.CompletionTokens != chk.Next {
 		return errCount
 	}
-	rdr.end = &wick.Generated{
-		Attempt: rdr.att, Count: rdr.next, Finish: reason,
+	chk.end = &wick.Generated{
+		Attempt: chk.Attempt, Count: chk.Next, Finish: reason,
 		CachedTokens: evt.Usage.Details.CachedTokens, PromptTokens: evt.Usage.PromptTokens,
 	}
 	return nil
--- /dev/null
+++ b/internal/fake/cloud.go
@@ -0,0 +1,259 @@
+package fake
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/wire"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// maxLists bounds the old lists kept for the lag.
+const maxLists = 256
+
+// CloudFaults are the faults of a Cloud. The zero value is no fault.
+type CloudFaults struct {
+	// Down makes every call fail without effect. Partition makes the HTTP
+	// server drop the connection besides.
+	Down      bool `json:"down,omitempty"`
+	Partition bool `json:"partition,omitempty"`
+	// LatencyMillis delays every call.
+	LatencyMillis wick.Millis `json:"latencyMillis,omitempty"`
+	// LoseAnswers is the share of starts and stops that take effect and
+	// report ErrUnavailable.
+	LoseAnswers wick.Share `json:"loseAnswers,omitempty"`
+	// RefuseStarts is the share of starts refused with ErrBusy.
+	RefuseStarts wick.Share `json:"refuseStarts,omitempty"`
+	// ListLagMillis is how far the list lags behind.
+	ListLagMillis wick.Millis `json:"listLagMillis,omitempty"`
+	// Reclaim starts a reclaim once, when the faults are set.
+	Reclaim *CloudReclaim `json:"reclaim,omitempty"`
+	// Seed makes random faults repeatable.
+	Seed uint64 `json:"seed,omitempty"`
+}
+
+// A CloudReclaim takes one VM, or the reclaimable VMs of a zone, away.
+type CloudReclaim struct {
+	VM   wick.VMID `json:"vm,omitempty"`
+	Zone wick.Zone `json:"zone,omitempty"`
+	Reclaim
+}
+
+// A Cloud is an in-memory wick.Cloud. Its zero value is empty and ready to use.
+type Cloud struct {
+	// StartTime is how long a VM takes to start.
+	StartTime time.Duration
+	// OnStart is called for every VM that starts and may set its address.
+	OnStart func(vm *wick.VM)
+	// OnStop is called for every VM that is stopped.
+	OnStop func(vm wick.VM)
+	// OnReclaim is called when a reclaim of a VM begins.
+	OnReclaim func(vm wick.VM, rec Reclaim)
+
+	dice   dice
+	mu     sync.Mutex
+	faults CloudFaults
+	vms    map[wick.VMID]wick.VM
+	tokens map[string]wick.VM
+	next   int
+	// lists holds the lists after each change, the oldest first.
+	lists []datedList
+}
+
+type datedList struct {
+	at  time.Time
+	vms []wick.VM
+}
+
+var _ wick.Cloud = (*Cloud)(nil)
+
+// SetFaults replaces the faults.
+func (cld *Cloud) SetFaults(flt CloudFaults) {
+	cld.dice.seed(flt.Seed)
+	cld.mu.Lock()
+	cld.faults = flt
+	cld.mu.Unlock()
+	if flt.Reclaim != nil {
+		cld.Reclaim(*flt.Reclaim)
+	}
+}
+
+func (cld *Cloud) currentFaults() CloudFaults {
+	cld.mu.Lock()
+	defer cld.mu.Unlock()
+	return cld.faults
+}
+
+// Register adds a VM to the list or replaces it.
+func (cld *Cloud) Register(vm wick.VM) {
+	cld.mu.Lock()
+	defer cld.mu.Unlock()
+	if vm.State == "" {
+		vm.State = wick.VMLive
+	}
+	cld.set(vm)
+}
+
+// Remove takes a VM off the list.
+func (cld *Cloud) Remove(vid wick.VMID) {
+	cld.mu.Lock()
+	defer cld.mu.Unlock()
+	delete(cld.vms, vid)
+	cld.changed()
+}
+
+// set adds or replaces a VM. The caller holds mu.
+func (cld *Cloud) set(vm wick.VM) {
+	if cld.vms == nil {
+		cld.vms = make(map[wick.VMID]wick.VM)
+	}
+	cld.vms[vm.ID] = vm
+	cld.changed()
+}
+
+// changed keeps the new list. The caller holds mu.
+func (cld *Cloud) changed() {
+	list := make([]wick.VM, 0, len(cld.vms))
+	for _, vid := range slices.Sorted(maps.Keys(cld.vms)) {
+		list = append(list, cld.vms[vid])
+	}
+	cld.lists = append(cld.lists, datedList{time.Now(), list})
+	if len(cld.lists) > maxLists {
+		cld.lists = slices.Delete(cld.lists, 0, len(cld.lists)-maxLists)
+	}
+}
+
+func (cld *Cloud) begin(ctx context.Context, op string) error {
+	flt := cld.currentFaults()
+	if err := sleep(ctx, flt.LatencyMillis.Duration()); err != nil {
+		return wire.Fail(wick.ErrUnavailable, op, err)
+	}
+	switch {
+	case flt.Partition:
+		return wire.Fail(wick.ErrUnavailable, op, errDropped)
+	case flt.Down:
+		return wire.Fail(wick.ErrUnavailable, op, errDown)
+	}
+	return nil
+}
+
+// lost returns the error of a call that took effect and whose reply is lost.
+func (cld *Cloud) lost(op string) error {
+	if cld.dice.draw(cld.currentFaults().LoseAnswers) {
+		return wire.Fail(wick.ErrUnavailable, op, errDropped)
+	}
+	return nil
+}
+
+// VMs returns the list as it was before the lag.
+func (cld *Cloud) VMs(ctx context.Context) ([]wick.VM, error) {
+	if err := cld.begin(ctx, "fake: list"); err != nil {
+		return nil, err
+	}
+	cld.mu.Lock()
+	defer cld.mu.Unlock()
+	lag := cld.faults.ListLagMillis.Duration()
+	for idx := len(cld.lists) - 1; idx >= 0; idx-- {
+		if time.Since(cld.lists[idx].at) >= lag {
+			return slices.Clone(cld.lists[idx].vms), nil
+		}
+	}
+	return nil, nil
+}
+
+// Start starts a VM. A repeated token returns the same VM.
+func (cld *Cloud) Start(ctx context.Context, ord wick.StartOrder) (wick.VM, error) {
+	const op = "fake: start"
+	if err := cld.begin(ctx, op); err != nil {
+		return wick.VM{}, err
+	}
+	vm, known, err := cld.create(ord)
+	if err != nil {
+		return wick.VM{}, err
+	}
+	switch {
+	case known:
+	case cld.StartTime > 0:
+		time.AfterFunc(cld.StartTime, func() { cld.appear(vm) })
+	default:
+		vm = cld.appear(vm)
+	}
+	return vm, cld.lost(op)
+}
+
+func (cld *Cloud) appear(vm wick.VM) wick.VM {
+	if cld.OnStart != nil {
+		cld.OnStart(&vm)
+	}
+	cld.Register(vm)
+	return vm
+}
+
+func (cld *Cloud) create(ord wick.StartOrder) (vm wick.VM, known bool, err error) {
+	cld.mu.Lock()
+	defer cld.mu.Unlock()
+	if vm, ok := cld.tokens[ord.Token]; ok && ord.Token != "" {
+		return vm, true, nil
+	}
+	if cld.dice.draw(cld.faults.RefuseStarts) {
+		return wick.VM{}, false, wire.Fail(wick.ErrBusy, "fake: start", nil)
+	}
+	cld.next++
+	vm = wick.VM{
+		ID: wick.VMID("started-" + strconv.Itoa(cld.next)), Role: wick.RoleEndpoint, Zone: ord.Zone, Class: ord.Class,
+		Service: ord.Service, Versions: []wick.ModelVersion{ord.Version}, State: wick.VMLive, Reclaimable: ord.Reclaimable,
+	}
+	if cld.tokens == nil {
+		cld.tokens = make(map[string]wick.VM)
+	}
+	cld.tokens[ord.Token] = vm
+	return vm, false, nil
+}
+
+// Stop ends a VM.
+func (cld *Cloud) Stop(ctx context.Context, vid wick.VMID) error {
+	const op = "fake: stop"
+	if err := cld.begin(ctx, op); err != nil {
+		return err
+	}
+	cld.mu.Lock()
+	vm, ok := cld.vms[vid]
+	cld.mu.Unlock()
+	if !ok {
+		return wire.Fail(wick.ErrNotFound, op, nil)
+	}
+	cld.Remove(vid)
+	if cld.OnStop != nil {
+		cld.OnStop(vm)
+	}
+	return cld.lost(op)
+}
+
+// Reclaim begins a reclaim. The VMs leave the list when the notice has passed.
+func (cld *Cloud) Reclaim(rec CloudReclaim) {
+	cld.mu.Lock()
+	var hit []wick.VM
+	for _, vm := range cld.vms {
+		if vm.ID == rec.VM || rec.Zone != "" && vm.Zone == rec.Zone && vm.Reclaimable {
+			hit = append(hit, vm)
+		}
+	}
+	for _, vm := range hit {
+		if !rec.Silent {
+			vm.State = wick.VMLeaving
+			vm.ReclaimAt = time.Now().Add(rec.NoticeMillis.Duration())
+			cld.set(vm)
+		}
+	}
+	cld.mu.Unlock()
+	for _, vm := range hit {
+		if cld.OnReclaim != nil {
+			cld.OnReclaim(vm, rec.Reclaim)
+		}
+		time.AfterFunc(rec.NoticeMillis.Duration(), func() { cld.Remove(vm.ID) })
+	}
+}
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -17,6 +17,9 @@
 type StoreFaults struct {
 	// Down makes every call fail without effect.
 	Down bool `json:"down,omitempty"`
+	// Partition makes the HTTP server drop the connection of every call. In
+	// process it is the same as Down.
+	Partition bool `json:"partition,omitempty"`
 	// LatencyMillis delays every call.
 	LatencyMillis wick.Millis `json:"latencyMillis,omitempty"`
 	// LoseAnswers is the share of writes that take effect and report
@@ -42,10 +45,12 @@
 	objects map[wick.ObjectKey]wick.Object
 	// previous holds the values before the last write, for stale reads.
 	previous map[wick.ObjectKey]wick.Object
-	changed  chan struct{}
-	faults   StoreFaults
-	calls    StoreCalls
-	rnd      *rand.Rand
+	// previousRev is the revision of previous.
+	previousRev wick.Revision
+	changed     chan struct{}
+	faults      StoreFaults
+	calls       StoreCalls
+	rnd         *rand.Rand
 	// WatchWait is how long a watch waits; 25 s if zero.
 	WatchWait time.Duration
 }
@@ -76,7 +81,8 @@
 	}
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
-	obj, ok := sto.view()[key]
+	objs, _ := sto.view()
+	obj, ok := objs[key]
 	if !ok || obj.Deleted {
 		return wick.Object{}, wick.ErrNotFound
 	}
@@ -91,13 +97,14 @@
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	var out []wick.Object
-	for key, obj := range sto.view() {
+	objs, rev := sto.view()
+	for key, obj := range objs {
 		if key.Kind == kind && !obj.Deleted {
 			out = append(out, obj)
 		}
 	}
 	sort.Slice(out, func(idx, jdx int) bool { return out[idx].Key.Name < out[jdx].Key.Name })
-	return out, sto.rev, nil
+	return out, rev, nil
 }
 
 // Put writes an object if its revision is rev.
@@ -116,13 +123,18 @@
 
 // Watch waits for changes of a kind.
 func (sto *Store) Watch(ctx context.Context, kind wick.Kind, after wick.Revision) ([]wick.Object, wick.Revision, error) {
-	if err := sto.begin(ctx, false); err != nil {
-		return nil, 0, err
-	}
 	wait := sto.WatchWait
 	if wait == 0 {
 		wait = defaultWatchWait
 	}
+	return sto.WatchFor(ctx, kind, after, wait)
+}
+
+// WatchFor is Watch with its own wait time.
+func (sto *Store) WatchFor(ctx context.Context, kind wick.Kind, after wick.Revision, wait time.Duration) ([]wick.Object, wick.Revision, error) {
+	if err := sto.begin(ctx, false); err != nil {
+		return nil, 0, err
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -143,7 +155,7 @@
 func (sto *Store) changesAfter(kind wick.Kind, after wick.Revision) ([]wick.Object, wick.Revision, <-chan struct{}, error) {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
-	if sto.faults.Down {
+	if sto.faults.Down || sto.faults.Partition {
 		return nil, 0, nil, wick.ErrUnavailable
 	}
 	var out []wick.Object
@@ -178,18 +190,19 @@
 	}
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
-	if sto.faults.Down || ctx.Err() != nil {
+	if sto.faults.Down || sto.faults.Partition || ctx.Err() != nil {
 		return wick.ErrUnavailable
 	}
 	return nil
 }
 
-// view returns the objects that a read shows. The caller holds mu.
-func (sto *Store) view() map[wick.ObjectKey]wick.Object {
-	if sto.draw(sto.faults.StaleReads) {
-		return sto.previous
+// view returns the objects that a read shows and their revision. The caller
+// holds mu.
+func (sto *Store) view() (map[wick.ObjectKey]wick.Object, wick.Revision) {
+	if sto.previous != nil && sto.draw(sto.faults.StaleReads) {
+		return sto.previous, sto.previousRev
 	}
-	return sto.objects
+	return sto.objects, sto.rev
 }
 
 // draw returns true with the given probability. The caller holds mu.
@@ -233,8 +246,15 @@
 	if sto.faults.StaleReads == 0 {
 		return
 	}
+	sto.previousRev = sto.rev
 	sto.previous = make(map[wick.ObjectKey]wick.Object, len(sto.objects))
 	for key, obj := range sto.objects {
 		sto.previous[key] = obj
 	}
 }
+
+func (sto *Store) isDown() bool {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	return sto.faults.Down
+}
