End calls of fakes when the caller goes away; test late replies

Cause: an engine stand-in kept abandoned calls in its queue and prefilled them, which would distort measurements of cancelled work.

Change: the servers watch for closed connections. New tests: abandoned calls leave the queue, a second reply to one call is never taken for the next one's, a stalled endpoint does not look like a cancelled call, and any mix of lost, repeated, swapped and foreign events yields the engine's answer or an error.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/wagtailwick/wagtailwick/internal/engine"
 	"github.com/wagtailwick/wagtailwick/internal/fake"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
@@ -207,10 +210,60 @@
 		cli := engine.Client{TokenTimeout: 100 * time.Millisecond}
 		_, err := cli.Generate(t.Context(), vm, gen, func(wick.Token) error { return nil })
 		checkKind(t, err, wick.ErrTruncated)
+		if errors.Is(err, context.Canceled) {
+			t.Errorf("error %v looks like a cancelled attempt", err)
+		}
 		<-closed
 	})
 }
 
+// TestChecker guards against any mix of lost, repeated, swapped and foreign
+// events that yields an answer other than the engine's.
+func TestChecker(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const want = "abcdef"
+		var evts []engine.Event
+		for idx, chr := range want {
+			evts = append(evts, engine.Event{Attempt: "a", Index: wick.Tokens(idx), Choices: []engine.Choice{{Text: string(chr)}}})
+		}
+		evts = append(evts, engine.Event{
+			Attempt: "a", Choices: []engine.Choice{{FinishReason: wick.FinishStop}},
+			Usage: &engine.Usage{CompletionTokens: wick.Tokens(len(want))},
+		})
+		for range rapid.IntRange(0, 4).Draw(t, "faults") {
+			idx := rapid.IntRange(0, len(evts)-1).Draw(t, "event")
+			switch rapid.SampledFrom([]string{"lose", "repeat", "swap", "foreign"}).Draw(t, "fault") {
+			case "lose":
+				if len(evts) > 1 {
+					evts = slices.Delete(evts, idx, idx+1)
+				}
+			case "repeat":
+				evts = slices.Insert(evts, rapid.IntRange(0, len(evts)).Draw(t, "at"), evts[idx])
+			case "swap":
+				oth := rapid.IntRange(0, len(evts)-1).Draw(t, "with")
+				evts[idx], evts[oth] = evts[oth], evts[idx]
+			default:
+				foreign := evts[idx]
+				foreign.Attempt = "b"
+				evts = slices.Insert(evts, idx, foreign)
+			}
+		}
+		got := ""
+		chk := engine.Checker{Attempt: "a", Sink: func(tkn wick.Token) error { got += tkn.Text; return nil }}
+		for _, evt := range evts {
+			if chk.Event(evt) != nil {
+				return
+			}
+		}
+		if _, err := chk.End(); err == nil && got != want {
+			t.Errorf("complete answer %q, want %q", got, want)
+		}
+		if !strings.HasPrefix(want, got) {
+			t.Errorf("tokens %q, want a prefix of %q", got, want)
+		}
+	})
+}
+
 // TestFailedImport guards against an attempt that fails because KV cache could
 // not be imported.
 func TestFailedImport(t *testing.T) {
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -48,6 +48,8 @@
 	srv.hz = server.New(
 		server.WithListener(srv.lis), server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(maxRequestBytes), server.WithExitWaitTime(exitWait),
+		// A caller that goes away ends its call, also while that is queued.
+		server.WithSenseClientDisconnection(true),
 		server.WithUseRawPath(true), server.WithRedirectTrailingSlash(false), server.WithDisablePrintRoute(true),
 	)
 	register(srv.hz)
--- a/internal/fake/server_test.go
+++ b/internal/fake/server_test.go
@@ -1,10 +1,12 @@
 package fake_test
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -257,3 +259,40 @@
 	_, err = cli.Load(ctx, vm)
 	checkIs(t, "load in a partition", err, wick.ErrUnavailable)
 }
+
+// TestAbandoned guards against calls that keep their place in the queue after
+// the caller went away.
+func TestAbandoned(t *testing.T) {
+	eng := &fake.Engine{Host: fake.Host{VM: host, Slots: 1}, PrefillRate: 1}
+	srv, err := fake.ServeEngine("127.0.0.1:0", eng)
+	vm := wick.VM{Address: closing(t, srv, err)}
+	cli := &engine.Client{}
+	defer cli.HTTP.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wgr sync.WaitGroup
+	for _, att := range []wick.AttemptID{"running", "waiting"} {
+		wgr.Go(func() {
+			_, err := cli.Generate(ctx, vm, generation(att), nil)
+			checkIs(t, string(att), err, wick.ErrUnknownOutcome)
+		})
+	}
+	waitLoad(t, eng, 1, 1)
+	cancel()
+	wgr.Wait()
+	waitLoad(t, eng, 0, 0)
+}
+
+func waitLoad(tb testing.TB, eng *fake.Engine, running, waiting int) {
+	tb.Helper()
+	for range 200 {
+		rep, err := eng.Load(tb.Context())
+		if err != nil {
+			tb.Fatal(err)
+		}
+		if rep.Running == running && rep.Waiting == waiting {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	tb.Fatalf("not %d running and %d waiting in 2 s", running, waiting)
+}
--- a/internal/plain/plain_test.go
+++ b/internal/plain/plain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -196,6 +197,9 @@
 		cli := plain.Client{ReplyTimeout: 100 * time.Millisecond}
 		_, err := cli.Call(t.Context(), vm, call(http.MethodPost))
 		checkKind(t, err, wick.ErrUnknownOutcome)
+		if errors.Is(err, context.Canceled) {
+			t.Errorf("error %v looks like a cancelled call", err)
+		}
 	})
 }
 
@@ -236,6 +240,34 @@
 	}
 }
 
+// TestLateReply guards against a second reply to one call that is taken for the
+// reply to the next call on the connection.
+func TestLateReply(t *testing.T) {
+	_, vm := start(t, func(con *fake.RawConn) {
+		for {
+			req, err := con.Request()
+			if err != nil {
+				return
+			}
+			att := req.Header.Get(wire.HeaderAttempt)
+			reply := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", att, len(att), att)
+			con.Send(reply + reply)
+		}
+	})
+	cli := plain.Client{}
+	for range 300 {
+		one := call(http.MethodPost)
+		one.Attempt = wick.NewAttemptID()
+		rep, err := cli.Call(t.Context(), vm, one)
+		if err == nil && string(rep.Body) != string(one.Attempt) {
+			t.Fatalf("reply %s for attempt %s", rep.Body, one.Attempt)
+		}
+		if err != nil && !errors.Is(err, wick.ErrUnknownOutcome) && !errors.Is(err, wick.ErrNotSent) {
+			t.Errorf("error %v", err)
+		}
+	}
+}
+
 // TestCancelAnyTime guards against a byte that is sent after the call was
 // reported as not sent: calls are cancelled at random times.
 func TestCancelAnyTime(t *testing.T) {
