--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -22,8 +22,11 @@
 
 // A Client implements wick.Engine. Its zero value is ready to use.
 type Client struct {
-	// HTTP holds the connections.
+	// HTTP holds the connections of attempts.
 	HTTP wire.Client
+	// Control holds the connections of the other calls, so that a pool full
+	// of attempts does not delay load reports and cancellations.
+	Control wire.Client
 	// TokenTimeout bounds the wait for the next part of an answer, the wait
 	// for the first token included; 30 s if zero.
 	TokenTimeout time.Duration
@@ -38,6 +41,12 @@
 
 var _ wick.Engine = (*Client)(nil)
 
+// Close closes the idle connections.
+func (cli *Client) Close() {
+	cli.HTTP.Close()
+	cli.Control.Close()
+}
+
 // A CompletionRequest is the body of POST /v1/completions and
 // /v1/chat/completions.
 type CompletionRequest struct {
@@ -135,7 +144,7 @@
 
 // Load returns the endpoint's load report.
 func (cli *Client) Load(ctx context.Context, vm wick.VM) (wick.LoadReport, error) {
-	return cli.HTTP.Load(ctx, vm, cli.LoadTimeout)
+	return cli.Control.Load(ctx, vm, cli.LoadTimeout)
 }
 
 // CacheEvents returns the events after the given sequence number.
@@ -167,7 +176,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	ans, err := cli.HTTP.JSON(ctx, call, in, out, maxReplyBytes)
+	ans, err := cli.Control.JSON(ctx, call, in, out, maxReplyBytes)
 	switch {
 	case err != nil:
 		return wire.Fail(wick.ErrUnavailable, op, err)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -268,16 +268,15 @@
 // not be imported.
 func TestFailedImport(t *testing.T) {
 	paths := make(chan string, 2)
-	raw, vm := start(t, func(con *fake.RawConn) {
-		for _, reply := range []string{"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", stream(fin("a", 0), done) + lastEnd} {
-			req, err := con.Request()
-			if err != nil {
-				return
+	answer := func(reply string) func(con *fake.RawConn) {
+		return func(con *fake.RawConn) {
+			if req, err := con.Request(); err == nil {
+				paths <- req.URL.Path
+				con.Send(reply)
 			}
-			paths <- req.URL.Path
-			con.Send(reply)
 		}
-	})
+	}
+	raw, vm := start(t, answer("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n"), answer(stream(fin("a", 0), done)+lastEnd))
 	cli := engine.Client{}
 	_, err := cli.Generate(t.Context(), vm, wick.Generation{Attempt: "a", Import: "kv"}, nil)
 	checkKind(t, err, nil)
--- a/internal/fake/engine_test.go
+++ b/internal/fake/engine_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -240,12 +241,56 @@
 			}
 			defer srv.Close()
 			cli := &engine.Client{}
-			defer cli.HTTP.Close()
+			defer cli.Close()
 			check(t, eng, dialed{cli, srv.Addr()})
 		})
 	}
 }
 
+// TestBadLater guards against bad versions that are bad too early or never:
+// under load only, after some calls only, or slow instead of failing.
+func TestBadLater(t *testing.T) {
+	bad := func(bad fake.BadVersion) *fake.Engine {
+		eng := &fake.Engine{Host: fake.Host{VM: host}, AnswerTokens: 10}
+		eng.SetFaults(fake.Faults{Bad: []fake.BadVersion{bad}, LatencyMillis: 5})
+		return eng
+	}
+	synctest.Test(t, func(t *testing.T) {
+		egs := inProcess(bad(fake.BadVersion{AfterCalls: 2, Fail: 1}))
+		for idx := range 4 {
+			if _, _, err := collect(t, egs, generation("one")); (err != nil) != (idx >= 2) {
+				t.Errorf("call %d: error %v", idx, err)
+			}
+		}
+		egs = inProcess(bad(fake.BadVersion{UnderLoad: 2, Fail: 1}))
+		var failed atomic.Int64
+		var wgr sync.WaitGroup
+		for _, att := range []wick.AttemptID{"one", "two"} {
+			wgr.Go(func() {
+				if _, _, err := collect(t, egs, generation(att)); err != nil {
+					failed.Add(1)
+				}
+			})
+		}
+		wgr.Wait()
+		if failed.Load() != 1 {
+			t.Errorf("%d of 2 calls at once failed, want 1", failed.Load())
+		}
+		begin := time.Now()
+		if _, _, err := collect(t, inProcess(bad(fake.BadVersion{})), generation("one")); err != nil {
+			t.Error(err)
+		}
+		good := time.Since(begin)
+		begin = time.Now()
+		if _, _, err := collect(t, inProcess(bad(fake.BadVersion{SlowMillis: 30})), generation("one")); err != nil {
+			t.Error(err)
+		}
+		if got, want := time.Since(begin)-good, 11*30*time.Millisecond; got != want {
+			t.Errorf("slow version took %v longer, want %v", got, want)
+		}
+	})
+}
+
 // dialed sends every attempt to one address.
 type dialed struct {
 	*engine.Client
--- a/internal/fake/server_test.go
+++ b/internal/fake/server_test.go
@@ -189,7 +189,7 @@
 			addr := closing(t, srv, err)
 			setFaults(t, addr, tst.faults, http.StatusNoContent)
 			cli := &plain.Client{}
-			defer cli.HTTP.Close()
+			defer cli.Close()
 			rep, err := cli.Call(t.Context(), wick.VM{Address: addr}, wick.PlainCall{Attempt: "a", Key: "k", Method: http.MethodPost, Path: "/book?n=2"})
 			checkIs(t, "call", err, tst.want)
 			if rep.Status != tst.status || pla.Executions()["k"] != tst.executions {
@@ -220,7 +220,7 @@
 	srv, err := fake.ServeEngine("127.0.0.1:0", eng)
 	vm := wick.VM{Address: closing(t, srv, err)}
 	cli := &engine.Client{}
-	defer cli.HTTP.Close()
+	defer cli.Close()
 	ctx := t.Context()
 	gen := generation("chat")
 	gen.Prompt = wick.Prompt{Messages: []wick.Message{{Role: "user", Content: long.Text}}}
@@ -267,7 +267,7 @@
 	srv, err := fake.ServeEngine("127.0.0.1:0", eng)
 	vm := wick.VM{Address: closing(t, srv, err)}
 	cli := &engine.Client{}
-	defer cli.HTTP.Close()
+	defer cli.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	var wgr sync.WaitGroup
 	for _, att := range []wick.AttemptID{"running", "waiting"} {
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -34,8 +34,11 @@
 
 // A Client implements wick.Plain. Its zero value is ready to use.
 type Client struct {
-	// HTTP holds the connections.
+	// HTTP holds the connections of calls.
 	HTTP wire.Client
+	// Control holds the connections of load reports, so that a pool full of
+	// calls does not delay them.
+	Control wire.Client
 	// MaxReplyBytes bounds the body of a reply; 8 MiB if zero.
 	MaxReplyBytes int64
 	// ReplyTimeout bounds the wait for the next part of a reply; 30 s if zero.
@@ -46,6 +49,12 @@
 
 var _ wick.Plain = (*Client)(nil)
 
+// Close closes the idle connections.
+func (cli *Client) Close() {
+	cli.HTTP.Close()
+	cli.Control.Close()
+}
+
 // Call sends a call once and returns the complete reply, whatever its status,
 // except for an explicit refusal, which is wick.ErrNotExecuted.
 func (cli *Client) Call(ctx context.Context, vm wick.VM, call wick.PlainCall) (wick.PlainReply, error) {
@@ -75,7 +84,7 @@
 
 // Load returns the endpoint's load report.
 func (cli *Client) Load(ctx context.Context, vm wick.VM) (wick.LoadReport, error) {
-	return cli.HTTP.Load(ctx, vm, cli.LoadTimeout)
+	return cli.Control.Load(ctx, vm, cli.LoadTimeout)
 }
 
 func header(call wick.PlainCall) http.Header {
--- a/internal/plain/plain_test.go
+++ b/internal/plain/plain_test.go
@@ -145,7 +145,7 @@
 			close(begun)
 			<-end
 			con.Send(okReply)
-		})
+		}, serve("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"running\":1}"))
 		cli := plain.Client{HTTP: wire.Client{MaxConns: 1, ConnTimeout: 50 * time.Millisecond}}
 		first := make(chan error)
 		go func() {
@@ -155,11 +155,14 @@
 		<-begun
 		_, err := cli.Call(t.Context(), vm, call(http.MethodPost))
 		checkKind(t, err, wick.ErrNotSent)
-		close(end)
-		checkKind(t, <-first, nil)
 		if raw.Requests() != 1 {
 			t.Errorf("%d requests, want 1", raw.Requests())
 		}
+		if rep, err := cli.Load(t.Context(), vm); err != nil || rep.Running != 1 {
+			t.Errorf("load report %+v, error %v while the pool is full", rep, err)
+		}
+		close(end)
+		checkKind(t, <-first, nil)
 	})
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -24,7 +24,10 @@
 	// defaultConnTimeout covers one lost SYN (retransmitted after 1 s).
 	defaultConnTimeout = 2 * time.Second
 	defaultStall       = 30 * time.Second
-	defaultIdleTimeout = 30 * time.Second
+	// defaultIdleTimeout is below the 5 s after which common HTTP servers
+	// close idle connections. A call that meets the close has an unknown
+	// outcome.
+	defaultIdleTimeout = 4 * time.Second
 	maxHeaderBytes     = 64 << 10
 )
 
@@ -46,7 +49,7 @@
 	// ConnTimeout bounds the wait for a connection until the first byte is
 	// written, a full pool included; 2 s if zero.
 	ConnTimeout time.Duration
-	// IdleTimeout is how long a pooled connection stays unused; 30 s if zero.
+	// IdleTimeout is how long a pooled connection stays unused; 4 s if zero.
 	IdleTimeout time.Duration
 
 	once sync.Once
