--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -37,6 +37,7 @@
 	keysPeersCommand,
 	loadCommand,
 	versionCommand,
+	standinCommand,
 }
 
 // Main runs the command that args name and returns the exit code.
