--- a/internal/stream/plain.go
+++ b/internal/stream/plain.go
@@ -85,7 +85,7 @@
 		tab.calls.Add(-1)
 		tab.bytes.Add(-size)
 	}
-	release, err := tab.cfg.Admitter.Admit(ctx, wick.AdmitQuery{
+	release, err := tab.admit(ctx, wick.AdmitQuery{
 		Service: que.Service, Customer: que.Customer, Priority: que.Priority, Cost: 1, Deadline: que.Deadline,
 	})
 	if err != nil {
--- a/internal/stream/sim_test.go
+++ b/internal/stream/sim_test.go
@@ -39,7 +39,7 @@
 
 var scenarios = map[string]scenario{
 	"announced": {faults: faults{slowAdmit: 0.1}, reclaims: true, drains: true, reconnects: true, shortest: 3000},
-	"drain":     {faults: faults{slowAdmit: 0.1}, drains: true, shortest: 6000},
+	"drain":     {faults: faults{slowAdmit: 0.1}, drains: true, shortest: 8000},
 	"deaths":    {deaths: true, reconnects: true},
 	"sampled": {
 		faults:   faults{sampled: true, truncate: 0.2, late: 0.2},
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -115,7 +115,10 @@
 	// ctx ends with the table.
 	ctx  context.Context //nolint:containedctx // runners outlive the callers' contexts
 	stop context.CancelFunc
-	wg   sync.WaitGroup
+	// admitCtx ends when work that waits for admission is refused.
+	admitCtx  context.Context //nolint:containedctx // shared by all waits
+	stopAdmit context.CancelFunc
+	wg        sync.WaitGroup
 }
 
 // A shard is one part of the table.
@@ -146,6 +149,7 @@
 		tab.shards[idx].requests = make(map[wick.RequestID]*Request)
 	}
 	tab.ctx, tab.stop = context.WithCancel(context.Background())
+	tab.admitCtx, tab.stopAdmit = context.WithCancel(tab.ctx)
 	return tab
 }
 
@@ -279,11 +283,7 @@
 	}
 	tab.admitting.Add(1)
 	defer tab.admitting.Add(-1)
-	release, err := tab.cfg.Admitter.Admit(ctx, tab.admitQuery(&req.Head, false))
-	if err == nil && tab.ctx.Err() != nil {
-		release(wick.Outcome{Cancelled: true})
-		err = wick.ErrStopped
-	}
+	release, err := tab.admit(ctx, tab.admitQuery(&req.Head, false))
 	if err != nil {
 		tab.remove(req)
 		return nil, refusal(err)
@@ -294,6 +294,22 @@
 	return req, nil
 }
 
+// admit waits for the admission of new work. The end of a drain's time refuses
+// what still waits.
+func (tab *Table) admit(ctx context.Context, query wick.AdmitQuery) (func(wick.Outcome), error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(tab.admitCtx, cancel)()
+	release, err := tab.cfg.Admitter.Admit(ctx, query)
+	if tab.admitCtx.Err() == nil {
+		return release, eris.Wrap(err, "stream")
+	}
+	if err == nil {
+		release(wick.Outcome{Cancelled: true})
+	}
+	return nil, eris.Wrap(wick.ErrLeaving, "stream: not admitted in time")
+}
+
 // admitQuery estimates four bytes of prompt per token.
 func (tab *Table) admitQuery(hea *Head, accepted bool) wick.AdmitQuery {
 	return wick.AdmitQuery{
--- a/internal/stream/take.go
+++ b/internal/stream/take.go
@@ -96,6 +96,7 @@
 	for tab.running() > 0 && retry.Sleep(finish, drainPoll) {
 		continue
 	}
+	tab.stopAdmit()
 	if !tab.off.handover {
 		tab.handOverAll(ctx)
 	}
@@ -164,7 +165,7 @@
 			})
 		})
 		wgr.Wait()
-		if left == 0 || !retry.Sleep(ctx, retry.Backoff(num, backoffBase, backoffMax)) {
+		if (left == 0 && tab.admitting.Load() == 0) || !retry.Sleep(ctx, retry.Backoff(num, backoffBase, backoffMax)) {
 			return
 		}
 	}
