entry, site: serve both kinds of calls over several entries

Cause: the parts worked alone; nothing connected them.

The entry command runs an entry from its settings.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -33,6 +33,7 @@
 	bundleUndoCommand,
 	checkCommand,
 	dumpCommand,
+	entryCommand,
 	keysOperatorCommand,
 	keysPeersCommand,
 	loadCommand,
--- /dev/null
+++ b/internal/entry/ledger.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/internal/ledger"
+	"github.com/wagtailwick/wagtailwick/internal/member"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// A ledgerSwitch is a wick.Ledger that is unavailable until the first bundle
+// tells the number of shards. The number never changes afterwards.
+type ledgerSwitch struct {
+	inner atomic.Pointer[ledger.Ledger]
+}
+
+var _ wick.Ledger = (*ledgerSwitch)(nil)
+
+func (lsw *ledgerSwitch) get() (*ledger.Ledger, error) {
+	if led := lsw.inner.Load(); led != nil {
+		return led, nil
+	}
+	return nil, eris.Wrap(wick.ErrUnavailable, "entry: no bundle yet")
+}
+
+// Claim asks the ledger for the right to send a call.
+func (lsw *ledgerSwitch) Claim(ctx context.Context, query wick.ClaimQuery) (wick.ClaimResult, error) {
+	led, err := lsw.get()
+	if err != nil {
+		return wick.ClaimResult{}, err
+	}
+	return led.Claim(ctx, query)
+}
+
+// Record stores the outcome of a granted claim.
+func (lsw *ledgerSwitch) Record(ctx context.Context, query wick.ClaimQuery, out wick.ClaimOutcome) error {
+	led, err := lsw.get()
+	if err != nil {
+		return err
+	}
+	return led.Record(ctx, query, out)
+}
+
+func (lsw *ledgerSwitch) handler(typ wick.MessageType) wick.PeerHandler {
+	return func(ctx context.Context, from wick.EntryID, body []byte) (any, error) {
+		led, err := lsw.get()
+		if err != nil {
+			return nil, err
+		}
+		return led.Handlers()[typ](ctx, from, body)
+	}
+}
+
+func (lsw *ledgerSwitch) dump() any {
+	led, err := lsw.get()
+	if err != nil {
+		return nil
+	}
+	return led.Dump()
+}
+
+// startLedger creates the ledger when the first bundle is active.
+func (ent *Entry) startLedger(shards int) {
+	if ent.ledger.inner.Load() != nil {
+		return
+	}
+	led := ledger.New(ent.store, ent.self.ID, ent.self.Incarnation,
+		ledger.WithShards(shards),
+		ledger.WithPeers(ent.peers, ent.shardOwner, func() []wick.Member { return ent.view.Live(time.Now()) }))
+	ent.ledger.inner.CompareAndSwap(nil, led)
+}
+
+// shardOwner names the entry that batches the writes of a shard. A wrong owner
+// costs conflicts and never safety, so that no lease is needed.
+func (ent *Entry) shardOwner(shd wick.Shard) (wick.Member, bool) {
+	ranked := member.Rank(fmt.Sprintf("ledger-%d", shd), ent.view.Serving(time.Now()))
+	if len(ranked) == 0 {
+		return wick.Member{}, false
+	}
+	return ranked[0], true
+}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -48,7 +48,7 @@
 	wick.MsgHeartbeat: true, wick.MsgBundlePush: true, wick.MsgBundlePull: true,
 	wick.MsgStop: true, wick.MsgLeaving: true, wick.MsgEvidence: true,
 	wick.MsgClaim: true, wick.MsgClaimResult: true, wick.MsgStreamCopy: true,
-	wick.MsgStreamFetch: true, wick.MsgStreamTake: true,
+	wick.MsgStreamFetch: true, wick.MsgStreamTake: true, wick.MsgVMList: true,
 }
 
 // Encode encodes the body of a message.
--- a/pkg/wick/peers.go
+++ b/pkg/wick/peers.go
@@ -18,6 +18,7 @@
 	MsgStreamCopy  MessageType = "streamCopy"
 	MsgStreamFetch MessageType = "streamFetch"
 	MsgStreamTake  MessageType = "streamTake"
+	MsgVMList      MessageType = "vmList"
 )
 
 // MaxMessageBytes is the largest message between entries.
