canary, move: judge versions by evidence and record moves

Cause: a bad version may get only a small share of traffic and none soon after it is detectably bad (P2), and operators read back whether a move is done.

Seeded runs on synctest assert the bounds through internal/invar; a rollout by fixed time steps runs beside them.

--- /dev/null
+++ b/internal/canary/prove_test.go
@@ -0,0 +1,125 @@
+package canary
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/internal/invar"
+	"github.com/wagtailwick/wagtailwick/internal/move"
+)
+
+var (
+	simSteps = flag.Int("steps", 7200, "ticks of 100 ms per run")
+	simSeed  = flag.Uint64("seed", 1, "first seed")
+	simSeeds = flag.Uint64("seeds", 1, "seeds per kind of badness")
+)
+
+// TestMain discards the log: constructions with a mechanism off violate
+// invariants at every step, and the others report through their checker.
+func TestMain(m *testing.M) {
+	logrus.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+// A tally sums up runs of one kind.
+type tally struct {
+	mu                       sync.Mutex
+	undone, done, hits, most int
+	slowest                  time.Duration
+	reasons                  []string
+}
+
+func (tly *tally) add(sm *sim, seed uint64) {
+	tly.mu.Lock()
+	defer tly.mu.Unlock()
+	switch sm.rec.State {
+	case move.StateUndone:
+		tly.undone++
+	case move.StateDone, move.StateWatching:
+		tly.done++
+	default:
+	}
+	if want := sm.rec.State == move.StateUndone; want == (sm.kind == good) && !sm.fixed {
+		tly.reasons = append(tly.reasons, fmt.Sprintf("seed %d %s: %s", seed, sm.rec.State, sm.rec.Reason))
+	}
+	tly.hits += sm.hits
+	tly.most = max(tly.most, sm.hits)
+	if !sm.badFrom.IsZero() && sm.hits > 0 {
+		tly.slowest = max(tly.slowest, sm.lastHit.Sub(sm.badFrom))
+	}
+}
+
+// TestCandidates runs moves of versions of each kind. It guards P2: a bad
+// version is taken back within the bounds of requests and time that the runs
+// assert, and good versions are rolled out in time. The rollout by fixed time
+// steps runs beside it as the baseline.
+func TestCandidates(t *testing.T) {
+	for _, kind := range append([]badness{good}, badnesses...) {
+		for name, fixed := range map[string]bool{"evidence": false, "fixed": true} {
+			t.Run(string(kind)+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				tly := &tally{}
+				t.Cleanup(func() {
+					t.Logf("seeds %d undone %d done %d, requests to the bad version: mean %.1f most %d, longest %s %v",
+						*simSeeds, tly.undone, tly.done, float64(tly.hits)/float64(*simSeeds), tly.most, tly.slowest, tly.reasons)
+				})
+				for seed := *simSeed; seed < *simSeed+*simSeeds; seed++ {
+					t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+						t.Parallel()
+						tly.add(simulate(t, seed, kind, *simSteps, func(sm *sim) { sm.setFixed(fixed) }), seed)
+					})
+				}
+			})
+		}
+	}
+}
+
+// setFixed replaces the evidence by fixed time steps, which assert nothing.
+func (sm *sim) setFixed(fixed bool) {
+	sm.fixed = fixed
+	for _, ent := range sm.ents {
+		ent.jdg.noStop, ent.jdg.noBound = fixed, fixed
+		if fixed {
+			ent.jdg.checker = &invar.Checker{}
+		}
+	}
+}
+
+// countViolations runs a judge with a mechanism off and counts violations.
+func countViolations(t *testing.T, change func(jdg *Judge)) int64 {
+	t.Helper()
+	var num atomic.Int64
+	simulate(t, 1, "fails", 600, func(sm *sim) {
+		// A large share brings more requests than the bound admits.
+		sm.rec.State, sm.rec.Share = move.StateProving, 1
+		for _, ent := range sm.ents {
+			ent.jdg.checker = &invar.Checker{OnViolation: func(invar.Name, string) { num.Add(1) }}
+			change(ent.jdg)
+		}
+	})
+	return num.Load()
+}
+
+// TestMechanismsAreNeeded guards the runs themselves: without the stop or
+// without the bound in flight they must report violations.
+func TestMechanismsAreNeeded(t *testing.T) {
+	for name, change := range map[string]func(jdg *Judge){
+		"stop":  func(jdg *Judge) { jdg.noStop = true },
+		"bound": func(jdg *Judge) { jdg.noBound = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			if countViolations(t, change) == 0 {
+				t.Error("no violation")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/canary/sim_test.go
@@ -0,0 +1,350 @@
+package canary
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/invar"
+	"github.com/wagtailwick/wagtailwick/internal/move"
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	simEntries  = 5
+	simTick     = 100 * time.Millisecond
+	simPerTick  = 3 // 30 requests/s, about the current sizes
+	simDeadline = 10 * time.Minute
+	simShare    = 0.05
+	// noticeBound is the time after the first stop from which no connected
+	// entry may send to the version.
+	noticeBound = 2 * time.Second
+	// hitBound is how many requests of one entry may hit a version that
+	// fails always: all but one of the gross rule, and those in flight.
+	hitBound = grossRun - 1 + maxUnjudged
+)
+
+var errServer = errors.New("status 500")
+
+// A badness is the way in which a version is bad.
+type badness string
+
+var badnesses = []badness{"fails", "flaky", "slow", "later", "watch", "load", "route", "zone"}
+
+const good badness = "good"
+
+// A simEntry is one entry with what it knows of the move.
+type simEntry struct {
+	jdg  *Judge
+	zone wick.Zone
+	away bool
+	// credit is the sum of shares, picks the candidate requests.
+	credit, picks float64
+	hits          int
+}
+
+type simEvent struct {
+	at time.Time
+	do func()
+}
+
+// A sim is one run of a move over entries without a network.
+type sim struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	kind    badness
+	fixed   bool
+	start   time.Time
+	rec     move.Record
+	mov     bundle.Move
+	ents    []*simEntry
+	events  []simEvent
+	from    time.Duration
+	route   string
+	zone    wick.Zone
+	trouble [4]time.Duration // overload, slow zone, partition, crash: start
+	badFrom time.Time
+	stopAt  time.Time
+	lastHit time.Time
+	hits    int
+	step    Count
+}
+
+var (
+	simZones  = []wick.Zone{"a", "b", "c", "d"}
+	simRoutes = []string{"/chat", "/chat", "/chat", "/short", "/short", "/check"}
+)
+
+func newSim(t *testing.T, seed uint64, kind badness, chk *invar.Checker) *sim {
+	t.Helper()
+	sm := &sim{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), kind: kind, start: time.Now()}
+	sm.mov = bundle.Move{
+		Name: "m", Service: "quote", From: "v1", To: "v2", Deadline: sm.start.Add(simDeadline),
+		MaxShareBeforeProof: simShare, WatchMillis: 60_000,
+	}
+	sm.rec = move.New("2-m", sm.mov, sm.start)
+	sm.from = time.Duration(60+sm.rnd.IntN(120)) * time.Second
+	sm.route, sm.zone = simRoutes[sm.rnd.IntN(len(simRoutes))], simZones[sm.rnd.IntN(4)]
+	for idx := range sm.trouble {
+		sm.trouble[idx] = time.Duration(20+sm.rnd.IntN(400)) * time.Second
+	}
+	for idx := range simEntries {
+		id := wick.EntryID(fmt.Sprintf("e%d", idx))
+		sm.ents = append(sm.ents, &simEntry{jdg: New(id, 1, chk), zone: simZones[idx%4]})
+	}
+	return sm
+}
+
+func (sm *sim) after(wait time.Duration, do func()) {
+	sm.events = append(sm.events, simEvent{at: time.Now().Add(wait), do: do})
+}
+
+// during reports whether a trouble is on.
+func (sm *sim) during(idx int, length time.Duration) bool {
+	age := time.Since(sm.start)
+	return age >= sm.trouble[idx] && age < sm.trouble[idx]+length
+}
+
+// answer draws an outcome. Overload and a slow zone hit both versions.
+func (sm *sim) answer(ver wick.ModelVersion, zone wick.Zone, route string, band wick.LoadBand) wick.Outcome {
+	base, worse, fails := 0.02, 0.0, false
+	if band == wick.BandHigh {
+		base = 0.25
+	}
+	if zone == simZones[1] && sm.during(1, 60*time.Second) {
+		base += 0.3
+	}
+	if ver == sm.mov.To {
+		worse, fails = sm.badShare(zone, route, band)
+	}
+	if worse > 0 && sm.badFrom.IsZero() {
+		sm.badFrom = time.Now()
+	}
+	switch {
+	case sm.rnd.Float64() < worse && fails:
+		return wick.Outcome{Err: errServer}
+	case sm.rnd.Float64() < worse && !fails, sm.rnd.Float64() < base:
+		return wick.Outcome{Late: true}
+	default:
+		return wick.Outcome{}
+	}
+}
+
+// badShare returns the share of answers that the candidate makes bad, and
+// whether they fail.
+func (sm *sim) badShare(zone wick.Zone, route string, band wick.LoadBand) (float64, bool) {
+	switch sm.kind {
+	case "fails":
+		return 1, true
+	case "flaky":
+		return 0.3, true
+	case "slow":
+		return 0.6, false
+	case "later":
+		if time.Since(sm.start) > sm.from {
+			return 0.4, true
+		}
+	case "watch":
+		if sm.rec.State == move.StateWatching {
+			return 0.5, true
+		}
+	case "load":
+		if band == wick.BandHigh {
+			return 0.6, false
+		}
+	case "route":
+		if route == sm.route {
+			return 0.8, true
+		}
+	case good:
+	case "zone":
+		if zone == sm.zone {
+			return 0.6, false
+		}
+	}
+	return 0, false
+}
+
+// request runs one request at a random entry.
+func (sm *sim) request() {
+	ent := sm.ents[sm.rnd.IntN(len(sm.ents))]
+	route := simRoutes[sm.rnd.IntN(len(simRoutes))]
+	ent.credit += simShare
+	choice := ent.jdg.Choose(wick.RouteQuery{Service: "quote", Route: route, Now: time.Now()})
+	if choice.Done == nil {
+		return
+	}
+	zone := ent.zone
+	if sm.rnd.IntN(10) == 0 {
+		zone = simZones[sm.rnd.IntN(4)]
+	}
+	band := wick.BandLow
+	if sm.during(0, 90*time.Second) || sm.kind == "load" && time.Since(sm.start)%(80*time.Second) > 50*time.Second {
+		band = wick.BandHigh
+	}
+	out := sm.answer(choice.Version, zone, route, band)
+	smp := wick.VersionSample{Zone: zone, Band: band, Out: out, VM: wick.VMID(fmt.Sprintf("%s%d", choice.Version, sm.rnd.IntN(6)))}
+	if sm.during(3, 5*time.Second) && smp.VM == wick.VMID(sm.mov.To+"0") {
+		// The endpoint dies without notice and then refuses connections.
+		smp.Out, smp.Excused = wick.Outcome{Err: wick.ErrTruncated}, sm.rnd.IntN(2) == 0
+	}
+	if choice.Candidate {
+		ent.picks++
+		sm.hit(ent)
+	}
+	wait := time.Duration(200+sm.rnd.IntN(1500)) * time.Millisecond
+	if out.Late {
+		wait += 2 * time.Second
+	}
+	sm.after(wait, func() {
+		smp.At = time.Now()
+		choice.Done(smp)
+	})
+}
+
+// hit counts a request to the candidate.
+func (sm *sim) hit(ent *simEntry) {
+	now := time.Now()
+	if !sm.badFrom.IsZero() {
+		sm.hits++
+		ent.hits++
+		sm.lastHit = now
+	}
+	chk := ent.jdg.checker
+	if sm.fixed {
+		return
+	}
+	chk.Check(sm.stopAt.IsZero() || ent.away || now.Sub(sm.stopAt) <= noticeBound, invar.StopIsFinal,
+		"connected entry sends %s after the stop", now.Sub(sm.stopAt))
+	chk.Check(sm.rec.State != move.StateProving || ent.away || ent.picks <= ent.credit+1+1e-6, invar.CandidateShare,
+		"%.0f picks for a credit of %.2f", ent.picks, ent.credit)
+	chk.Check(sm.kind != "fails" || ent.hits <= hitBound, invar.CandidateShare, "%d requests of an entry hit a failing version", ent.hits)
+}
+
+// second runs the exchange between entries and the rollout duty.
+func (sm *sim) second() {
+	sm.ents[2].away = sm.during(2, 120*time.Second)
+	holder := sm.ents[0]
+	now := time.Now()
+	for _, ent := range sm.ents[1:] {
+		if evi, ok := ent.jdg.Evidence("quote"); ok && !ent.away {
+			holder.jdg.Merge(evi)
+		}
+	}
+	ver := holder.jdg.Verdict("quote", now)
+	if sm.fixed {
+		sm.fixedStep(ver.Totals)
+	} else {
+		inp := move.Input{
+			Now: now, Move: sm.mov, Ready: true, Stop: ver.Reason, Proved: ver.Proved,
+			Level: ver.Level, StopLevel: stopLevel, PerSecond: simPerTick * float64(time.Second/simTick),
+		}
+		sm.rec, _ = move.Step(sm.rec, inp)
+	}
+	rec := sm.rec
+	for _, ent := range sm.ents {
+		wait := time.Duration(sm.rnd.IntN(900)) * time.Millisecond
+		if sm.rnd.IntN(4) == 0 {
+			// Old news arrives after newer news.
+			wait += 4 * time.Second
+		}
+		sm.after(wait, func() {
+			if !ent.away {
+				// Stale news after a stop must not revive the version.
+				ent.jdg.SetMove(Move{ID: rec.Move, Service: rec.Service, From: rec.From, To: rec.To, Share: rec.Share, Proved: rec.Proved()})
+			}
+		})
+	}
+}
+
+// fixedStep is the baseline: a larger share every 90 s, taken back when the
+// last step had 5 points more bad answers than the old version.
+func (sm *sim) fixedStep(sum Count) {
+	shares := []wick.Share{0.05, 0.1, 0.25, 0.5, 1}
+	age := int(time.Since(sm.start) / (90 * time.Second))
+	if sm.rec.State == move.StateUndone || int(sm.step.Old) > age {
+		return
+	}
+	if sum.Candidate > 0 && age > 0 {
+		worse := float64(sum.CandidateBad)/float64(sum.Candidate) - float64(sum.OldBad)/float64(max(sum.Old, 1))
+		if worse > 0.05 {
+			sm.rec.State, sm.rec.Share = move.StateUndone, 0
+			return
+		}
+	}
+	sm.step.Old++
+	sm.rec.State, sm.rec.Share = move.StateRamping, shares[min(age, len(shares)-1)]
+	if sm.rec.Share == 1 {
+		sm.rec.State = move.StateWatching
+	}
+}
+
+// spread delivers stops between connected entries within a second.
+func (sm *sim) spread() {
+	for _, ent := range sm.ents {
+		if ent.away {
+			continue
+		}
+		for _, stp := range ent.jdg.TakeStops() {
+			if sm.stopAt.IsZero() {
+				sm.stopAt = time.Now()
+			}
+			for _, peer := range sm.ents {
+				sm.after(time.Duration(sm.rnd.IntN(1000))*time.Millisecond, func() {
+					if !peer.away {
+						peer.jdg.Stop(stp)
+					}
+				})
+			}
+		}
+	}
+}
+
+// run runs the move until it is final or the deadline and watch have passed.
+func (sm *sim) run(steps int) {
+	for num := range steps {
+		time.Sleep(simTick)
+		due := sm.events
+		sm.events = nil
+		for _, ev := range due {
+			if ev.at.After(time.Now()) {
+				sm.events = append(sm.events, ev)
+				continue
+			}
+			ev.do()
+		}
+		for range simPerTick {
+			sm.request()
+		}
+		if !sm.fixed {
+			sm.spread()
+		}
+		if num%10 == 0 {
+			sm.second()
+		}
+		if sm.rec.Final(time.Now()) || sm.rec.State == move.StateDone {
+			return
+		}
+	}
+}
+
+// simulate runs one seed and returns the run.
+func simulate(t *testing.T, seed uint64, kind badness, steps int, change func(sm *sim)) *sim {
+	t.Helper()
+	var sm *sim
+	synctest.Test(t, func(t *testing.T) {
+		chk := &invar.Checker{OnViolation: func(name invar.Name, detail string) {
+			t.Errorf("seed %d %s: %s: %s", seed, kind, name, detail)
+		}}
+		sm = newSim(t, seed, kind, chk)
+		if change != nil {
+			change(sm)
+		}
+		sm.run(steps)
+	})
+	return sm
+}
