entry, replay, demo: moves over the whole path, traces with stated outcomes

Cause: moves were decided by packages that nothing connected, and the whole path had no proof under faults.

Change: the rollout duty is held by lease; its holder merges the evidence of all entries, decides moves and writes their objects; entries learn the records in the reply to their evidence, or from the platform. replay runs traces in JSON lines against a site of its own and fails when a stated outcome is missed; demo is an embedded trace. bundle status shows moves and entries. The client repeats calls that reached no entry or one that leaves.

Faults found by the first traces, and fixed: an endpoint got the caller's idempotency key as it was, so that two customers with the same key would share a reply at an endpoint that deduplicates; the key now names the customer. Keys as quoted strings, as in the IETF draft, differed from plain tokens. The client gave up on entries that were refusing new work.

--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// stopLevel is the value of the test at which a version is bad. By
+	// StopLevel is the value of the test at which a version is bad. By
 	// Ville's inequality a version that is no worse reaches it with a
 	// probability of at most 0.001 per start of the test.
-	stopLevel = 1000
+	StopLevel = 1000
 	// proveLevel is the odds against a version that adds proveEffect bad
 	// answers, at which it is proved.
 	proveLevel  = 20
@@ -37,7 +37,7 @@
 	// Proved is set when the version is as good as the old one.
 	Proved bool  `json:"proved"`
 	Totals Count `json:"totals"`
-	// Level is the largest value of the test; stopLevel is a stop.
+	// Level is the largest value of the test; StopLevel is a stop.
 	Level float64 `json:"level"`
 }
 
@@ -114,7 +114,7 @@
 	}
 	level, top := mix(ratios, kinds)
 	ver.Level = level
-	if level >= stopLevel {
+	if level >= StopLevel {
 		ver.Reason = fmt.Sprintf("%s %s: %d of %d answers bad, old version %d of %d, test value %.0f", top.kind, top.name,
 			ver.Totals.CandidateBad, ver.Totals.Candidate, ver.Totals.OldBad, ver.Totals.Old, level)
 	}
--- a/internal/canary/sim_test.go
+++ b/internal/canary/sim_test.go
@@ -241,7 +241,7 @@
 	} else {
 		inp := move.Input{
 			Now: now, Move: sm.mov, Ready: true, Stop: ver.Reason, Proved: ver.Proved,
-			Level: ver.Level, StopLevel: stopLevel, PerSecond: simPerTick * float64(time.Second/simTick),
+			Level: ver.Level, StopLevel: StopLevel, PerSecond: simPerTick * float64(time.Second/simTick),
 		}
 		sm.rec, _ = move.Step(sm.rec, inp)
 	}
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -29,15 +29,18 @@
 var commands = []command{
 	bundleListCommand,
 	bundleSignCommand,
+	bundleStatusCommand,
 	bundleSubmitCommand,
 	bundleUndoCommand,
 	checkCommand,
+	demoCommand,
 	dumpCommand,
 	entryCommand,
 	keysOperatorCommand,
 	keysPeersCommand,
 	loadCommand,
 	versionCommand,
+	replayCommand,
 	standinCommand,
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,11 +16,13 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/admin"
+	"github.com/wagtailwick/wagtailwick/internal/canary"
 	"github.com/wagtailwick/wagtailwick/internal/cloud"
 	"github.com/wagtailwick/wagtailwick/internal/config"
 	"github.com/wagtailwick/wagtailwick/internal/engine"
 	"github.com/wagtailwick/wagtailwick/internal/front"
 	"github.com/wagtailwick/wagtailwick/internal/invar"
+	"github.com/wagtailwick/wagtailwick/internal/lease"
 	"github.com/wagtailwick/wagtailwick/internal/limit"
 	"github.com/wagtailwick/wagtailwick/internal/member"
 	"github.com/wagtailwick/wagtailwick/internal/notice"
@@ -54,6 +56,12 @@
 	config  *config.Keeper
 	route   *route.Table
 	limit   *limit.Limiter
+	judge   *canary.Judge
+	moves   *moveTable
+	leases  *lease.Keeper
+	// duties holds the work of the duties that this entry holds. The keeper
+	// of the leases is its only user.
+	duties  map[wick.Duty]*duty
 	ledger  *ledgerSwitch
 	streams *stream.Table
 	front   *front.Server
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -37,7 +37,9 @@
 	return []func(ctx context.Context){
 		ent.beater.Run,
 		ent.config.Run,
+		ent.leases.Run,
 		ent.streams.Run,
+		ent.moveLoop,
 		ent.listLoop,
 		ent.reportLoop,
 		ent.readyLoop,
--- /dev/null
+++ b/internal/entry/moves.go
@@ -0,0 +1,329 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/internal/canary"
+	"github.com/wagtailwick/wagtailwick/internal/lease"
+	"github.com/wagtailwick/wagtailwick/internal/move"
+	"github.com/wagtailwick/wagtailwick/internal/notice"
+	"github.com/wagtailwick/wagtailwick/internal/peer"
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// moveEvery is the period of evidence and of decisions about moves.
+const moveEvery = time.Second
+
+// An evidenceReport is what an entry sends to the holder of the rollout duty.
+type evidenceReport struct {
+	Evidence []canary.Evidence `cbor:"1,keyasint"`
+}
+
+// A moveReply is the holder's reply: the records of all moves.
+type moveReply struct {
+	Records []move.Record `cbor:"1,keyasint"`
+}
+
+// A moveTable holds the newest record of each move that this entry knows.
+type moveTable struct {
+	mu      sync.Mutex
+	records map[wick.MoveID]move.Record
+}
+
+// put keeps the record unless it is older than the known one. An undone record
+// is final.
+func (mtb *moveTable) put(rec move.Record) {
+	mtb.mu.Lock()
+	defer mtb.mu.Unlock()
+	if mtb.records == nil {
+		mtb.records = make(map[wick.MoveID]move.Record)
+	}
+	old, ok := mtb.records[rec.Move]
+	if ok && rec.State != move.StateUndone && (old.State == move.StateUndone || old.Fence > rec.Fence) {
+		return
+	}
+	mtb.records[rec.Move] = rec
+}
+
+func (mtb *moveTable) get(mid wick.MoveID) (move.Record, bool) {
+	mtb.mu.Lock()
+	defer mtb.mu.Unlock()
+	rec, ok := mtb.records[mid]
+	return rec, ok
+}
+
+// keep drops the records of all other moves.
+func (mtb *moveTable) keep(ids map[wick.MoveID]bool) {
+	mtb.mu.Lock()
+	defer mtb.mu.Unlock()
+	for mid := range mtb.records {
+		if !ids[mid] {
+			delete(mtb.records, mid)
+		}
+	}
+}
+
+// all returns the records of the active bundle's moves.
+func (mtb *moveTable) all() []move.Record {
+	mtb.mu.Lock()
+	defer mtb.mu.Unlock()
+	out := make([]move.Record, 0, len(mtb.records))
+	for _, rec := range mtb.records {
+		out = append(out, rec)
+	}
+	return out
+}
+
+func moveID(ver wick.BundleVersion, mov *bundle.Move) wick.MoveID {
+	return wick.MoveID(fmt.Sprintf("%d-%s", ver, mov.Name))
+}
+
+// setMoves tells the judge the moves of a bundle that was adopted. A move
+// without a record has share 0, so that nothing reaches the new version before
+// the rollout duty says so.
+func (ent *Entry) setMoves(bnd *bundle.Bundle) {
+	moving := make(map[wick.Service]bool, len(bnd.Moves))
+	ids := make(map[wick.MoveID]bool, len(bnd.Moves))
+	for idx := range bnd.Moves {
+		mov := &bnd.Moves[idx]
+		mid := moveID(bnd.Version, mov)
+		moving[mov.Service], ids[mid] = true, true
+		rec, ok := ent.moves.get(mid)
+		if !ok {
+			rec = move.New(mid, *mov, time.Now())
+			ent.moves.put(rec)
+		}
+		ent.applyRecord(rec)
+	}
+	ent.moves.keep(ids)
+	for idx := range bnd.Services {
+		if svc := bnd.Services[idx].Name; !moving[svc] {
+			ent.judge.DropMove(svc)
+		}
+	}
+}
+
+// takeRecord takes a record that the holder or the platform reported.
+func (ent *Entry) takeRecord(rec move.Record) {
+	if act, ok := ent.config.Active(); !ok || !names(&act.Bundle, rec.Move) {
+		return
+	}
+	ent.moves.put(rec)
+	if known, ok := ent.moves.get(rec.Move); ok {
+		ent.applyRecord(known)
+	}
+}
+
+func names(bnd *bundle.Bundle, mid wick.MoveID) bool {
+	for idx := range bnd.Moves {
+		if moveID(bnd.Version, &bnd.Moves[idx]) == mid {
+			return true
+		}
+	}
+	return false
+}
+
+func (ent *Entry) applyRecord(rec move.Record) {
+	ent.judge.SetMove(canary.Move{
+		ID: rec.Move, Service: rec.Service, From: rec.From, To: rec.To, Share: rec.Share, Proved: rec.Proved(),
+	})
+	if rec.State == move.StateUndone {
+		ent.takeStop(canary.Stop{Move: rec.Move, Service: rec.Service, Version: rec.To, Reason: rec.Reason, By: rec.Holder, At: rec.Since})
+	}
+}
+
+// takeStop stops a version here. The judge and the routing ignore repeats.
+func (ent *Entry) takeStop(stp canary.Stop) {
+	ent.judge.Stop(stp)
+	ent.route.StopVersion(stp.Service, stp.Version)
+}
+
+// moveLoop passes stops and evidence on and learns the state of the moves.
+func (ent *Entry) moveLoop(ctx context.Context) {
+	every(ctx, moveEvery, func(ctx context.Context) {
+		ent.passStops(ctx)
+		act, ok := ent.config.Active()
+		if !ok || len(act.Bundle.Moves) == 0 {
+			return
+		}
+		rep := evidenceReport{}
+		for idx := range act.Bundle.Moves {
+			if evi, ok := ent.judge.Evidence(act.Bundle.Moves[idx].Service); ok {
+				rep.Evidence = append(rep.Evidence, evi)
+			}
+		}
+		ent.report(ctx, rep)
+	})
+}
+
+// passStops tells the peers and the platform what was stopped here.
+func (ent *Entry) passStops(ctx context.Context) {
+	for _, stp := range ent.judge.TakeStops() {
+		logrus.WithFields(logrus.Fields{"move": stp.Move, "reason": stp.Reason}).Warn("entry: version stopped")
+		ent.route.StopVersion(stp.Service, stp.Version)
+		ent.spread.Stop(ctx, notice.Stop{
+			Move: stp.Move, Service: stp.Service, Version: stp.Version, Reason: stp.Reason, From: stp.By,
+		})
+		ent.recordStop(ctx, stp)
+	}
+}
+
+// recordStop writes the stop into the move's object, so that it holds also if
+// the holder of the rollout duty can't be reached. It needs no fencing number,
+// since a stop is right whoever finds it.
+func (ent *Entry) recordStop(ctx context.Context, stp canary.Stop) {
+	known, ok := ent.moves.get(stp.Move)
+	if !ok {
+		return
+	}
+	rec, err := ent.keeper().Update(ctx, known, 0, func(rec move.Record) (move.Record, bool) {
+		return move.Step(rec, move.Input{Now: time.Now(), Stop: stp.Reason})
+	})
+	if err != nil {
+		logrus.WithError(err).WithField("move", stp.Move).Warn("entry: stop not recorded")
+		return
+	}
+	ent.takeRecord(rec)
+}
+
+func (ent *Entry) keeper() *move.Keeper {
+	return &move.Keeper{Store: ent.store, Self: ent.self.ID, Checker: ent.invar}
+}
+
+// report sends evidence to the likely holder of the rollout duty and takes the
+// records in its reply. Without an answer the records are read from the
+// platform.
+func (ent *Entry) report(ctx context.Context, rep evidenceReport) {
+	holder, ok := lease.Place(dutyRollout, ent.view.Serving(time.Now()))
+	if !ok || holder.ID == ent.self.ID {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var reply moveReply
+	if err := ent.peers.Call(ctx, holder, wick.MsgEvidence, rep, &reply); err != nil {
+		ent.readRecords(ctx)
+		return
+	}
+	for _, rec := range reply.Records {
+		ent.takeRecord(rec)
+	}
+}
+
+// readRecords reads the records of the active moves from the platform.
+func (ent *Entry) readRecords(ctx context.Context) {
+	act, ok := ent.config.Active()
+	if !ok {
+		return
+	}
+	for idx := range act.Bundle.Moves {
+		rec, rev, err := ent.keeper().Load(ctx, moveID(act.Bundle.Version, &act.Bundle.Moves[idx]))
+		if err == nil && rev != 0 {
+			ent.takeRecord(rec)
+		}
+	}
+}
+
+// handleEvidence takes the evidence of a peer. It is a wick.PeerHandler.
+func (ent *Entry) handleEvidence(_ context.Context, from wick.EntryID, body []byte) (any, error) {
+	var rep evidenceReport
+	if err := peer.Decode(body, &rep); err != nil {
+		return nil, err
+	}
+	for _, evi := range rep.Evidence {
+		// An entry reports only for itself.
+		if evi.Entry == from {
+			ent.judge.Merge(evi)
+		}
+	}
+	return moveReply{Records: ent.moves.all()}, nil
+}
+
+// rollout decides the moves while this entry holds the duty.
+func (ent *Entry) rollout(ctx context.Context, fence wick.Fence) {
+	rates := make(map[wick.MoveID]rate)
+	every(ctx, moveEvery, func(ctx context.Context) {
+		act, ok := ent.config.Active()
+		if !ok {
+			return
+		}
+		for idx := range act.Bundle.Moves {
+			ent.decide(ctx, act.Bundle.Version, &act.Bundle.Moves[idx], fence, rates)
+		}
+	})
+}
+
+// A rate measures the requests per second of a move's service.
+type rate struct {
+	total uint64
+	at    time.Time
+	// perSecond is smoothed over about five periods.
+	perSecond float64
+}
+
+const rateGain = 0.2
+
+func (rat rate) next(total uint64, now time.Time) rate {
+	if rat.at.IsZero() || total < rat.total {
+		return rate{total: total, at: now, perSecond: rat.perSecond}
+	}
+	secs := now.Sub(rat.at).Seconds()
+	if secs <= 0 {
+		return rat
+	}
+	sample := float64(total-rat.total) / secs
+	return rate{total: total, at: now, perSecond: rat.perSecond + rateGain*(sample-rat.perSecond)}
+}
+
+func (ent *Entry) decide(ctx context.Context, ver wick.BundleVersion, mov *bundle.Move, fence wick.Fence, rates map[wick.MoveID]rate) {
+	mid := moveID(ver, mov)
+	known, ok := ent.moves.get(mid)
+	if !ok || known.Final(time.Now()) {
+		return
+	}
+	now := time.Now()
+	vdt := ent.judge.Verdict(mov.Service, now)
+	rates[mid] = rates[mid].next(vdt.Totals.Old+vdt.Totals.Candidate, now)
+	inp := move.Input{
+		Now: now, Move: *mov, Ready: ent.reports(mov.Service, mov.To), Stop: vdt.Reason, Proved: vdt.Proved,
+		Level: vdt.Level, StopLevel: canary.StopLevel, PerSecond: rates[mid].perSecond,
+		Evidence: fmt.Sprintf("old %d of %d bad, new %d of %d bad, level %.2f",
+			vdt.Totals.OldBad, vdt.Totals.Old, vdt.Totals.CandidateBad, vdt.Totals.Candidate, vdt.Level),
+	}
+	rec, err := ent.keeper().Update(ctx, known, fence, func(rec move.Record) (move.Record, bool) {
+		return move.Step(rec, inp)
+	})
+	switch {
+	case errors.Is(err, context.Canceled):
+		return
+	case err != nil:
+		logrus.WithError(err).WithField("move", mid).Warn("entry: move not decided")
+		return
+	}
+	if rec.State != known.State {
+		logrus.WithFields(logrus.Fields{"move": mid, "state": rec.State, "reason": rec.Reason}).Info("entry: move changed")
+	}
+	ent.takeRecord(rec)
+}
+
+// reports tells whether a live endpoint serves the version.
+func (ent *Entry) reports(svc wick.Service, ver wick.ModelVersion) bool {
+	for _, vm := range ent.vms.VMs() {
+		if vm.Role != wick.RoleEndpoint || vm.Service != svc || vm.State != wick.VMLive {
+			continue
+		}
+		for _, one := range vm.Versions {
+			if one == ver {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailwick/wagtailwick/internal/admin"
+	"github.com/wagtailwick/wagtailwick/internal/canary"
 	"github.com/wagtailwick/wagtailwick/internal/config"
 	"github.com/wagtailwick/wagtailwick/internal/front"
 	"github.com/wagtailwick/wagtailwick/internal/limit"
@@ -38,6 +39,7 @@
 	ent.self.Address = ent.peers.Addr().String()
 	ent.wireMembership()
 	ent.wireRouting()
+	ent.wireDuties()
 	ent.wireStreams()
 	ent.handlers()
 	ent.wireAdmin()
@@ -65,17 +67,24 @@
 }
 
 func (ent *Entry) wireRouting() {
-	ent.route = route.New(ent.self.ID, ent.self.Zone, route.WithChecker(ent.invar))
+	ent.judge = canary.New(ent.self.ID, ent.self.Incarnation, ent.invar)
+	ent.moves = &moveTable{}
+	ent.route = route.New(ent.self.ID, ent.self.Zone, route.WithChecker(ent.invar), route.WithVersions(ent.judge))
 	ent.limit = limit.New()
 	ent.ledger = &ledgerSwitch{}
 	ent.notices.OnLeaving(func(lvg notice.Leaving) {
 		ent.route.MarkLeaving(route.Notice{VM: lvg.VM, Since: lvg.Since, Source: lvg.Source}, time.Now())
 	})
-	ent.notices.OnStop(func(stp notice.Stop) { ent.route.StopVersion(stp.Service, stp.Version) })
+	ent.notices.OnStop(func(stp notice.Stop) {
+		ent.takeStop(canary.Stop{
+			Move: stp.Move, Service: stp.Service, Version: stp.Version, Reason: stp.Reason, By: stp.From, At: time.Now(),
+		})
+	})
 	ent.config.Subscribe(func(bnd bundle.Bundle) {
 		ent.route.SetBundle(&bnd)
 		ent.limit.SetBundle(&bnd)
 		ent.startLedger(bnd.LedgerShards)
+		ent.setMoves(&bnd)
 	})
 }
 
@@ -119,6 +128,7 @@
 	ent.peers.Handle(wick.MsgStop, ent.spread.HandleStop)
 	ent.peers.Handle(wick.MsgLeaving, ent.spread.HandleLeaving)
 	ent.peers.Handle(wick.MsgVMList, ent.vms.Handle)
+	ent.peers.Handle(wick.MsgEvidence, ent.handleEvidence)
 	for typ, fn := range ent.streams.Handlers() {
 		ent.peers.Handle(typ, fn)
 	}
@@ -143,6 +153,8 @@
 	ent.admin.Add("config", func() any { return ent.config.Dump() })
 	ent.admin.Add("route", func() any { return ent.route.Status() })
 	ent.admin.Add("limit", func() any { return ent.limit.Status() })
+	ent.admin.Add("leases", func() any { return ent.leases.Dump() })
+	ent.admin.Add("moves", func() any { return ent.moves.all() })
 	ent.admin.Add("ledger", func() any { return ent.ledger.dump() })
 	ent.admin.Add("streams", func() any {
 		requests, bytes := ent.streams.Held()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -219,7 +219,7 @@
 	if len(key) > maxKeyBytes || strings.ContainsFunc(key, func(chr rune) bool { return chr < ' ' || chr > '~' }) {
 		return kindInvalid.refuse("Idempotency-Key is longer than 255 bytes or not printable")
 	}
-	cal.key = wick.IdempotencyKey(key)
+	cal.key = wick.IdempotencyKey(unquote(key))
 	return nil
 }
 
@@ -232,3 +232,12 @@
 	}
 	return nil
 }
+
+// unquote returns the content of a structured field string, which the IETF
+// draft asks for. Plain tokens, which many callers send, are taken as they are.
+func unquote(text string) string {
+	if len(text) < 2 || text[0] != '"' || text[len(text)-1] != '"' {
+		return text
+	}
+	return strings.NewReplacer(`\"`, `"`, `\\`, `\`).Replace(text[1 : len(text)-1])
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -164,7 +164,7 @@
 		}
 		last = now
 	})
-	rep.count(fateOf(err), ans.Reconnects, ans.Tokens)
+	rep.count(FateOf(err), ans.Reconnects, ans.Tokens)
 	if err == nil {
 		rep.record(rep.FirstToken, ans.FirstToken)
 		rep.record(rep.Whole, ans.Total)
@@ -178,14 +178,14 @@
 		call.Retry = true
 	}
 	ans, err := plan.Client.Do(ctx, call)
-	rep.count(fateOf(err), max(ans.Tries-1, 0), 0)
+	rep.count(FateOf(err), max(ans.Tries-1, 0), 0)
 	if err == nil {
 		rep.record(rep.Whole, ans.Total)
 	}
 }
 
-// fateOf returns the fate that an error of the client means.
-func fateOf(err error) Fate {
+// FateOf returns the fate that an error of the client means.
+func FateOf(err error) Fate {
 	switch {
 	case err == nil:
 		return Answered
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,6 +17,7 @@
 	"github.com/wagtailwick/wagtailwick/internal/certs"
 	"github.com/wagtailwick/wagtailwick/internal/entry"
 	"github.com/wagtailwick/wagtailwick/internal/fake"
+	"github.com/wagtailwick/wagtailwick/internal/move"
 	"github.com/wagtailwick/wagtailwick/internal/setup"
 	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/client"
@@ -333,6 +336,31 @@
 	return true
 }
 
+// Moves returns the states of the newest bundle's moves by name.
+func (sit *Site) Moves(ctx context.Context) (map[string]string, error) {
+	objs, _, err := sit.Store.List(ctx, wick.KindMove)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]string)
+	newest := make(map[string]wick.BundleVersion)
+	for _, obj := range objs {
+		rec, err := move.Parse(obj)
+		if err != nil {
+			return nil, err
+		}
+		text, name, _ := strings.Cut(string(rec.Move), "-")
+		num, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return nil, eris.Wrapf(wick.ErrInvalid, "site: move %s", rec.Move)
+		}
+		if ver := wick.BundleVersion(num); ver >= newest[name] {
+			newest[name], out[name] = ver, string(rec.State)
+		}
+	}
+	return out, nil
+}
+
 // Close ends everything.
 func (sit *Site) Close() {
 	var wg sync.WaitGroup
--- a/internal/stream/plain.go
+++ b/internal/stream/plain.go
@@ -354,7 +354,7 @@
 	cal.mu.Unlock()
 	began := cal.tab.now()
 	rep, err := cal.tab.cfg.Plain.Call(ctx, asg.VM, wick.PlainCall{
-		Attempt: att, Key: cal.que.Key, Method: cal.que.Method, Path: cal.que.Path,
+		Attempt: att, Key: endpointKey(cal.que.Customer, cal.que.Key), Method: cal.que.Method, Path: cal.que.Path,
 		Headers: cal.que.Headers, Body: cal.que.Body,
 	})
 	out := wick.Outcome{Err: err, FirstToken: cal.tab.now().Sub(began), Cancelled: err != nil && ctx.Err() != nil}
@@ -368,3 +368,13 @@
 	}
 	return rep, err
 }
+
+// endpointKey returns the key that an endpoint gets. It names the customer:
+// two customers may choose the same key, and an endpoint that deduplicates by
+// key would give one of them the other's reply.
+func endpointKey(cus wick.Customer, key wick.IdempotencyKey) wick.IdempotencyKey {
+	if key == "" {
+		return ""
+	}
+	return wick.IdempotencyKey(cus) + "/" + key
+}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -257,10 +258,23 @@
 	return str.answer, eris.Wrapf(errors.Join(last, errBroken), "after %d reconnections", cli.reconnects())
 }
 
-// retryable reports whether another entry may still have the rest of a request
-// that was accepted.
+// retryable reports whether another entry may take the call, or still have the
+// rest of a request that was accepted.
 func retryable(ref *RefusalError, accepted bool) bool {
-	return accepted && (ref.Status == consts.StatusNotFound || ref.Status == consts.StatusServiceUnavailable)
+	if accepted {
+		return ref.Status == consts.StatusNotFound || ref.Status == consts.StatusServiceUnavailable
+	}
+	return ref.entryLeaves()
+}
+
+// entryLeaves reports whether the call was refused only because the entry ends
+// or has just started, so that another entry takes it.
+func (ref *RefusalError) entryLeaves() bool {
+	if ref.Executed != ExecutedNo {
+		return false
+	}
+	name := ref.Type[strings.LastIndexByte(ref.Type, '/')+1:]
+	return name == "leaving" || name == "stopped" || name == "notReady"
 }
 
 // connect sends the call, or resumes it if it was accepted before, and reads
--- a/pkg/client/plain.go
+++ b/pkg/client/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -22,7 +23,8 @@
 	Key  wick.IdempotencyKey
 	Body []byte
 	// Retry lets Do repeat the call: after a refusal that says "not
-	// executed", and after a lost connection if Key is set.
+	// executed", and after a lost connection if Key is set or the method is
+	// GET.
 	Retry bool
 }
 
@@ -52,7 +54,7 @@
 		rep, last = cli.exchange(ctx, call)
 		rep.Tries = try + 1
 		rep.Total = time.Since(started)
-		if last == nil || !call.Retry || ctx.Err() != nil || !mayRepeat(call, last) {
+		if last == nil || ctx.Err() != nil || !mayRepeat(call, last) {
 			return rep, last
 		}
 	}
@@ -60,17 +62,23 @@
 }
 
 // mayRepeat reports whether a failed call may be sent again without running
-// twice.
+// twice. A call that reached no entry, or one that leaves, is always repeated.
 func mayRepeat(call Call, err error) bool {
 	var ref *RefusalError
-	if !errors.As(err, &ref) {
-		return call.Key != ""
-	}
-	if ref.Executed == ExecutedNo {
+	var nerr *net.OpError
+	switch {
+	case errors.As(err, &nerr) && nerr.Op == "dial":
+		return true
+	case !errors.As(err, &ref):
+		return call.Retry && (call.Key != "" || call.Method == consts.MethodGet)
+	case ref.entryLeaves():
+		return true
+	case call.Retry && ref.Executed == ExecutedNo:
 		return ref.Status == consts.StatusServiceUnavailable || ref.Status == consts.StatusTooManyRequests ||
 			ref.Status == consts.StatusConflict
+	default:
+		return false
 	}
-	return false
 }
 
 func (cli *Client) exchange(ctx context.Context, call Call) (Reply, error) {
