ledger: count sealed and expired segments in the random run

Cause: a run that never seals or expires a segment would pass unnoticed.

Change: TestRandom counts both and fails when either is zero.

Conclusion: the random run covers the whole life of a segment.

--- a/internal/ledger/random_test.go
+++ b/internal/ledger/random_test.go
@@ -1,10 +1,13 @@
 package ledger
 
 import (
+	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -187,6 +190,7 @@
 				stats["ledger."+name] += int(num)
 			}
 		}
+		drv.countSegments(stats)
 		stats["storeWrites"] += int(drv.wld.sto.Calls().Writes)
 		stats["keys"] += drv.keys
 	})
@@ -204,6 +208,18 @@
 	time.Sleep(time.Minute)
 }
 
+// countSegments counts segments that were sealed, and those of them deleted.
+func (drv *driver) countSegments(stats map[string]int) {
+	objs, _, _ := drv.wld.sto.List(context.Background(), wick.KindLedger)
+	for _, obj := range objs {
+		var seg segment
+		if strings.HasSuffix(obj.Key.Name, "-open") && json.Unmarshal(obj.Data, &seg) == nil {
+			stats["sealed"] += int(seg.Seq) - 1                      //nolint:gosec // small
+			stats["expired"] += int(seg.Seq) - 1 - len(seg.Retained) //nolint:gosec // small
+		}
+	}
+}
+
 // TestRandom guards against two executions of a key, refusals of calls that
 // ran, and success without an execution, under faults drawn from seeds.
 func TestRandom(t *testing.T) {
@@ -215,7 +231,7 @@
 		}
 	}
 	t.Logf("%d seeds of %d steps: %v", *seedsFlag, *stepsFlag, stats)
-	for _, name := range []string{"executed", "granted", "running", "done", "unknown", "refused", "keyReused", "died", "success"} {
+	for _, name := range []string{"executed", "granted", "running", "done", "unknown", "refused", "keyReused", "died", "success", "sealed", "expired"} {
 		if stats[name] == 0 {
 			t.Errorf("no run reached %q", name)
 		}
