lease: check that no two entries hold one fencing number

Cause: the named tests cover one fault each; endpoints that check fencing numbers rely on their uniqueness under all of them.

Change: a seeded run of keepers that restart under outages, latency, lost responses and stale reads records who started a duty with which number.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,3 +142,60 @@
 		check(0)
 	})
 }
+
+// TestFenceUnique guards against one fencing number of a duty in the hands of
+// two entries, under outages, lost responses, stale reads, crashes and views
+// that disagree.
+func TestFenceUnique(t *testing.T) {
+	type grant struct {
+		duty  wick.Duty
+		fence wick.Fence
+	}
+	starts := 0
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			sto := &fake.Store{}
+			rnd := rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // repeatable
+			var mu sync.Mutex
+			holders := make(map[grant]string)
+			cancels := make([]context.CancelFunc, 3)
+			for inc := range wick.Incarnation(60) {
+				num := rnd.IntN(3)
+				if cancels[num] != nil {
+					cancels[num]()
+				}
+				id := fmt.Sprint("e", num, ".", inc)
+				hks := Hooks{Start: func(duty wick.Duty, fence wick.Fence) {
+					mu.Lock()
+					defer mu.Unlock()
+					starts++
+					got, ok := holders[grant{duty, fence}]
+					if ok && got != id {
+						t.Errorf("seed %d: %s %d held by %s and %s", seed, duty, fence, got, id)
+					}
+					holders[grant{duty, fence}] = id
+				}}
+				wants := func([]wick.Member) []wick.Duty { return []wick.Duty{"a", "b"} }
+				kee := NewKeeper(sto, wick.EntryID(fmt.Sprint("e", num)), inc+1, func() []wick.Member { return nil }, wants, WithHooks(hks))
+				ctx, cancel := context.WithCancel(t.Context())
+				cancels[num] = cancel
+				go kee.Run(ctx)
+				sto.SetFaults(fake.StoreFaults{
+					Down: rnd.IntN(4) == 0, LatencyMillis: wick.Millis(rnd.IntN(1200)),
+					LoseAnswers: wick.Share(rnd.Float64()), StaleReads: wick.Share(rnd.Float64() / 2),
+				}, seed)
+				time.Sleep(time.Duration(rnd.Int64N(int64(3 * Expiry))))
+			}
+			for _, cancel := range cancels {
+				if cancel != nil {
+					cancel()
+				}
+			}
+			time.Sleep(time.Minute)
+		})
+	}
+	if starts == 0 {
+		t.Fatal("no duty started")
+	}
+	t.Logf("%d starts", starts)
+}
