stream: measure the pace of an attempt under a lock

Cause: the race detector failed TestSimulation/sampled. An engine that delivers tokens after its call has returned wrote the token count while the attempt's outcome was being read.

Change: a type with its own lock counts tokens and times.

Conclusion: late tokens no longer race with the outcome.

--- a/internal/stream/run.go
+++ b/internal/stream/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -263,30 +264,53 @@
 // generate calls the engine and reports the outcome to the router.
 func (run *runner) generate(ctx context.Context, asg wick.Assignment, gen wick.Generation) result {
 	began := run.tab.now()
-	var first time.Duration
-	num := 0
+	var pac pace
 	res := result{}
 	res.gen, res.err = run.tab.cfg.Engine.Generate(ctx, asg.VM, gen, func(tok wick.Token) error {
-		if num == 0 {
-			first = run.tab.now().Sub(began)
-		}
-		num++
+		pac.token(run.tab.now().Sub(began))
 		return run.req.accept(gen.Attempt, tok)
 	})
 	run.req.seal(gen.Attempt)
+	num, first, between := pac.read(run.tab.now().Sub(began))
 	out := wick.Outcome{
-		Err: res.err, FirstToken: first, Cancelled: res.err != nil && (ctx.Err() != nil || errors.Is(res.err, errStale)),
+		Err: res.err, FirstToken: first, BetweenTokens: between, Cancelled: res.err != nil && (ctx.Err() != nil || errors.Is(res.err, errStale)),
 		CachedTokens: res.gen.CachedTokens, PromptTokens: res.gen.PromptTokens,
 	}
-	if num > 1 {
-		out.BetweenTokens = (run.tab.now().Sub(began) - first) / time.Duration(num-1)
-	}
 	asg.Done(out)
 	res.out = out
 	res.phase = phaseOf(res.err, run.tab.trusts(asg.VM), num > 0)
 	return res
 }
 
+// A pace measures the tokens of an attempt. It has a lock because an engine may
+// deliver late tokens after its call has returned.
+type pace struct {
+	mu    sync.Mutex
+	num   int
+	first time.Duration
+}
+
+// token counts a token that came at a time after the start.
+func (pac *pace) token(at time.Duration) {
+	pac.mu.Lock()
+	defer pac.mu.Unlock()
+	if pac.num == 0 {
+		pac.first = at
+	}
+	pac.num++
+}
+
+// read returns the number of tokens, the time to the first one and the mean
+// time between tokens of an attempt that ended at a time after the start.
+func (pac *pace) read(end time.Duration) (num int, first, between time.Duration) {
+	pac.mu.Lock()
+	defer pac.mu.Unlock()
+	if pac.num > 1 {
+		between = (end - pac.first) / time.Duration(pac.num-1)
+	}
+	return pac.num, pac.first, between
+}
+
 func (tab *Table) trusts(vm wick.VM) bool { return tab.cfg.Trusts == nil || tab.cfg.Trusts(vm) }
 
 // settle takes the result of an attempt into the request.
