member, config: confirm a version by the age of the platform's answer

Cause: confirmation rested on direct contact with an entry that watches the platform. At 300 entries 14 were unconfirmed at rest, because a member of a large view is contacted less often. It also counted a pending watch as contact, so a peer that lost the platform could confirm an older version to a restarted entry for up to 30 s.

Change: heartbeats carry the age of the platform's last answer. It passes from entry to entry, counts for 40 s and not if it is from before the own start.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,8 +26,9 @@
 // An Active is the bundle that an entry works with.
 type Active struct {
 	Bundle bundle.Bundle
-	// Confirmed is set while the entry, or a peer that it hears, reaches the
-	// platform and knows no higher version.
+	// Confirmed is set while the platform's last answer, to this entry or to
+	// one whose word reached it, is at most 40 s old, was given after this
+	// entry started, and showed no higher version.
 	Confirmed bool
 }
 
@@ -102,13 +103,13 @@
 // sequence has not ended.
 func (kee *Keeper) Active() (Active, bool) {
 	kee.mu.Lock()
-	act := Active{Bundle: kee.active, Confirmed: kee.platform}
+	act := Active{Bundle: kee.active}
 	ready := kee.start.ready
 	kee.mu.Unlock()
 	if !ready {
 		return Active{}, false
 	}
-	act.Confirmed = act.Confirmed || kee.view.Confirms(act.Bundle.Version, kee.clock.Now())
+	act.Confirmed = kee.view.Confirmed(act.Bundle.Version, kee.clock.Now())
 	return act, true
 }
 
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -49,6 +49,8 @@
 	// revision that a list reports is not used, because the list may be
 	// older than it.
 	after wick.Revision
+	// answered is when the last list was asked for.
+	answered time.Time
 	// took is the duration of the last read.
 	took time.Duration
 	// waiting holds signatures whose bundle was not read yet.
@@ -88,6 +90,8 @@
 			return
 		}
 		kee.setPlatform(false)
+		// A list is answered at once, while a watch may wait for 25 s.
+		cur.listed = false
 		kee.mu.Lock()
 		kee.start.failed = true
 		kee.mu.Unlock()
@@ -108,6 +112,7 @@
 		if err != nil {
 			return eris.Wrap(err, "list signatures")
 		}
+		cur.answered = begin
 		cur.took = kee.clock.Now().Sub(begin)
 		cur.listed = true
 		cur.add(objs)
@@ -118,13 +123,15 @@
 	}
 	wctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	answered := cur.answered
 	quiet := time.AfterFunc(quietFor+3*cur.took, func() {
 		if wctx.Err() == nil && wait > missPause {
-			kee.setCurrent(wait == watchTimeout)
+			kee.setCurrent(answered, wait == watchTimeout)
 		}
 	})
 	objs, rev, err := kee.store.Watch(wctx, wick.KindSignature, cur.after)
 	quiet.Stop()
+	returned := kee.clock.Now()
 	late := wctx.Err() != nil && ctx.Err() == nil
 	if err != nil && (!late || wait == watchTimeout) {
 		return eris.Wrap(err, "watch signatures")
@@ -137,13 +144,15 @@
 		return err
 	}
 	if err == nil && len(cur.waiting) == 0 {
-		kee.setCurrent(wait == watchTimeout)
+		cur.answered = returned
+		kee.setCurrent(returned, wait == watchTimeout)
 	}
 	return nil
 }
 
-// setCurrent notes that the platform showed all its versions.
-func (kee *Keeper) setCurrent(watching bool) {
+// setCurrent notes that the platform showed all its versions of a time.
+func (kee *Keeper) setCurrent(when time.Time, watching bool) {
+	kee.view.Answered(when)
 	kee.mu.Lock()
 	kee.start.current = true
 	kee.mu.Unlock()
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -61,6 +61,9 @@
 	Leaving uint64 `cbor:"4,keyasint,omitempty"`
 	// Sample holds up to two other members. Requests have none.
 	Sample []Sample `cbor:"5,keyasint,omitempty"`
+	// Answered is one more than the age of the platform's last answer that
+	// showed no version above the sender's, or 0.
+	Answered wick.Millis `cbor:"6,keyasint,omitempty"`
 }
 
 // Heartbeat returns the heartbeat to send, without the digests. A reply has a
@@ -69,6 +72,9 @@
 	viw.mu.Lock()
 	defer viw.mu.Unlock()
 	hbt := Heartbeat{Self: sampleOf(viw.self, 0), Platform: viw.platform}
+	if age := now.Sub(viw.answered); !viw.answered.IsZero() && age < answerFor {
+		hbt.Answered = wick.Millis(max(age, 0)/time.Millisecond) + 1
+	}
 	if !isReply {
 		return hbt
 	}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -51,14 +51,18 @@
 	self wick.Member
 	// platform is whether this entry reaches the platform itself.
 	platform bool
+	// started is when this entry started; answered is the latest time at which
+	// the platform is known to have had no version above the own one.
+	started  time.Time
+	answered time.Time
 	// known never holds self, and is bounded by prune.
 	known map[wick.EntryID]*record
 	rnd   *rand.Rand
 }
 
-// New returns a view that knows its own entry only.
-func New(self wick.Member) *View {
-	return &View{self: self, known: make(map[wick.EntryID]*record), rnd: Rand("view", self)}
+// New returns a view of an entry that starts now and knows itself only.
+func New(self wick.Member, now time.Time) *View {
+	return &View{self: self, started: now, known: make(map[wick.EntryID]*record), rnd: Rand("view", self)}
 }
 
 // Rand returns a generator for jitter and sampling. It differs between entries
@@ -162,6 +166,7 @@
 		return false
 	}
 	rec.contact, rec.platform = now, hbt.Platform
+	viw.relayed(hbt, now)
 	for idx, smp := range hbt.Sample {
 		if idx == maxSample {
 			break
@@ -302,25 +307,53 @@
 	return false
 }
 
-// Confirms tells whether a live member that reaches the platform itself holds
-// no higher version than ver.
-func (viw *View) Confirms(ver wick.BundleVersion, now time.Time) bool {
+const (
+	// answerFor is how long an answer of the platform counts: the 25 s of a
+	// watch without changes and the time to relay it.
+	answerFor = 40 * time.Second
+	// relayMargin covers the time that a heartbeat is under way, by which a
+	// relayed answer seems younger than it is.
+	relayMargin = 2 * time.Second
+)
+
+// Answered notes that the platform, asked at the given time or later, had no
+// version above the one held here.
+func (viw *View) Answered(when time.Time) {
+	viw.mu.Lock()
+	defer viw.mu.Unlock()
+	if when.After(viw.answered) {
+		viw.answered = when
+	}
+}
+
+// relayed takes a peer's account of the platform's last answer. It says nothing
+// about versions above the peer's own one. Answers from before the start are
+// not taken: the earlier incarnation may have seen a later one. The caller
+// holds mu.
+func (viw *View) relayed(hbt Heartbeat, now time.Time) {
+	if hbt.Answered < 1 || hbt.Self.Bundle > viw.self.Bundle {
+		return
+	}
+	when := now.Add(-(hbt.Answered - 1).Duration())
+	if viw.started.IsZero() || when.Before(viw.started.Add(relayMargin)) || when.Before(viw.answered) {
+		return
+	}
+	viw.answered = when
+}
+
+// Confirmed tells whether the platform recently had no version above ver, by
+// its answer to this entry or to another, and no live member has one.
+func (viw *View) Confirmed(ver wick.BundleVersion, now time.Time) bool {
 	viw.mu.Lock()
 	defer viw.mu.Unlock()
-	found := false
 	for _, rec := range viw.known {
 		if !viw.suspect(rec, now) && rec.Bundle > ver {
 			return false
 		}
-		found = found || rec.platform && rec.Bundle == ver && now.Sub(rec.contact) < confirmFor && rec.unanswered.IsZero()
 	}
-	return found
+	return !viw.answered.IsZero() && now.Sub(viw.answered) < answerFor
 }
 
-// confirmFor is how long a member's word about the platform counts. A member
-// of a full view is contacted every 2 s.
-const confirmFor = 5 * time.Second
-
 // A State is the dump of one member.
 type State struct {
 	wick.Member
--- a/internal/peer/quic.go
+++ b/internal/peer/quic.go
@@ -40,8 +40,8 @@
 )
 
 // Limits bound the memory and work that peers can cause. Received messages
-// take at most MaxActive times wick.MaxMessageBytes, plus the window of each
-// connection.
+// take at most MaxActive times 2.25 MiB, since a buffer is copied when it grows,
+// plus the window of each connection.
 type Limits struct {
 	// MaxStreams bounds the exchanges of one peer at once.
 	MaxStreams int
@@ -53,7 +53,7 @@
 	ReadTimeout time.Duration
 }
 
-// DefaultLimits hold at most 64 MiB of received messages.
+// DefaultLimits allow 144 MiB for received messages at worst.
 var DefaultLimits = Limits{MaxStreams: 16, MaxActive: 64, MaxPending: 64, ReadTimeout: callTimeout}
 
 const (
