config: a named test for confirmation by an old answer

A peer whose watch hangs since it lost the platform confirmed version 1 to an entry that had served version 2 before its restart. The randomised run missed it, because a cut made waiting watches fail instead of hang; now they hang.

--- a/internal/config/sim_test.go
+++ b/internal/config/sim_test.go
@@ -60,8 +60,8 @@
 	return sgd
 }
 
-// A gate is a node's way to the platform. Calls fail while it is cut; a call
-// that is waiting when the cut begins fails when it would return.
+// A gate is a node's way to the platform. Calls fail while it is cut; a watch
+// that would return then hangs until the cut ends, and fails.
 type gate struct {
 	*fake.Store
 	sim  *sim
@@ -94,8 +94,13 @@
 		return nil, 0, err
 	}
 	objs, rev, err := gat.Store.Watch(ctx, kind, after)
-	if perr := gat.pass(); perr != nil {
-		return nil, 0, perr
+	cut := false
+	for gat.pass() != nil && ctx.Err() == nil {
+		cut = true
+		time.Sleep(100 * time.Millisecond)
+	}
+	if cut {
+		return nil, 0, wick.ErrUnavailable
 	}
 	return objs, rev, err
 }
--- a/internal/config/start_test.go
+++ b/internal/config/start_test.go
@@ -111,3 +111,31 @@
 		sim.finish()
 	})
 }
+
+// Guards against a peer that lost the platform and confirms an older version to
+// an entry that restarts and served a higher one before.
+func TestOldAnswerDoesNotConfirm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, sim := t.Context(), newSim(t, 2, 2, 1, bare{})
+		one, two := sim.nodes[0], sim.nodes[1]
+		sim.start(one)
+		sim.start(two)
+		sim.signNext(ctx, 1)
+		sim.wait(10*time.Second, 1)
+		// Two is cut off from the platform and from one, which gets version 2.
+		sim.setCuts([2]wick.Zone{"", "z1"}, [2]wick.Zone{"z0", "z1"})
+		sim.signNext(ctx, 1)
+		sim.wait(time.Second, 1)
+		sim.stop(one)
+		sim.setCuts([2]wick.Zone{"", "z0"}, [2]wick.Zone{"", "z1"})
+		sim.start(one)
+		sim.wait(time.Minute, 1)
+		if act, ready := one.keeper.Active(); one.served != 2 || !ready || act.Bundle.Version != 1 {
+			t.Errorf("the test's course changed: served %d, ready %t, %+v", one.served, ready, act)
+		}
+		for _, vio := range sim.violations {
+			t.Error(vio)
+		}
+		sim.finish()
+	})
+}
