--- a/internal/canary/prove_test.go
+++ b/internal/canary/prove_test.go
@@ -69,8 +69,8 @@
 				t.Parallel()
 				tly := &tally{}
 				t.Cleanup(func() {
-					t.Logf("seeds %d undone %d done %d, requests to the bad version: mean %.1f most %d, longest %s %v",
-						*simSeeds, tly.undone, tly.done, float64(tly.hits)/float64(*simSeeds), tly.most, tly.slowest, tly.reasons)
+					t.Logf("%s: seeds %d undone %d done %d, requests to the bad version: mean %.1f most %d, longest %s %v",
+						t.Name(), *simSeeds, tly.undone, tly.done, float64(tly.hits)/float64(*simSeeds), tly.most, tly.slowest, tly.reasons)
 				})
 				for seed := *simSeed; seed < *simSeed+*simSeeds; seed++ {
 					t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
@@ -94,6 +94,23 @@
 	}
 }
 
+// TestGoodVersionStays repeats runs in which a good version was stopped, since
+// few or no old answers were left to compare with when trouble began.
+func TestGoodVersionStays(t *testing.T) {
+	for name, seed := range map[string]uint64{
+		"slowZoneLateInRamp":      1192,
+		"slowZoneDuringWatch":     1143,
+		"firstOverloadWhileWatch": 1000,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if sm := simulate(t, seed, good, 7200, nil); sm.rec.State != move.StateDone {
+				t.Errorf("%s: %s", sm.rec.State, sm.rec.Reason)
+			}
+		})
+	}
+}
+
 // countViolations runs a judge with a mechanism off and counts violations.
 func countViolations(t *testing.T, change func(jdg *Judge)) int64 {
 	t.Helper()
