entry: pass the start time to the membership

Cause: the membership needs its start to tell a silent platform from one that was not asked yet; the merge left the old call.

Change: the call in wire.go.

Conclusion: site and trace tests pass.

--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -48,7 +48,7 @@
 
 func (ent *Entry) wireMembership() {
 	clk := wick.SystemClock{}
-	ent.view = member.New(ent.self)
+	ent.view = member.New(ent.self, time.Now())
 	ent.notices = &notice.Set{}
 	ent.spread = &notice.Spreader{
 		Set: ent.notices, Peers: ent.peers, Clock: clk,
