stream: start nothing after Close, count refused plain calls correctly

Cause: a run of TestSimulation under the race detector panicked with "WaitGroup is reused before previous Wait has returned": copies, plain calls and new requests could start a goroutine while Close waited. Reading that code showed a second fault: a plain call refused for the number of calls stayed in the count, so that refusals alone could fill the table for ever.

Change: goroutines start through spawn, which refuses after Close; a refused call is taken out of both counts.

TestRefusedCallsAreNotCounted and TestNothingStartsAfterClose fail without the change.

--- /dev/null
+++ b/internal/stream/close_test.go
@@ -0,0 +1,64 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// Guards against work that starts while Close waits: a wait group that grows
+// from zero while it is waited for panics.
+func TestNothingStartsAfterClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wld := newWorld(1, faults{}, disabled{})
+		sim := &simPlain{claims: make(map[wick.IdempotencyKey]wick.ClaimResult)}
+		tab := New(Config{Router: wld, Admitter: wld, Plain: sim, Ledger: sim, Invar: &wld.chk})
+		tab.Close()
+		if tab.spawn(func() {}) {
+			t.Error("a goroutine was started after Close")
+		}
+		_, err := tab.Call(t.Context(), PlainQuery{Key: "k"})
+		var fai *FailError
+		if !errors.As(err, &fai) || fai.Executed != ExecutedNo {
+			t.Errorf("call after Close: got %v", err)
+		}
+		if _, err := tab.Accept(t.Context(), Head{MaxTokens: 1}); err == nil {
+			t.Error("a request was accepted after Close")
+		}
+		if got := tab.calls.Load(); sim.sent != 0 || got != 0 {
+			t.Errorf("%d calls sent, %d counted", sim.sent, got)
+		}
+		for _, oth := range wld.entries {
+			oth.kill()
+		}
+	})
+}
+
+// Guards against refused plain calls that stay in the count, after which the
+// table would refuse every call for ever.
+func TestRefusedCallsAreNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wld := newWorld(1, faults{}, disabled{})
+		sim := &simPlain{delay: time.Second, claims: make(map[wick.IdempotencyKey]wick.ClaimResult)}
+		tab := New(Config{Router: wld, Admitter: wld, Plain: sim, Ledger: sim, Invar: &wld.chk, MaxRequests: 1})
+		go func() { _, _ = tab.Call(context.Background(), PlainQuery{Idempotent: true}) }()
+		synctest.Wait()
+		for range 5 {
+			if _, err := tab.Call(t.Context(), PlainQuery{Idempotent: true}); !errors.Is(err, wick.ErrBusy) {
+				t.Errorf("call over the limit: got %v", err)
+			}
+		}
+		time.Sleep(time.Minute)
+		if _, err := tab.Call(t.Context(), PlainQuery{Idempotent: true}); err != nil {
+			t.Errorf("call after the table emptied: %v", err)
+		}
+		tab.Close()
+		for _, oth := range wld.entries {
+			oth.kill()
+		}
+	})
+}
--- a/internal/stream/copy.go
+++ b/internal/stream/copy.go
@@ -135,10 +135,12 @@
 			}
 			continue
 		}
-		tab.wg.Go(func() {
+		if !tab.spawn(func() {
 			defer tab.vacate(eid)
 			tab.sendCopies(targets[eid], group)
-		})
+		}) {
+			tab.vacate(eid)
+		}
 	}
 }
 
--- a/internal/stream/plain.go
+++ b/internal/stream/plain.go
@@ -77,14 +77,15 @@
 		return PlainAnswer{}, refusal(wick.ErrLeaving)
 	}
 	size := int64(len(que.Body)) + requestBytes
-	if tab.bytes.Add(size) > tab.cfg.MaxBytes || tab.calls.Add(1) > tab.cfg.MaxRequests {
-		tab.bytes.Add(-size)
-		return PlainAnswer{}, refusal(eris.Wrap(wick.ErrBusy, "stream: table is full"))
-	}
 	done := func() {
 		tab.calls.Add(-1)
 		tab.bytes.Add(-size)
 	}
+	bytes, calls := tab.bytes.Add(size), tab.calls.Add(1)
+	if bytes > tab.cfg.MaxBytes || calls > tab.cfg.MaxRequests {
+		done()
+		return PlainAnswer{}, refusal(eris.Wrap(wick.ErrBusy, "stream: table is full"))
+	}
 	release, err := tab.admit(ctx, wick.AdmitQuery{
 		Service: que.Service, Customer: que.Customer, Priority: que.Priority, Cost: 1, Deadline: que.Deadline,
 	})
@@ -98,7 +99,7 @@
 		err error
 	}
 	answers := make(chan answer, 1)
-	tab.wg.Go(func() {
+	if !tab.spawn(func() {
 		defer done()
 		ans, err := cal.run()
 		cal.mu.Lock()
@@ -107,7 +108,11 @@
 		release(out)
 		answers <- answer{ans, err}
 		cal.finishRecord()
-	})
+	}) {
+		done()
+		release(wick.Outcome{Cancelled: true})
+		return PlainAnswer{}, refusal(wick.ErrStopped)
+	}
 	select {
 	case got := <-answers:
 		return got.ans, got.err
--- a/internal/stream/run.go
+++ b/internal/stream/run.go
@@ -62,7 +62,7 @@
 		return false
 	}
 	run := &runner{tab: tab, req: req, handle: handle, epoch: epoch}
-	tab.wg.Go(func() {
+	if !tab.spawn(func() {
 		defer cancel()
 		if release == nil {
 			release = run.admit(ctx)
@@ -71,7 +71,14 @@
 			run.loop(ctx)
 			release(run.out)
 		}
-	})
+	}) {
+		cancel()
+		if release != nil {
+			release(wick.Outcome{Cancelled: true})
+		}
+		req.abort(epoch, wick.ErrStopped)
+		return false
+	}
 	return true
 }
 
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -119,6 +119,9 @@
 	admitCtx  context.Context //nolint:containedctx // shared by all waits
 	stopAdmit context.CancelFunc
 	wg        sync.WaitGroup
+	// life guards closed, after which no goroutine is started.
+	life   sync.Mutex
+	closed bool
 }
 
 // A shard is one part of the table.
@@ -182,9 +185,25 @@
 // orderly shutdown.
 func (tab *Table) Close() {
 	tab.stop()
+	tab.life.Lock()
+	tab.closed = true
+	tab.life.Unlock()
 	tab.wg.Wait()
 }
 
+// spawn starts a goroutine that Close waits for. It returns false after Close:
+// a wait group must not grow from zero while it is waited for. Goroutines that
+// are counted already may use the wait group directly.
+func (tab *Table) spawn(fn func()) bool {
+	tab.life.Lock()
+	defer tab.life.Unlock()
+	if tab.closed {
+		return false
+	}
+	tab.wg.Go(fn)
+	return true
+}
+
 func (tab *Table) shardOf(rid wick.RequestID) *shard {
 	return &tab.shards[xxhash.Sum64String(string(rid))%shardCount]
 }
