stream: keep two faults of the simulated engine from cancelling out

The engine had lost its last token and announced one token less, with an end marker: a shorter answer that is consistent in itself. No check of ours can tell it from a complete one, so the expectation was wrong, not the log. Change: a wrong count now always differs from what was sent, which the log must notice; lost last tokens stay in the run with their true count. Conclusion: stricter in every case that can be detected.

--- a/internal/stream/fakes_test.go
+++ b/internal/stream/fakes_test.go
@@ -328,6 +328,7 @@
 			}()
 		}()
 	}
+	lastLost := false
 	for idx := len(gen.Continue); idx < num; idx++ {
 		if idx == stop {
 			return wick.Generated{Count: wick.Tokens(idx)}, wick.ErrTruncated
@@ -343,6 +344,7 @@
 			return wick.Generated{}, wick.ErrUnknownOutcome
 		}
 		if wld.chance(flt.gap) {
+			lastLost = idx == num-1
 			continue
 		}
 		if wld.chance(flt.duplicate) {
@@ -353,7 +355,9 @@
 		}
 	}
 	out := wick.Generated{Attempt: gen.Attempt, Count: wick.Tokens(num), Finish: wick.FinishStop}
-	if wld.chance(flt.wrongCount) {
+	// A wrong count must differ from what was sent: a shorter answer with its
+	// own correct count and end marker cannot be told from a complete one.
+	if !lastLost && wld.chance(flt.wrongCount) {
 		out.Count--
 	}
 	if wld.chance(flt.truncate) {
