stream: fix races found by the simulation under -race

Cause: Close waited for goroutines while Run could start more, and a late event of an engine could write the timing of an attempt that had ended. Change: goroutines start under a lock that Close takes; the timing is atomic; the simulation reads its entries under their lock. Conclusion: go test -race passes for the package.

--- a/internal/stream/copy.go
+++ b/internal/stream/copy.go
@@ -135,7 +135,7 @@
 			}
 			continue
 		}
-		tab.wg.Go(func() {
+		tab.spawn(func() {
 			defer tab.vacate(eid)
 			tab.sendCopies(targets[eid], group)
 		})
--- a/internal/stream/plain.go
+++ b/internal/stream/plain.go
@@ -98,7 +98,7 @@
 		err error
 	}
 	answers := make(chan answer, 1)
-	tab.wg.Go(func() {
+	tab.spawn(func() {
 		defer done()
 		ans, err := cal.run()
 		cal.mu.Lock()
--- a/internal/stream/run.go
+++ b/internal/stream/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -61,7 +62,7 @@
 		return false
 	}
 	run := &runner{tab: tab, req: req, handle: handle, epoch: epoch}
-	tab.wg.Go(func() {
+	tab.spawn(func() {
 		defer cancel()
 		if release == nil {
 			release = run.admit(ctx)
@@ -236,7 +237,7 @@
 		Priority: run.req.Head.Priority, Continue: run.req.begin(run.epoch, att, asg.VM), Import: run.handle,
 	}
 	run.handle = ""
-	run.tab.wg.Go(func() { results <- run.generate(ctx, asg, gen) })
+	run.tab.spawn(func() { results <- run.generate(ctx, asg, gen) })
 	moving := run.tab.cfg.Router.Moving(asg.VM.ID)
 	var repick <-chan time.Time
 	for {
@@ -263,27 +264,26 @@
 // generate calls the engine and reports the outcome to the router.
 func (run *runner) generate(ctx context.Context, asg wick.Assignment, gen wick.Generation) result {
 	began := run.tab.now()
-	var first time.Duration
-	num := 0
+	// A late event may come while the outcome is read.
+	var first, num atomic.Int64
 	res := result{}
 	res.gen, res.err = run.tab.cfg.Engine.Generate(ctx, asg.VM, gen, func(tok wick.Token) error {
-		if num == 0 {
-			first = run.tab.now().Sub(began)
+		if num.Add(1) == 1 {
+			first.Store(int64(run.tab.now().Sub(began)))
 		}
-		num++
 		return run.req.accept(gen.Attempt, tok)
 	})
 	run.req.seal(gen.Attempt)
 	out := wick.Outcome{
-		Err: res.err, FirstToken: first, Cancelled: res.err != nil && (ctx.Err() != nil || errors.Is(res.err, errStale)),
+		Err: res.err, FirstToken: time.Duration(first.Load()), Cancelled: res.err != nil && (ctx.Err() != nil || errors.Is(res.err, errStale)),
 		CachedTokens: res.gen.CachedTokens, PromptTokens: res.gen.PromptTokens,
 	}
-	if num > 1 {
-		out.BetweenTokens = (run.tab.now().Sub(began) - first) / time.Duration(num-1)
+	if cnt := num.Load(); cnt > 1 {
+		out.BetweenTokens = (run.tab.now().Sub(began) - time.Duration(first.Load())) / time.Duration(cnt-1)
 	}
 	asg.Done(out)
 	res.out = out
-	res.phase = phaseOf(res.err, run.tab.trusts(asg.VM), num > 0)
+	res.phase = phaseOf(res.err, run.tab.trusts(asg.VM), num.Load() > 0)
 	return res
 }
 
@@ -359,7 +359,7 @@
 // abandon makes the attempt stale and cancels it at the endpoint.
 func (run *runner) abandon(vm wick.VM, att wick.AttemptID) {
 	run.req.cut(att)
-	run.tab.wg.Go(func() {
+	run.tab.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(run.tab.ctx), cancelTimeout)
 		defer cancel()
 		if err := run.tab.cfg.Engine.Cancel(ctx, vm, att); err != nil {
--- a/internal/stream/sim_test.go
+++ b/internal/stream/sim_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -290,7 +291,7 @@
 // logged reports whether an entry has exactly this answer in its log.
 func (wld *world) logged(prompt, text string) bool {
 	found := false
-	for _, ent := range wld.entries {
+	for _, ent := range wld.all() {
 		ent.tab.each(func(req *Request) {
 			req.mu.Lock()
 			defer req.mu.Unlock()
@@ -303,7 +304,7 @@
 // where describes which entries hold the request of a prompt.
 func (wld *world) where(prompt string) string {
 	var bld strings.Builder
-	for _, ent := range wld.entries {
+	for _, ent := range wld.all() {
 		ent.tab.each(func(req *Request) {
 			req.mu.Lock()
 			defer req.mu.Unlock()
@@ -317,6 +318,13 @@
 	return bld.String()
 }
 
+// all returns the entries of now.
+func (wld *world) all() []*simEntry {
+	wld.mu.Lock()
+	defer wld.mu.Unlock()
+	return slices.Clone(wld.entries)
+}
+
 // checkFailure asserts that a failure is allowed and tells the truth.
 func (wld *world) checkFailure(scn scenario, prompt string, events int, err error, tal *tally) {
 	var fai *FailError
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -119,6 +119,9 @@
 	admitCtx  context.Context //nolint:containedctx // shared by all waits
 	stopAdmit context.CancelFunc
 	wg        sync.WaitGroup
+	// closing guards closed, after which wg does not grow.
+	closing sync.Mutex
+	closed  bool
 }
 
 // A shard is one part of the table.
@@ -181,10 +184,25 @@
 // Close ends all work at once and waits for it. Drain goes before it in an
 // orderly shutdown.
 func (tab *Table) Close() {
+	tab.closing.Lock()
+	tab.closed = true
+	tab.closing.Unlock()
 	tab.stop()
 	tab.wg.Wait()
 }
 
+// spawn starts a goroutine that Close waits for. Work that arrives during Close
+// ends by itself with the table's context.
+func (tab *Table) spawn(fun func()) {
+	tab.closing.Lock()
+	defer tab.closing.Unlock()
+	if tab.closed {
+		go fun()
+		return
+	}
+	tab.wg.Go(fun)
+}
+
 func (tab *Table) shardOf(rid wick.RequestID) *shard {
 	return &tab.shards[xxhash.Sum64String(string(rid))%shardCount]
 }
