--- a/internal/stream/run.go
+++ b/internal/stream/run.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -244,7 +244,7 @@
 		Priority: run.req.Head.Priority, Continue: run.req.begin(run.epoch, att, asg.VM), Import: run.handle,
 	}
 	run.handle = ""
-	run.tab.wg.Go(func() { results <- run.generate(ctx, asg, gen) })
+	run.tab.spawn(func() { results <- run.generate(ctx, asg, gen) })
 	moving := run.tab.cfg.Router.Moving(asg.VM.ID)
 	var repick <-chan time.Time
 	for {
@@ -271,53 +271,29 @@
 // generate calls the engine and reports the outcome to the router.
 func (run *runner) generate(ctx context.Context, asg wick.Assignment, gen wick.Generation) result {
 	began := run.tab.now()
-	var pac pace
+	// A late event may come while the outcome is read.
+	var first, num atomic.Int64
 	res := result{}
 	res.gen, res.err = run.tab.cfg.Engine.Generate(ctx, asg.VM, gen, func(tok wick.Token) error {
-		pac.token(run.tab.now().Sub(began))
+		if num.Add(1) == 1 {
+			first.Store(int64(run.tab.now().Sub(began)))
+		}
 		return run.req.accept(gen.Attempt, tok)
 	})
 	run.req.seal(gen.Attempt)
-	num, first, between := pac.read(run.tab.now().Sub(began))
 	out := wick.Outcome{
-		Err: res.err, FirstToken: first, BetweenTokens: between, Cancelled: res.err != nil && (ctx.Err() != nil || errors.Is(res.err, errStale)),
+		Err: res.err, FirstToken: time.Duration(first.Load()), Cancelled: res.err != nil && (ctx.Err() != nil || errors.Is(res.err, errStale)),
 		CachedTokens: res.gen.CachedTokens, PromptTokens: res.gen.PromptTokens,
 	}
+	if cnt := num.Load(); cnt > 1 {
+		out.BetweenTokens = (run.tab.now().Sub(began) - time.Duration(first.Load())) / time.Duration(cnt-1)
+	}
 	asg.Done(out)
 	res.out = out
-	res.phase = phaseOf(res.err, run.tab.trusts(asg.VM), num > 0)
+	res.phase = phaseOf(res.err, run.tab.trusts(asg.VM), num.Load() > 0)
 	return res
 }
 
-// A pace measures the tokens of an attempt. It has a lock because an engine may
-// deliver late tokens after its call has returned.
-type pace struct {
-	mu    sync.Mutex
-	num   int
-	first time.Duration
-}
-
-// token counts a token that came at a time after the start.
-func (pac *pace) token(at time.Duration) {
-	pac.mu.Lock()
-	defer pac.mu.Unlock()
-	if pac.num == 0 {
-		pac.first = at
-	}
-	pac.num++
-}
-
-// read returns the number of tokens, the time to the first one and the mean
-// time between tokens of an attempt that ended at a time after the start.
-func (pac *pace) read(end time.Duration) (num int, first, between time.Duration) {
-	pac.mu.Lock()
-	defer pac.mu.Unlock()
-	if pac.num > 1 {
-		between = (end - pac.first) / time.Duration(pac.num-1)
-	}
-	return pac.num, pac.first, between
-}
-
 func (tab *Table) trusts(vm wick.VM) bool { return tab.cfg.Trusts == nil || tab.cfg.Trusts(vm) }
 
 // settle takes the result of an attempt into the request.
@@ -390,7 +366,7 @@
 // abandon makes the attempt stale and cancels it at the endpoint.
 func (run *runner) abandon(vm wick.VM, att wick.AttemptID) {
 	run.req.cut(att)
-	run.tab.wg.Go(func() {
+	run.tab.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(run.tab.ctx), cancelTimeout)
 		defer cancel()
 		if err := run.tab.cfg.Engine.Cancel(ctx, vm, att); err != nil {
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -119,9 +119,9 @@
 	admitCtx  context.Context //nolint:containedctx // shared by all waits
 	stopAdmit context.CancelFunc
 	wg        sync.WaitGroup
-	// life guards closed, after which no goroutine is started.
-	life   sync.Mutex
-	closed bool
+	// closing guards closed, after which wg does not grow.
+	closing sync.Mutex
+	closed  bool
 }
 
 // A shard is one part of the table.
@@ -184,10 +184,10 @@
 // Close ends all work at once and waits for it. Drain goes before it in an
 // orderly shutdown.
 func (tab *Table) Close() {
-	tab.stop()
-	tab.life.Lock()
+	tab.closing.Lock()
 	tab.closed = true
-	tab.life.Unlock()
+	tab.closing.Unlock()
+	tab.stop()
 	tab.wg.Wait()
 }
 
@@ -195,8 +195,8 @@
 // a wait group must not grow from zero while it is waited for. Goroutines that
 // are counted already may use the wait group directly.
 func (tab *Table) spawn(fn func()) bool {
-	tab.life.Lock()
-	defer tab.life.Unlock()
+	tab.closing.Lock()
+	defer tab.closing.Unlock()
 	if tab.closed {
 		return false
 	}
