canary: state the bounds of a bad version and the runs behind them

Cause: the bounds in requests and seconds were only in the tests.

Change: the package comment states them.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -1,5 +1,12 @@
 // Package canary decides how much traffic a candidate version gets at one entry
 // and whether its outcomes show that it is worse than the old version.
+//
+// Bounds, which the seeded runs of the tests assert: until its proof a candidate
+// gets at most its share of an entry's requests and one more, and at most 4 of
+// them are in flight without an outcome. A version that fails always hits at
+// most 7 requests per entry. Entries with peers send nothing to a version 2 s
+// after the first stop anywhere; an entry without peers is bound by its own
+// evidence.
 package canary
 
 import (
