canary: say what the level of the test guarantees

Cause: the comment claimed a bound that holds only for a known old rate.

Change: the comment names the estimate and the runs that measure false alarms.

Conclusion: no change of behaviour.

--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// stopLevel is the value of the test at which a version is bad. By
-	// Ville's inequality a version that is no worse reaches it with a
-	// probability of at most 0.001 per start of the test.
+	// stopLevel is the value of the test at which a version is bad. With a
+	// known old rate Ville's inequality would bound false alarms by 0.001 per
+	// start; the old rate is estimated, so the seeded runs measure them.
 	stopLevel = 1000
 	// proveLevel is the odds against a version that adds proveEffect bad
 	// answers, at which it is proved.
