--- a/internal/stream/run.go
+++ b/internal/stream/run.go
@@ -244,7 +244,7 @@
 		Priority: run.req.Head.Priority, Continue: run.req.begin(run.epoch, att, asg.VM), Import: run.handle,
 	}
 	run.handle = ""
-	run.tab.spawn(func() { results <- run.generate(ctx, asg, gen) })
+	run.tab.wg.Go(func() { results <- run.generate(ctx, asg, gen) })
 	moving := run.tab.cfg.Router.Moving(asg.VM.ID)
 	var repick <-chan time.Time
 	for {
@@ -366,7 +366,7 @@
 // abandon makes the attempt stale and cancels it at the endpoint.
 func (run *runner) abandon(vm wick.VM, att wick.AttemptID) {
 	run.req.cut(att)
-	run.tab.spawn(func() {
+	run.tab.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(run.tab.ctx), cancelTimeout)
 		defer cancel()
 		if err := run.tab.cfg.Engine.Cancel(ctx, vm, att); err != nil {
