--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -29,6 +29,7 @@
 var commands = []command{
 	bundleListCommand,
 	bundleSignCommand,
+	bundleStatusCommand,
 	bundleSubmitCommand,
 	bundleUndoCommand,
 	checkCommand,
@@ -36,6 +37,7 @@
 	entryCommand,
 	keysOperatorCommand,
 	keysPeersCommand,
+	keysSiteCommand,
 	loadCommand,
 	versionCommand,
 	standinCommand,
--- a/internal/cmds/dump.go
+++ b/internal/cmds/dump.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -19,6 +22,7 @@
 	cmd := app.Command("dump", "Print the state of a running process as JSON.\n\nExample: wagtailwick dump --admin 127.0.0.1:9101")
 	addr := cmd.Flag("admin", "Admin address of the process, host:port.").Required().String()
 	metrics := cmd.Flag("metrics", "Print the metrics in text form instead.").Bool()
+	part := cmd.Flag("part", "Print this part of the state only, such as config.").String()
 	return cmd.FullCommand(), func() error {
 		path := "/dump"
 		if *metrics {
@@ -28,11 +32,29 @@
 		if err != nil {
 			return err
 		}
+		if *part != "" && !*metrics {
+			if body, err = pickPart(body, *part); err != nil {
+				return err
+			}
+		}
 		_, err = fmt.Fprint(ev.stdout, string(body))
 		return err
 	}
 }
 
+// pickPart returns one part of a state dump.
+func pickPart(body []byte, part string) ([]byte, error) {
+	var parts map[string]json.RawMessage
+	if err := json.Unmarshal(body, &parts); err != nil {
+		return nil, eris.Wrap(err, "decode state")
+	}
+	raw, ok := parts[part]
+	if !ok {
+		return nil, eris.Errorf("no part %q, there are %v", part, slices.Sorted(maps.Keys(parts)))
+	}
+	return append(raw, '\n'), nil
+}
+
 // fetch returns the body of a GET request that succeeds.
 func fetch(url string) ([]byte, error) {
 	cli, err := client.NewClient(client.WithDialer(standard.NewDialer()), client.WithDialTimeout(dumpTimeout))
--- a/internal/cmds/load.go
+++ b/internal/cmds/load.go
@@ -11,8 +11,12 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// errNothingToCall reports a load command without a service.
-var errNothingToCall = errors.New("name a service with --model or --plain")
+var (
+	// errNothingToCall reports a load command without a service.
+	errNothingToCall = errors.New("name a service with --model or --plain")
+	// errCallsFailed is returned with --strict.
+	errCallsFailed = errors.New("calls were broken or their outcome is unknown")
+)
 
 func loadCommand(app *kingpin.Application, ev *env) (string, func() error) {
 	cmd := app.Command("load", "Send calls to running entries at a fixed rate and print latency percentiles and counts.\n\n"+
@@ -32,6 +36,9 @@
 	keyed := cmd.Flag("keyed", "Give each plain call an idempotency key.").Bool()
 	deadline := cmd.Flag("deadline", "Deadline of each call; 0 is none.").Default("30s").Duration()
 	seed := cmd.Flag("seed", "Seed of the mix of calls.").Default("1").Uint64()
+	direct := cmd.Flag("direct", "Address of an endpoint, host:port; may be repeated. Every second model call then goes to an endpoint without an entry and is reported apart.").Strings()
+	version := cmd.Flag("model-version", "Version that direct calls ask for.").String()
+	strict := cmd.Flag("strict", "Exit with 1 if a call was broken or its outcome is unknown.").Bool()
 	return cmd.FullCommand(), func() error {
 		if *model == "" && *plain == "" {
 			return errNothingToCall
@@ -51,8 +58,13 @@
 			Keyed:        *keyed,
 			Deadline:     *deadline,
 			Seed:         *seed,
+			Direct:       *direct,
+			Version:      wick.ModelVersion(*version),
 		})
 		rep.Write(ev.stdout)
+		if *strict && rep.Failed() > 0 {
+			return errCallsFailed
+		}
 		return nil
 	}
 }
--- /dev/null
+++ b/internal/cmds/site.go
@@ -0,0 +1,160 @@
+package cmds
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/internal/certs"
+	"github.com/wagtailwick/wagtailwick/internal/setup"
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const keysSiteHelp = `Make the keys and settings of a trial site on loopback: a settings file per entry, the key files of the operators marie and jean, their public keys (operators.json), the entries' VMs for a cloud stand-in (vms.json) and the addresses as shell variables (site.env). All ports are free at the time of the call.
+
+Example: wagtailwick keys site --dir site a1:a a2:a b1:b`
+
+// operators of a trial site; the first submits, the second signs.
+var operators = []bundle.KeyName{"marie", "jean"}
+
+func keysSiteCommand(app *kingpin.Application, ev *env) (string, func() error) {
+	cmd := keysParent(app).Command("site", keysSiteHelp)
+	dir := cmd.Flag("dir", "Folder for the files; it must exist.").Required().ExistingDir()
+	entries := cmd.Arg("entry", "Entries, each as id:zone.").Required().Strings()
+	return cmd.FullCommand(), func() error {
+		wtr := &siteWriter{ev: ev, dir: *dir, keys: make(bundle.Keys)}
+		defer wtr.close()
+		return wtr.write(*entries)
+	}
+}
+
+// A siteWriter writes the files of a trial site.
+type siteWriter struct {
+	ev   *env
+	dir  string
+	keys bundle.Keys
+	// open holds every chosen port until all are chosen, so that no two are
+	// the same.
+	open []interface{ Close() error }
+	vars strings.Builder
+}
+
+func (wtr *siteWriter) close() {
+	for _, cls := range wtr.open {
+		_ = cls.Close()
+	}
+}
+
+// address chooses a free port of TCP or UDP.
+func (wtr *siteWriter) address(network string) (string, error) {
+	const loopback = "127.0.0.1:0"
+	if network == "udp" {
+		con, err := net.ListenPacket(network, loopback) //nolint:noctx // closed by close
+		if err != nil {
+			return "", eris.Wrap(err, "find a port")
+		}
+		wtr.open = append(wtr.open, con)
+		return con.LocalAddr().String(), nil
+	}
+	lis, err := net.Listen(network, loopback) //nolint:noctx // closed by close
+	if err != nil {
+		return "", eris.Wrap(err, "find a port")
+	}
+	wtr.open = append(wtr.open, lis)
+	return lis.Addr().String(), nil
+}
+
+func (wtr *siteWriter) write(entries []string) error {
+	for _, name := range operators {
+		key, err := certs.NewOperatorKey(name)
+		if err != nil {
+			return err
+		}
+		wtr.keys[name] = key.Public
+		if err := wtr.file(string(name)+".json", key); err != nil {
+			return err
+		}
+	}
+	if err := wtr.file("operators.json", wtr.keys); err != nil {
+		return err
+	}
+	storeAddr, err := wtr.address("tcp")
+	if err != nil {
+		return err
+	}
+	cloudAddr, err := wtr.address("tcp")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(&wtr.vars, "STORE=%s\nCLOUD=%s\n", storeAddr, cloudAddr)
+	set := setup.Default()
+	set.Platform.StoreURL, set.Platform.CloudURL = "http://"+storeAddr, "http://"+cloudAddr
+	set.OperatorKeys = wtr.keys
+	vms, err := wtr.entries(set, entries)
+	if err != nil {
+		return err
+	}
+	if err := wtr.file("vms.json", vms); err != nil {
+		return err
+	}
+	return writeFile(filepath.Join(wtr.dir, "site.env"), wtr.vars.String())
+}
+
+// entries writes the settings of the entries and returns their VMs.
+func (wtr *siteWriter) entries(set setup.Settings, entries []string) ([]wick.VM, error) {
+	now := time.Now()
+	aut, err := certs.NewAuthority(now)
+	if err != nil {
+		return nil, err
+	}
+	vms := make([]wick.VM, 0, len(entries))
+	for _, text := range entries {
+		name, zone, ok := strings.Cut(text, ":")
+		if !ok || name == "" || zone == "" {
+			return nil, eris.Wrapf(wick.ErrInvalid, "entry %q is not id:zone", text)
+		}
+		eid := wick.EntryID(name)
+		pair, err := aut.Issue(eid, now)
+		if err != nil {
+			return nil, err
+		}
+		set.Entry = setup.Entry{ID: eid, Zone: wick.Zone(zone)}
+		set.Peers = setup.Peers{Certificate: pair.Certificate, Key: pair.Key, Authority: aut.PEM}
+		if err := wtr.listen(&set.Listen); err != nil {
+			return nil, err
+		}
+		if err := wtr.file(name+".json", set); err != nil {
+			return nil, err
+		}
+		fmt.Fprintf(&wtr.vars, "CALLERS_%s=%s\nADMIN_%s=%s\n", name, set.Listen.Callers, name, set.Listen.Admin)
+		vms = append(vms, wick.VM{
+			ID: wick.VMID(eid), Role: wick.RoleEntry, Zone: wick.Zone(zone), Address: set.Listen.Peers,
+			State: wick.VMLive, Reclaimable: true,
+		})
+	}
+	return vms, nil
+}
+
+func (wtr *siteWriter) listen(lsn *setup.Listen) error {
+	for _, row := range []struct {
+		network string
+		addr    *string
+	}{{"tcp", &lsn.Callers}, {"udp", &lsn.Peers}, {"tcp", &lsn.Admin}} {
+		addr, err := wtr.address(row.network)
+		if err != nil {
+			return err
+		}
+		*row.addr = addr
+	}
+	return nil
+}
+
+func (wtr *siteWriter) file(name string, doc any) error {
+	return writeSecret(wtr.ev, filepath.Join(wtr.dir, name), doc)
+}
--- a/internal/cmds/standin.go
+++ b/internal/cmds/standin.go
@@ -58,6 +58,7 @@
 	serviceTime  time.Duration
 	deduplicates bool
 	startTime    time.Duration
+	vmsFile      string
 }
 
 func standinCommand(app *kingpin.Application, ev *env) (string, func() error) {
@@ -86,6 +87,7 @@
 	cmd.Flag("service-time", "Time of a call (plain).").Default("20ms").DurationVar(&std.serviceTime)
 	cmd.Flag("deduplicates", "Deduplicate calls by idempotency key (plain).").BoolVar(&std.deduplicates)
 	cmd.Flag("start-time", "Time that a VM takes to start (cloud).").Default("0s").DurationVar(&std.startTime)
+	cmd.Flag("vms", "JSON file with VMs that are on the list from the start, such as the entries' (cloud).").ExistingFileVar(&std.vmsFile)
 	return cmd.FullCommand(), func() error {
 		for _, ver := range *versions {
 			std.vm.Versions = append(std.vm.Versions, wick.ModelVersion(ver))
@@ -144,7 +146,7 @@
 	case "store":
 		return fake.ServeStore(std.listen, &fake.Store{})
 	case "cloud":
-		return fake.ServeCloud(std.listen, &fake.Cloud{StartTime: std.startTime, OnReclaim: forwardReclaim})
+		return std.serveCloud()
 	case "engine":
 		eng := &fake.Engine{
 			PrefillRate: wick.Tokens(std.prefillRate), DecodeTime: std.decodeTime, DecodeLoad: std.decodeLoad,
@@ -159,6 +161,20 @@
 	}
 }
 
+func (std *standin) serveCloud() (*fake.Server, error) {
+	cld := &fake.Cloud{StartTime: std.startTime, OnReclaim: forwardReclaim}
+	if std.vmsFile != "" {
+		var vms []wick.VM
+		if err := readJSON(std.vmsFile, &vms); err != nil {
+			return nil, err
+		}
+		for _, vm := range vms {
+			cld.Register(vm)
+		}
+	}
+	return fake.ServeCloud(std.listen, cld)
+}
+
 // register adds the VM to the cloud's list. The cloud stand-in may start later.
 func (std *standin) register(ctx context.Context, cli *cloud.Client, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, registerWait)
--- /dev/null
+++ b/internal/cmds/status.go
@@ -0,0 +1,90 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/internal/entry"
+	"github.com/wagtailwick/wagtailwick/internal/store"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// statusPoll is shorter than the 2 s between the writes of a zone's status.
+const statusPoll = 200 * time.Millisecond
+
+func bundleStatusCommand(app *kingpin.Application, ev *env) (string, func() error) {
+	cmd := bundleParent(app).Command("status", "Show which version each entry has in force, as the zones report it.\n\n"+
+		"Example: wagtailwick bundle status --store http://127.0.0.1:6001 --wait 7 --entries 5")
+	url := cmd.Flag("store", "URL of the platform's object API.").Required().String()
+	wait := cmd.Flag("wait", "Wait until serving entries have this version or a higher one.").Uint64()
+	entries := cmd.Flag("entries", "Number of entries to wait for.").Default("1").Int()
+	timeout := cmd.Flag("timeout", "How long to wait.").Default("30s").Duration()
+	return cmd.FullCommand(), func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), *timeout)
+		defer cancel()
+		sto := &store.Client{URL: *url}
+		for {
+			zones, err := readStatus(ctx, sto)
+			if err == nil && (*wait == 0 || inForce(zones, wick.BundleVersion(*wait)) >= *entries) {
+				writeStatus(ev.stdout, zones)
+				return nil
+			}
+			if *wait == 0 {
+				return err
+			}
+			select {
+			case <-time.After(statusPoll):
+			case <-ctx.Done():
+				writeStatus(ev.stdout, zones)
+				return eris.Errorf("version %d not in force on %d entries after %v", *wait, *entries, *timeout)
+			}
+		}
+	}
+}
+
+func readStatus(ctx context.Context, sto *store.Client) ([]entry.ZoneStatus, error) {
+	objs, _, err := sto.List(ctx, wick.KindStatus)
+	if err != nil {
+		return nil, err
+	}
+	zones := make([]entry.ZoneStatus, 0, len(objs))
+	for _, obj := range objs {
+		var zst entry.ZoneStatus
+		if err := json.Unmarshal(obj.Data, &zst); err != nil {
+			return nil, eris.Wrapf(err, "decode status of zone %s", obj.Key.Name)
+		}
+		zones = append(zones, zst)
+	}
+	return zones, nil
+}
+
+// inForce counts the serving entries with the version or a higher one.
+func inForce(zones []entry.ZoneStatus, ver wick.BundleVersion) int {
+	num := 0
+	for _, zst := range zones {
+		for _, mem := range zst.Entries {
+			if mem.State == wick.EntryServing && mem.Bundle >= ver {
+				num++
+			}
+		}
+	}
+	return num
+}
+
+func writeStatus(out io.Writer, zones []entry.ZoneStatus) {
+	for _, zst := range zones {
+		for _, mem := range zst.Entries {
+			confirmed := "confirmed"
+			if !mem.Confirmed {
+				confirmed = "unconfirmed"
+			}
+			fmt.Fprintf(out, "zone %s entry %s %s version %d %s\n", zst.Zone, mem.ID, mem.State, mem.Bundle, confirmed)
+		}
+	}
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -15,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/google/uuid"
 
+	"github.com/wagtailwick/wagtailwick/internal/engine"
 	"github.com/wagtailwick/wagtailwick/pkg/client"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -45,6 +46,14 @@
 	Deadline time.Duration
 	// Seed makes the mix of calls repeatable.
 	Seed uint64
+	// Direct lists addresses of endpoints. If it is not empty, every second
+	// model call goes to one of them without an entry, so that both paths are
+	// measured under the same load.
+	Direct []string
+	// Version is the model version that direct calls ask for.
+	Version wick.ModelVersion
+	// engine sends the direct calls.
+	engine *engine.Client
 }
 
 // A Fate is what became of a call.
@@ -78,6 +87,8 @@
 	FirstToken    *hdrhistogram.Histogram
 	BetweenTokens *hdrhistogram.Histogram
 	Whole         *hdrhistogram.Histogram
+	// Direct reports the calls without an entry; nil if there were none.
+	Direct *Report
 }
 
 func newReport() *Report {
@@ -92,6 +103,11 @@
 // Run sends the plan's calls and waits for all of them.
 func Run(ctx context.Context, plan Plan) *Report {
 	rep := newReport()
+	if len(plan.Direct) > 0 {
+		rep.Direct = newReport()
+		plan.engine = &engine.Client{}
+		defer plan.engine.Close()
+	}
 	rnd := rand.New(rand.NewPCG(plan.Seed, plan.Seed)) //nolint:gosec // a repeatable mix is wanted
 	interval := time.Duration(float64(time.Second) / plan.Rate)
 	started := time.Now()
@@ -106,15 +122,21 @@
 		wg.Go(func() {
 			callCtx, cancel := plan.bound(ctx)
 			defer cancel()
-			if usePlain {
+			switch {
+			case usePlain:
 				plan.callPlain(callCtx, rep)
-			} else {
+			case rep.Direct != nil && num%2 == 1:
+				plan.direct(callCtx, rep.Direct, prompt, plan.Direct[num/2%len(plan.Direct)])
+			default:
 				plan.complete(callCtx, rep, prompt)
 			}
 		})
 	}
 	wg.Wait()
 	rep.Elapsed = time.Since(started)
+	if rep.Direct != nil {
+		rep.Direct.Elapsed = rep.Elapsed
+	}
 	return rep
 }
 
@@ -171,6 +193,31 @@
 	}
 }
 
+// direct calls an endpoint without an entry.
+func (plan *Plan) direct(ctx context.Context, rep *Report, prompt, addr string) {
+	started := time.Now()
+	var last time.Time
+	var first time.Duration
+	out, err := plan.engine.Generate(ctx, wick.VM{Address: addr}, wick.Generation{
+		Attempt: wick.AttemptID(uuid.NewString()), Service: plan.Model, Version: plan.Version,
+		Prompt: wick.Prompt{Text: prompt}, MaxTokens: plan.MaxTokens,
+	}, func(wick.Token) error {
+		now := time.Now()
+		if last.IsZero() {
+			first = now.Sub(started)
+		} else {
+			rep.record(rep.BetweenTokens, now.Sub(last))
+		}
+		last = now
+		return nil
+	})
+	rep.count(fateOf(err), 0, out.Count)
+	if err == nil {
+		rep.record(rep.FirstToken, first)
+		rep.record(rep.Whole, time.Since(started))
+	}
+}
+
 func (plan *Plan) callPlain(ctx context.Context, rep *Report) {
 	call := client.Call{Service: plan.Plain, Method: plan.Method, Path: plan.Path}
 	if plan.Keyed {
@@ -212,8 +259,22 @@
 	_ = hist.RecordValue(max(lowestMicros, min(highestMicros, dur.Microseconds())))
 }
 
+// Failed counts the calls that broke or whose outcome is unknown.
+func (rep *Report) Failed() int64 {
+	failed := rep.Fates[Broken] + rep.Fates[Unknown]
+	if rep.Direct != nil {
+		failed += rep.Direct.Failed()
+	}
+	return failed
+}
+
 // Write prints the report. Times are in milliseconds.
 func (rep *Report) Write(out io.Writer) {
+	if rep.Direct != nil {
+		fmt.Fprintln(out, "without an entry:")
+		rep.Direct.Write(out)
+		fmt.Fprintln(out, "through entries:")
+	}
 	total := int64(0)
 	for _, num := range rep.Fates {
 		total += num
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -235,6 +235,7 @@
 	}
 	str := &stream{started: time.Now(), onText: onText}
 	var last error
+	var mayHaveRun bool
 	for try := 0; try <= cli.reconnects(); try++ {
 		if try > 0 {
 			str.answer.Reconnects++
@@ -249,18 +250,23 @@
 			str.answer.Total = time.Since(str.started)
 			return str.answer, nil
 		case errors.As(last, &ref) && !retryable(ref, str.answer.Request != ""):
-			return str.answer, last
+			return str.answer, doubt(last, mayHaveRun)
 		case ctx.Err() != nil:
 			return str.answer, ctx.Err()
 		}
+		mayHaveRun = mayHaveRun || str.answer.Request != "" || !notSent(last)
 	}
-	return str.answer, eris.Wrapf(errors.Join(last, errBroken), "after %d reconnections", cli.reconnects())
+	return str.answer, eris.Wrapf(errors.Join(doubt(last, mayHaveRun), errBroken), "after %d reconnections", cli.reconnects())
 }
 
 // retryable reports whether another entry may still have the rest of a request
-// that was accepted.
+// that was accepted, or may accept one that was not: an entry that drains or
+// starts refuses with status 503, one that is overloaded with 429.
 func retryable(ref *RefusalError, accepted bool) bool {
-	return accepted && (ref.Status == consts.StatusNotFound || ref.Status == consts.StatusServiceUnavailable)
+	if !accepted {
+		return ref.Status == consts.StatusServiceUnavailable && ref.Executed == ExecutedNo
+	}
+	return ref.Status == consts.StatusNotFound || ref.Status == consts.StatusServiceUnavailable
 }
 
 // connect sends the call, or resumes it if it was accepted before, and reads
--- /dev/null
+++ b/pkg/client/client_test.go
@@ -0,0 +1,85 @@
+package client
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// A script answers the calls to an entry one after the other and repeats its
+// last step.
+type script struct {
+	steps []http.HandlerFunc
+	calls atomic.Int64
+}
+
+func (scr *script) ServeHTTP(wtr http.ResponseWriter, req *http.Request) {
+	num := int(scr.calls.Add(1)) - 1
+	scr.steps[min(num, len(scr.steps)-1)](wtr, req)
+}
+
+func refuse(wtr http.ResponseWriter, _ *http.Request) {
+	wtr.Header().Set("Content-Type", "application/problem+json")
+	wtr.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = wtr.Write([]byte(`{"type":"/problems/notReady","title":"no","status":503,"executed":"no"}`))
+}
+
+func breakOff(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func answer(wtr http.ResponseWriter, _ *http.Request) {
+	wtr.Header().Set("Content-Type", "text/event-stream")
+	wtr.Header().Set("X-Request-Id", "r1")
+	_, _ = wtr.Write([]byte("id: 1\ndata: {\"choices\":[{\"text\":\" a\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"))
+}
+
+func scripted(t *testing.T, steps ...http.HandlerFunc) *Client {
+	t.Helper()
+	srv := httptest.NewServer(&script{steps: steps})
+	t.Cleanup(srv.Close)
+	return &Client{Entries: []string{srv.URL}, Reconnects: 2, Backoff: 1}
+}
+
+// TestOutcome guards against callers that learn of a refusal of an entry that
+// drains though another would accept the call, and against "not executed" for
+// a call of which an earlier try may have run.
+func TestOutcome(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		steps []http.HandlerFunc
+		want  error
+	}{
+		{"refused, then accepted", []http.HandlerFunc{refuse, answer}, nil},
+		{"refused", []http.HandlerFunc{refuse}, wick.ErrNotExecuted},
+		{"broken, then refused", []http.HandlerFunc{breakOff, refuse}, wick.ErrUnknownOutcome},
+		{"refused, broken, refused", []http.HandlerFunc{refuse, breakOff, refuse}, wick.ErrUnknownOutcome},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			_, err := scripted(t, row.steps...).Complete(t.Context(), Completion{Model: "quotes", Prompt: "p"}, nil)
+			if !errors.Is(err, row.want) {
+				t.Errorf("model call: error %v, want %v", err, row.want)
+			}
+			_, err = scripted(t, row.steps...).Do(t.Context(), Call{Service: "orders", Method: "POST", Path: "/", Key: "k", Retry: true})
+			if !errors.Is(err, row.want) {
+				t.Errorf("plain call: error %v, want %v", err, row.want)
+			}
+		})
+	}
+}
+
+// TestNotSent guards against "unknown" for a call that no entry ever got.
+func TestNotSent(t *testing.T) {
+	srv := httptest.NewServer(&script{steps: []http.HandlerFunc{refuse}})
+	defer srv.Close()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	// The tries go to the second entry, the first and the second again.
+	cli := &Client{Entries: []string{gone.URL, srv.URL}, Reconnects: 2, Backoff: 1}
+	_, err := cli.Do(t.Context(), Call{Service: "orders", Method: "POST", Path: "/", Key: "k", Retry: true})
+	if !errors.Is(err, wick.ErrNotExecuted) {
+		t.Errorf("error %v, want %v", err, wick.ErrNotExecuted)
+	}
+}
--- a/pkg/client/plain.go
+++ b/pkg/client/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -43,6 +44,7 @@
 	started := time.Now()
 	var rep Reply
 	var last error
+	var mayHaveRun bool
 	for try := 0; try <= cli.reconnects(); try++ {
 		if try > 0 {
 			if err := cli.pause(ctx, try); err != nil {
@@ -53,10 +55,34 @@
 		rep.Tries = try + 1
 		rep.Total = time.Since(started)
 		if last == nil || !call.Retry || ctx.Err() != nil || !mayRepeat(call, last) {
-			return rep, last
+			return rep, doubt(last, mayHaveRun)
 		}
+		mayHaveRun = mayHaveRun || !notSent(last)
 	}
-	return rep, last
+	return rep, doubt(last, mayHaveRun)
+}
+
+// notSent reports whether a try provably did not run: it was refused as not
+// executed, or no connection was made.
+func notSent(err error) bool {
+	var ref *RefusalError
+	if errors.As(err, &ref) {
+		return ref.Executed == ExecutedNo
+	}
+	var ope *net.OpError
+	return errors.As(err, &ope) && ope.Op == "dial"
+}
+
+// doubt returns the error of a call whose earlier tries may have run. The last
+// try's "not executed" says nothing about those.
+func doubt(err error, mayHaveRun bool) error {
+	var ref *RefusalError
+	if !mayHaveRun || !errors.As(err, &ref) || ref.Executed != ExecutedNo {
+		return err
+	}
+	out := *ref
+	out.Executed = ExecutedUnknown
+	return &out
 }
 
 // mayRepeat reports whether a failed call may be sent again without running
