--- a/internal/cmds/site.go
+++ b/internal/cmds/site.go
@@ -1,9 +1,11 @@
 package cmds
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -16,7 +18,7 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-const keysSiteHelp = `Make the keys and settings of a trial site on loopback: a settings file per entry, the key files of the operators marie and jean, their public keys (operators.json), the entries' VMs for a cloud stand-in (vms.json) and the addresses as shell variables (site.env). All ports are free at the time of the call.
+const keysSiteHelp = `Make the keys and settings of a trial site on loopback: a settings file per entry, the key files of the operators marie and jean, their public keys (operators.json), the entries' VMs for a cloud stand-in (vms.json) and the addresses as shell variables (site.env). Ports are counted up from --port, those in use are passed over; the default is below the ports that systems give to outgoing connections, which would take the port of an entry that restarts.
 
 Example: wagtailwick keys site --dir site a1:a a2:a b1:b`
 
@@ -26,10 +28,10 @@
 func keysSiteCommand(app *kingpin.Application, ev *env) (string, func() error) {
 	cmd := keysParent(app).Command("site", keysSiteHelp)
 	dir := cmd.Flag("dir", "Folder for the files; it must exist.").Required().ExistingDir()
+	port := cmd.Flag("port", "First port.").Default("20000").Int()
 	entries := cmd.Arg("entry", "Entries, each as id:zone.").Required().Strings()
 	return cmd.FullCommand(), func() error {
-		wtr := &siteWriter{ev: ev, dir: *dir, keys: make(bundle.Keys)}
-		defer wtr.close()
+		wtr := &siteWriter{ev: ev, dir: *dir, keys: make(bundle.Keys), port: *port}
 		return wtr.write(*entries)
 	}
 }
@@ -39,35 +41,34 @@
 	ev   *env
 	dir  string
 	keys bundle.Keys
-	// open holds every chosen port until all are chosen, so that no two are
-	// the same.
-	open []interface{ Close() error }
+	// port is the next port to try.
+	port int
 	vars strings.Builder
 }
 
-func (wtr *siteWriter) close() {
-	for _, cls := range wtr.open {
-		_ = cls.Close()
+// address returns an address on loopback whose port is free for TCP and UDP.
+func (wtr *siteWriter) address() (string, error) {
+	const lastPort = 1<<16 - 1
+	for ; wtr.port <= lastPort; wtr.port++ {
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(wtr.port))
+		if free(addr) {
+			wtr.port++
+			return addr, nil
+		}
 	}
+	return "", eris.New("no free port")
 }
 
-// address chooses a free port of TCP or UDP.
-func (wtr *siteWriter) address(network string) (string, error) {
-	const loopback = "127.0.0.1:0"
-	if network == "udp" {
-		con, err := net.ListenPacket(network, loopback) //nolint:noctx // closed by close
-		if err != nil {
-			return "", eris.Wrap(err, "find a port")
-		}
-		wtr.open = append(wtr.open, con)
-		return con.LocalAddr().String(), nil
-	}
-	lis, err := net.Listen(network, loopback) //nolint:noctx // closed by close
+func free(addr string) bool {
+	lis, err := net.Listen("tcp", addr) //nolint:noctx // closed at once
 	if err != nil {
-		return "", eris.Wrap(err, "find a port")
+		return false
+	}
+	con, err := net.ListenPacket("udp", addr) //nolint:noctx // closed at once
+	if err == nil {
+		err = con.Close()
 	}
-	wtr.open = append(wtr.open, lis)
-	return lis.Addr().String(), nil
+	return errors.Join(err, lis.Close()) == nil
 }
 
 func (wtr *siteWriter) write(entries []string) error {
@@ -84,11 +85,11 @@
 	if err := wtr.file("operators.json", wtr.keys); err != nil {
 		return err
 	}
-	storeAddr, err := wtr.address("tcp")
+	storeAddr, err := wtr.address()
 	if err != nil {
 		return err
 	}
-	cloudAddr, err := wtr.address("tcp")
+	cloudAddr, err := wtr.address()
 	if err != nil {
 		return err
 	}
@@ -142,15 +143,11 @@
 }
 
 func (wtr *siteWriter) listen(lsn *setup.Listen) error {
-	for _, row := range []struct {
-		network string
-		addr    *string
-	}{{"tcp", &lsn.Callers}, {"udp", &lsn.Peers}, {"tcp", &lsn.Admin}} {
-		addr, err := wtr.address(row.network)
-		if err != nil {
+	for _, adr := range []*string{&lsn.Callers, &lsn.Peers, &lsn.Admin} {
+		var err error
+		if *adr, err = wtr.address(); err != nil {
 			return err
 		}
-		*row.addr = addr
 	}
 	return nil
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
@@ -295,13 +296,35 @@
 		return eris.Wrap(err, "read events")
 	}
 	reader.SetMaxBufferSize(1 << 20)
-	err = reader.ForEach(ctx, str.take)
+	// ForEach must not see the end of ctx: the goroutine that it starts for it
+	// may close the stream after it was put back to hertz's pool, and so cut
+	// the connection of another call.
+	detach := closeWith(ctx, resp.BodyStream())
+	defer detach()
+	err = reader.ForEach(context.WithoutCancel(ctx), str.take)
 	if err == nil && !str.done {
 		return errBroken
 	}
 	return err
 }
 
+// closeWith closes the connection of a stream when ctx ends, so that a read
+// returns. The returned function waits until that can't happen any more.
+func closeWith(ctx context.Context, body io.Reader) func() {
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		if cls, ok := body.(interface{ ForceClose() error }); ok {
+			_ = cls.ForceClose()
+		}
+	})
+	return func() {
+		if !stop() {
+			<-done
+		}
+	}
+}
+
 func (cli *Client) prepare(req *protocol.Request, str *stream, com Completion, body []byte) {
 	req.Header.Set("Authorization", "Bearer "+cli.Key)
 	req.Header.Set("Accept", "text/event-stream")
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -1,11 +1,14 @@
 package client
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -70,16 +73,51 @@
 	}
 }
 
-// TestNotSent guards against "unknown" for a call that no entry ever got.
+// TestNotSent guards against "unknown" for a call that no entry ever got, and
+// against a call without a key that is given up when one entry is gone.
 func TestNotSent(t *testing.T) {
 	srv := httptest.NewServer(&script{steps: []http.HandlerFunc{refuse}})
 	defer srv.Close()
 	gone := httptest.NewServer(http.NotFoundHandler())
 	gone.Close()
-	// The tries go to the second entry, the first and the second again.
-	cli := &Client{Entries: []string{gone.URL, srv.URL}, Reconnects: 2, Backoff: 1}
-	_, err := cli.Do(t.Context(), Call{Service: "orders", Method: "POST", Path: "/", Key: "k", Retry: true})
-	if !errors.Is(err, wick.ErrNotExecuted) {
-		t.Errorf("error %v, want %v", err, wick.ErrNotExecuted)
+	for _, key := range []wick.IdempotencyKey{"", "k"} {
+		// The tries go to the second entry, the first and the second again.
+		cli := &Client{Entries: []string{gone.URL, srv.URL}, Reconnects: 2, Backoff: 1}
+		rep, err := cli.Do(t.Context(), Call{Service: "orders", Method: "POST", Path: "/", Key: key, Retry: true})
+		if !errors.Is(err, wick.ErrNotExecuted) || rep.Tries != 3 {
+			t.Errorf("key %q: error %v after %d tries, want %v after 3", key, err, rep.Tries, wick.ErrNotExecuted)
+		}
 	}
 }
+
+// TestEnd guards against a call that outlives its context while the entry is
+// silent, and against a connection that is closed for another call.
+func TestEnd(t *testing.T) {
+	silent := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(wtr http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/v1/completions" {
+			wtr.Header().Set("Content-Type", "text/event-stream")
+			_ = http.NewResponseController(wtr).Flush()
+		}
+		select {
+		case <-silent:
+		case <-req.Context().Done():
+		}
+	}))
+	defer srv.Close()
+	defer close(silent)
+	cli := &Client{Entries: []string{srv.URL}}
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			began := time.Now()
+			_, err := cli.Complete(ctx, Completion{Model: "quotes", Prompt: "p"}, nil)
+			if took := time.Since(began); !errors.Is(err, context.DeadlineExceeded) || took > 5*time.Second {
+				t.Errorf("error %v after %v", err, took)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/pkg/client/plain.go
+++ b/pkg/client/plain.go
@@ -23,7 +23,8 @@
 	Key  wick.IdempotencyKey
 	Body []byte
 	// Retry lets Do repeat the call: after a refusal that says "not
-	// executed", and after a lost connection if Key is set.
+	// executed", after a connection that could not be made, and after a lost
+	// connection if Key is set.
 	Retry bool
 }
 
@@ -90,7 +91,7 @@
 func mayRepeat(call Call, err error) bool {
 	var ref *RefusalError
 	if !errors.As(err, &ref) {
-		return call.Key != ""
+		return call.Key != "" || notSent(err)
 	}
 	if ref.Executed == ExecutedNo {
 		return ref.Status == consts.StatusServiceUnavailable || ref.Status == consts.StatusTooManyRequests ||
