--- a/internal/procs/main_test.go
+++ b/internal/procs/main_test.go
@@ -13,7 +13,7 @@
 // binary is the built program.
 var binary string
 
-// sites bounds the sites that run at once: each is 13 processes.
+// sites bounds the sites that run at once: each is 14 processes.
 var sites = make(chan struct{}, 4)
 
 func TestMain(m *testing.M) {
--- a/pkg/bundle/decode.go
+++ b/pkg/bundle/decode.go
@@ -13,6 +13,7 @@
 	"unicode/utf8"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -105,7 +106,17 @@
 // collect adds the leaves of a schema error.
 func collect(fts *FaultErrors, unit jsonschema.OutputUnit, doc any) {
 	if len(unit.Errors) == 0 && unit.Error != nil {
-		addf(fts, pathOf(unit.InstanceLocation, doc), "%s", unit.Error.String())
+		path := pathOf(unit.InstanceLocation, doc)
+		switch knd := unit.Error.Kind.(type) {
+		case *kind.AdditionalProperties:
+			for _, name := range knd.Properties {
+				addf(fts, path, "unknown field %q", name)
+			}
+		case *kind.ExclusiveMinimum:
+			addf(fts, path, "is %s, must be above %s", knd.Got.RatString(), knd.Want.RatString())
+		default:
+			addf(fts, path, "%s", unit.Error.String())
+		}
 	}
 	for _, sub := range unit.Errors {
 		collect(fts, sub, doc)
