setup: bound request bodies by the size of a message to a replica

Cause: limits.maxBodyBytes allowed 64 MiB and was 4 MiB by default, but a request has to fit into one message of 1 MiB to its replica. A larger one was accepted without a replica and lost with its entry.

--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -78,7 +78,10 @@
 type Limits struct {
 	MaxInFlight int `json:"maxInFlight"`
 	// MaxQueued bounds requests that wait for admission.
-	MaxQueued     int         `json:"maxQueued"`
+	MaxQueued int `json:"maxQueued"`
+	// MaxBodyBytes is at most 768 KiB, because a request has to fit into one
+	// message to its replica (wick.MaxMessageBytes): a larger one is lost with
+	// its entry.
 	MaxBodyBytes  int         `json:"maxBodyBytes"`
 	DrainMillis   wick.Millis `json:"drainMillis"`
 	RequestMillis wick.Millis `json:"requestMillis"`
@@ -98,7 +101,7 @@
 		Limits: Limits{
 			MaxInFlight:   2000,
 			MaxQueued:     4000,
-			MaxBodyBytes:  4 << 20,
+			MaxBodyBytes:  768 << 10,
 			DrainMillis:   25_000,
 			RequestMillis: 120_000,
 		},
