--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -38,6 +38,7 @@
 	entryCommand,
 	keysOperatorCommand,
 	keysPeersCommand,
+	keysSiteCommand,
 	loadCommand,
 	versionCommand,
 	replayCommand,
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rotisserie/eris"
@@ -14,57 +16,96 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
+// statusPoll is shorter than the 2 s between the writes of a zone's status.
+const statusPoll = 200 * time.Millisecond
+
 func bundleStatusCommand(app *kingpin.Application, ev *env) (string, func() error) {
 	cmd := bundleParent(app).Command("status", "Show each move with its progress, its evidence and whether it is done or undone, "+
-		"and which entries have which version in force.\n\nExample: wagtailwick bundle status --store http://127.0.0.1:6001")
+		"and which version each entry has in force, as the zones report it.\n\n"+
+		"Example: wagtailwick bundle status --store http://127.0.0.1:6001 --wait 7 --entries 5")
 	url := cmd.Flag("store", "URL of the platform's object API.").Required().String()
+	wait := cmd.Flag("wait", "Wait until serving entries have this version or a higher one.").Uint64()
+	entries := cmd.Flag("entries", "Number of entries to wait for.").Default("1").Int()
+	timeout := cmd.Flag("timeout", "How long to wait.").Default("30s").Duration()
 	return cmd.FullCommand(), func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), bundleTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), *timeout)
 		defer cancel()
-		cli := &store.Client{URL: *url}
-		if err := printMoves(ctx, ev, cli); err != nil {
-			return err
+		sto := &store.Client{URL: *url}
+		for {
+			zones, err := readStatus(ctx, sto)
+			if err == nil && (*wait == 0 || inForce(zones, wick.BundleVersion(*wait)) >= *entries) {
+				writeStatus(ev.stdout, zones)
+				return printMoves(ctx, ev.stdout, sto)
+			}
+			if *wait == 0 {
+				return err
+			}
+			select {
+			case <-time.After(statusPoll):
+			case <-ctx.Done():
+				writeStatus(ev.stdout, zones)
+				return eris.Errorf("version %d not in force on %d entries after %v", *wait, *entries, *timeout)
+			}
 		}
-		return printEntries(ctx, ev, cli)
 	}
 }
 
-func printMoves(ctx context.Context, ev *env, sto wick.Store) error {
-	objs, _, err := sto.List(ctx, wick.KindMove)
+func readStatus(ctx context.Context, sto *store.Client) ([]entry.ZoneStatus, error) {
+	objs, _, err := sto.List(ctx, wick.KindStatus)
 	if err != nil {
-		return eris.Wrap(err, "read moves")
+		return nil, err
 	}
+	zones := make([]entry.ZoneStatus, 0, len(objs))
 	for _, obj := range objs {
-		rec, err := move.Parse(obj)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintf(ev.stdout, "move %s: %s, %s from %s to %s, share %.3f, since %s: %s\n",
-			rec.Move, rec.State, rec.Service, rec.From, rec.To, rec.Share, rec.Since.Format("15:04:05"), rec.Reason)
-		if rec.Evidence != "" {
-			fmt.Fprintf(ev.stdout, "  evidence: %s\n", rec.Evidence)
+		var zst entry.ZoneStatus
+		if err := json.Unmarshal(obj.Data, &zst); err != nil {
+			return nil, eris.Wrapf(err, "decode status of zone %s", obj.Key.Name)
 		}
+		zones = append(zones, zst)
 	}
-	return nil
+	return zones, nil
 }
 
-func printEntries(ctx context.Context, ev *env, sto wick.Store) error {
-	objs, _, err := sto.List(ctx, wick.KindStatus)
-	if err != nil {
-		return eris.Wrap(err, "read status")
-	}
-	for _, obj := range objs {
-		var zst entry.ZoneStatus
-		if err := json.Unmarshal(obj.Data, &zst); err != nil {
-			return eris.Wrapf(err, "decode status of zone %s", obj.Key.Name)
+// inForce counts the serving entries with the version or a higher one.
+func inForce(zones []entry.ZoneStatus, ver wick.BundleVersion) int {
+	num := 0
+	for _, zst := range zones {
+		for _, mem := range zst.Entries {
+			if mem.State == wick.EntryServing && mem.Bundle >= ver {
+				num++
+			}
 		}
+	}
+	return num
+}
+
+func writeStatus(out io.Writer, zones []entry.ZoneStatus) {
+	for _, zst := range zones {
 		for _, mem := range zst.Entries {
 			confirmed := "confirmed"
 			if !mem.Confirmed {
 				confirmed = "unconfirmed"
 			}
-			fmt.Fprintf(ev.stdout, "zone %s entry %s: %s, version %d %s, at %s\n",
-				zst.Zone, mem.ID, mem.State, mem.Bundle, confirmed, zst.At.Format("15:04:05"))
+			fmt.Fprintf(out, "zone %s entry %s %s version %d %s\n", zst.Zone, mem.ID, mem.State, mem.Bundle, confirmed)
+		}
+	}
+}
+
+// printMoves prints the moves of all bundle versions with their evidence.
+func printMoves(ctx context.Context, out io.Writer, sto wick.Store) error {
+	objs, _, err := sto.List(ctx, wick.KindMove)
+	if err != nil {
+		return eris.Wrap(err, "read moves")
+	}
+	for _, obj := range objs {
+		rec, err := move.Parse(obj)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "move %s: %s, %s from %s to %s, share %.3f, since %s: %s\n",
+			rec.Move, rec.State, rec.Service, rec.From, rec.To, rec.Share, rec.Since.Format(time.TimeOnly), rec.Reason)
+		if rec.Evidence != "" {
+			fmt.Fprintf(out, "  evidence: %s\n", rec.Evidence)
 		}
 	}
 	return nil
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -6,9 +6,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -236,6 +236,7 @@
 	}
 	str := &stream{started: time.Now(), onText: onText}
 	var last error
+	var mayHaveRun bool
 	for try := 0; try <= cli.reconnects(); try++ {
 		if try > 0 {
 			str.answer.Reconnects++
@@ -250,31 +251,23 @@
 			str.answer.Total = time.Since(str.started)
 			return str.answer, nil
 		case errors.As(last, &ref) && !retryable(ref, str.answer.Request != ""):
-			return str.answer, last
+			return str.answer, doubt(last, mayHaveRun)
 		case ctx.Err() != nil:
 			return str.answer, ctx.Err()
 		}
+		mayHaveRun = mayHaveRun || str.answer.Request != "" || !notSent(last)
 	}
-	return str.answer, eris.Wrapf(errors.Join(last, errBroken), "after %d reconnections", cli.reconnects())
+	return str.answer, eris.Wrapf(errors.Join(doubt(last, mayHaveRun), errBroken), "after %d reconnections", cli.reconnects())
 }
 
-// retryable reports whether another entry may take the call, or still have the
-// rest of a request that was accepted.
+// retryable reports whether another entry may still have the rest of a request
+// that was accepted, or may accept one that was not: an entry that drains or
+// starts refuses with status 503, one that is overloaded with 429.
 func retryable(ref *RefusalError, accepted bool) bool {
-	if accepted {
-		return ref.Status == consts.StatusNotFound || ref.Status == consts.StatusServiceUnavailable
+	if !accepted {
+		return ref.Status == consts.StatusServiceUnavailable && ref.Executed == ExecutedNo
 	}
-	return ref.entryLeaves()
-}
-
-// entryLeaves reports whether the call was refused only because the entry ends
-// or has just started, so that another entry takes it.
-func (ref *RefusalError) entryLeaves() bool {
-	if ref.Executed != ExecutedNo {
-		return false
-	}
-	name := ref.Type[strings.LastIndexByte(ref.Type, '/')+1:]
-	return name == "leaving" || name == "stopped" || name == "notReady"
+	return ref.Status == consts.StatusNotFound || ref.Status == consts.StatusServiceUnavailable
 }
 
 // connect sends the call, or resumes it if it was accepted before, and reads
@@ -303,13 +296,35 @@
 		return eris.Wrap(err, "read events")
 	}
 	reader.SetMaxBufferSize(1 << 20)
-	err = reader.ForEach(ctx, str.take)
+	// ForEach must not see the end of ctx: the goroutine that it starts for it
+	// may close the stream after it was put back to hertz's pool, and so cut
+	// the connection of another call.
+	detach := closeWith(ctx, resp.BodyStream())
+	defer detach()
+	err = reader.ForEach(context.WithoutCancel(ctx), str.take)
 	if err == nil && !str.done {
 		return errBroken
 	}
 	return err
 }
 
+// closeWith closes the connection of a stream when ctx ends, so that a read
+// returns. The returned function waits until that can't happen any more.
+func closeWith(ctx context.Context, body io.Reader) func() {
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		if cls, ok := body.(interface{ ForceClose() error }); ok {
+			_ = cls.ForceClose()
+		}
+	})
+	return func() {
+		if !stop() {
+			<-done
+		}
+	}
+}
+
 func (cli *Client) prepare(req *protocol.Request, str *stream, com Completion, body []byte) {
 	req.Header.Set("Authorization", "Bearer "+cli.Key)
 	req.Header.Set("Accept", "text/event-stream")
--- a/pkg/client/plain.go
+++ b/pkg/client/plain.go
@@ -23,8 +23,8 @@
 	Key  wick.IdempotencyKey
 	Body []byte
 	// Retry lets Do repeat the call: after a refusal that says "not
-	// executed", and after a lost connection if Key is set or the method is
-	// GET.
+	// executed", after a connection that could not be made, and after a lost
+	// connection if Key is set.
 	Retry bool
 }
 
@@ -45,6 +45,7 @@
 	started := time.Now()
 	var rep Reply
 	var last error
+	var mayHaveRun bool
 	for try := 0; try <= cli.reconnects(); try++ {
 		if try > 0 {
 			if err := cli.pause(ctx, try); err != nil {
@@ -55,30 +56,48 @@
 		rep.Tries = try + 1
 		rep.Total = time.Since(started)
 		if last == nil || ctx.Err() != nil || !mayRepeat(call, last) {
-			return rep, last
+			return rep, doubt(last, mayHaveRun)
 		}
+		mayHaveRun = mayHaveRun || !notSent(last)
 	}
-	return rep, last
+	return rep, doubt(last, mayHaveRun)
+}
+
+// notSent reports whether a try provably did not run: it was refused as not
+// executed, or no connection was made.
+func notSent(err error) bool {
+	var ref *RefusalError
+	if errors.As(err, &ref) {
+		return ref.Executed == ExecutedNo
+	}
+	var ope *net.OpError
+	return errors.As(err, &ope) && ope.Op == "dial"
+}
+
+// doubt returns the error of a call whose earlier tries may have run. The last
+// try's "not executed" says nothing about those.
+func doubt(err error, mayHaveRun bool) error {
+	var ref *RefusalError
+	if !mayHaveRun || !errors.As(err, &ref) || ref.Executed != ExecutedNo {
+		return err
+	}
+	out := *ref
+	out.Executed = ExecutedUnknown
+	return &out
 }
 
 // mayRepeat reports whether a failed call may be sent again without running
-// twice. A call that reached no entry, or one that leaves, is always repeated.
+// twice. A call that reached no entry is always repeated.
 func mayRepeat(call Call, err error) bool {
 	var ref *RefusalError
-	var nerr *net.OpError
-	switch {
-	case errors.As(err, &nerr) && nerr.Op == "dial":
-		return true
-	case !errors.As(err, &ref):
-		return call.Retry && (call.Key != "" || call.Method == consts.MethodGet)
-	case ref.entryLeaves():
-		return true
-	case call.Retry && ref.Executed == ExecutedNo:
+	if !errors.As(err, &ref) {
+		return notSent(err) || call.Retry && (call.Key != "" || call.Method == consts.MethodGet)
+	}
+	if call.Retry && ref.Executed == ExecutedNo {
 		return ref.Status == consts.StatusServiceUnavailable || ref.Status == consts.StatusTooManyRequests ||
 			ref.Status == consts.StatusConflict
-	default:
-		return false
 	}
+	return false
 }
 
 func (cli *Client) exchange(ctx context.Context, call Call) (Reply, error) {
