measure: run entries as processes and fit their cost

Cause: docs/CAPACITY.md needs slopes that anybody can measure again, and nothing counted the bytes of HTTP control calls or of QUIC.

Change: wire.Client has a Meter that counts calls and bytes per outside system; internal/peer shows the UDP payload bytes of all its connections; `wagtailwick measure` starts entries and endpoint stand-ins as processes, measures windows of control, signatures, bookings, answers and heap, fits least-squares lines and writes JSON and SVG. Ports lie below the ephemeral range: with port 0 a run of 20 entries lost an admin port to an outgoing connection.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -37,6 +37,7 @@
 	keysOperatorCommand,
 	keysPeersCommand,
 	loadCommand,
+	measureCommand,
 	versionCommand,
 	standinCommand,
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,6 +31,7 @@
 	"github.com/wagtailwick/wagtailwick/internal/store"
 	"github.com/wagtailwick/wagtailwick/internal/stream"
 	"github.com/wagtailwick/wagtailwick/internal/vmlist"
+	"github.com/wagtailwick/wagtailwick/internal/wire"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -82,10 +83,10 @@
 		},
 	}
 	timeout := set.Platform.TimeoutMillis.Duration()
-	ent.store = &store.Client{URL: set.Platform.StoreURL, Timeout: timeout}
-	ent.cloud = &cloud.Client{URL: set.Platform.CloudURL, Timeout: timeout}
-	ent.engine = &engine.Client{}
-	ent.plain = &plain.Client{}
+	ent.store = &store.Client{URL: set.Platform.StoreURL, Timeout: timeout, HTTP: wire.Client{Meter: "store"}}
+	ent.cloud = &cloud.Client{URL: set.Platform.CloudURL, Timeout: timeout, HTTP: wire.Client{Meter: "cloud"}}
+	ent.engine = &engine.Client{HTTP: wire.Client{Meter: "engine"}, Control: wire.Client{Meter: "engineControl"}}
+	ent.plain = &plain.Client{HTTP: wire.Client{Meter: "plain"}, Control: wire.Client{Meter: "plainControl"}}
 	ent.invar = &invar.Checker{}
 	ent.machine = lifecycle()
 	return ent
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -89,13 +89,22 @@
 }
 
 // Register adds a VM to the list or replaces it.
-func (cld *Cloud) Register(vm wick.VM) {
+func (cld *Cloud) Register(vm wick.VM) { cld.RegisterAll([]wick.VM{vm}) }
+
+// RegisterAll adds or replaces VMs in one change of the list.
+func (cld *Cloud) RegisterAll(vms []wick.VM) {
 	cld.mu.Lock()
 	defer cld.mu.Unlock()
-	if vm.State == "" {
-		vm.State = wick.VMLive
+	if cld.vms == nil {
+		cld.vms = make(map[wick.VMID]wick.VM)
 	}
-	cld.set(vm)
+	for _, vm := range vms {
+		if vm.State == "" {
+			vm.State = wick.VMLive
+		}
+		cld.vms[vm.ID] = vm
+	}
+	cld.changed()
 }
 
 // Remove takes a VM off the list.
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -122,6 +122,7 @@
 		lnk.retryAt = time.Now().Add(redialPause)
 		return nil, err
 	}
+	trn.usg.track(con)
 	if trn.ctx.Err() != nil {
 		con.CloseWithError(0, "closing") //nolint:errcheck // the connection is given up
 		return nil, wick.ErrStopped
--- a/internal/peer/quic.go
+++ b/internal/peer/quic.go
@@ -76,6 +76,7 @@
 	roots  *x509.CertPool
 	limits Limits
 	cnt    counters
+	usg    usage
 	sock   *net.UDPConn
 	qtr    *quic.Transport
 	lis    *quic.Listener
@@ -140,6 +141,7 @@
 	trn.links = make(map[wick.EntryID]*link)
 	trn.inbound = make(map[wick.EntryID]*inbound)
 	trn.ctx, trn.cancel = context.WithCancel(context.Background())
+	trn.usg.register(trn.cnt.reg)
 	trn.loops.Add(1)
 	go trn.acceptLoop()
 	return trn, nil
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -27,6 +27,7 @@
 		if err != nil {
 			return
 		}
+		trn.usg.track(con)
 		certs := con.ConnectionState().TLS.PeerCertificates
 		if len(certs) == 0 || certs[0].Subject.CommonName == "" {
 			trn.cnt.refuse(refusedPeer)
--- /dev/null
+++ b/internal/peer/usage.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rcrowley/go-metrics"
+)
+
+// A usage sums the bytes of UDP payload over all connections of a transport:
+// handshakes, acknowledgements, retransmissions and QUIC headers included, UDP
+// and IP headers not.
+type usage struct {
+	mu   sync.Mutex
+	open map[*quic.Conn]struct{}
+	// closedSent and closedReceived are those of closed connections.
+	closedSent, closedReceived uint64
+}
+
+// track adds a connection until it closes.
+func (usg *usage) track(con *quic.Conn) {
+	usg.mu.Lock()
+	defer usg.mu.Unlock()
+	if usg.open == nil {
+		usg.open = make(map[*quic.Conn]struct{})
+	}
+	usg.open[con] = struct{}{}
+	context.AfterFunc(con.Context(), func() {
+		usg.mu.Lock()
+		defer usg.mu.Unlock()
+		delete(usg.open, con)
+		sta := con.ConnectionStats()
+		usg.closedSent += sta.BytesSent
+		usg.closedReceived += sta.BytesReceived
+	})
+}
+
+func (usg *usage) totals() (sent, received uint64) {
+	usg.mu.Lock()
+	defer usg.mu.Unlock()
+	sent, received = usg.closedSent, usg.closedReceived
+	for con := range usg.open {
+		sta := con.ConnectionStats()
+		sent += sta.BytesSent
+		received += sta.BytesReceived
+	}
+	return sent, received
+}
+
+// register shows the totals as gauges. Only the first transport of a registry
+// is shown.
+func (usg *usage) register(reg metrics.Registry) {
+	sent := metrics.NewFunctionalGauge(func() int64 {
+		num, _ := usg.totals()
+		return int64(num) //nolint:gosec // a count of bytes fits
+	})
+	received := metrics.NewFunctionalGauge(func() int64 {
+		_, num := usg.totals()
+		return int64(num) //nolint:gosec // a count of bytes fits
+	})
+	// An error means that another transport is shown already.
+	_ = reg.Register("peer.quic.sent", sent)
+	_ = reg.Register("peer.quic.received", received)
+}
--- /dev/null
+++ b/internal/slope/site.go
@@ -0,0 +1,289 @@
+package slope
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/internal/certs"
+	"github.com/wagtailwick/wagtailwick/internal/fake"
+	"github.com/wagtailwick/wagtailwick/internal/setup"
+	"github.com/wagtailwick/wagtailwick/internal/wire"
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
+	"github.com/wagtailwick/wagtailwick/pkg/client"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	zones      = 4
+	anyPort    = "127.0.0.1:0"
+	startLimit = 60 * time.Second
+	secretMode = 0o600
+)
+
+// A plan says what a site consists of.
+type plan struct {
+	entries int
+	// engines and plains answer; each is a process.
+	engines, plains int
+	// endpoints is the number of model endpoints in the list. They share the
+	// addresses of the engines, so that all of them answer.
+	endpoints  int
+	slots      int
+	decodeTime time.Duration
+}
+
+// A site is a running site: the store and cloud stand-ins in this process,
+// entries and endpoints as processes of their own.
+type site struct {
+	run     *Run
+	plan    plan
+	store   *fake.Store
+	cloud   *fake.Cloud
+	aut     *certs.Authority
+	keys    bundle.Keys
+	signers [2]bundle.Signer
+	http    wire.Client
+
+	servers  []*fake.Server
+	storeURL string
+	cloudURL string
+	others   []*process
+	entries  []*process
+	callers  []string
+	version  wick.BundleVersion
+}
+
+// startSite starts a site and waits until its first bundle is in force.
+func (run *Run) startSite(ctx context.Context, pln plan) (*site, error) {
+	sit := &site{run: run, plan: pln, store: &fake.Store{}, cloud: &fake.Cloud{}, keys: make(bundle.Keys)}
+	if err := sit.start(ctx); err != nil {
+		sit.close()
+		return nil, err
+	}
+	return sit, nil
+}
+
+func (sit *site) start(ctx context.Context) error {
+	var err error
+	if sit.aut, err = certs.NewAuthority(time.Now()); err != nil {
+		return err
+	}
+	for idx, name := range []bundle.KeyName{"submitter", "signer"} {
+		key, err := certs.NewOperatorKey(name)
+		if err != nil {
+			return err
+		}
+		if sit.signers[idx], err = key.Signer(); err != nil {
+			return err
+		}
+		sit.keys[name] = key.Public
+	}
+	sto, err := fake.ServeStore(anyPort, sit.store)
+	if err != nil {
+		return err
+	}
+	sit.servers = append(sit.servers, sto)
+	cld, err := fake.ServeCloud(anyPort, sit.cloud)
+	if err != nil {
+		return err
+	}
+	sit.servers = append(sit.servers, cld)
+	sit.storeURL, sit.cloudURL = "http://"+sto.Addr(), "http://"+cld.Addr()
+	if err := sit.startEndpoints(ctx); err != nil {
+		return err
+	}
+	for num := range sit.plan.entries {
+		if err := sit.startEntry(ctx, num); err != nil {
+			return err
+		}
+	}
+	_, err = sit.roll(ctx)
+	return err
+}
+
+func zone(num int) wick.Zone { return wick.Zone(rune('a' + num%zones)) }
+
+// startEndpoints starts the endpoint processes and lists the endpoints.
+func (sit *site) startEndpoints(ctx context.Context) error {
+	var addrs []string
+	for num := range sit.plan.engines + sit.plan.plains {
+		args := []string{"standin", "engine", "--slots", strconv.Itoa(sit.plan.slots), "--decode-time", sit.plan.decodeTime.String(), "--prefill-rate", "1000000"}
+		version := "v1"
+		if num >= sit.plan.engines {
+			args = []string{"standin", "plain", "--slots", strconv.Itoa(sit.plan.slots), "--service-time", "1ms"}
+			version = "o1"
+		}
+		prc, line, err := startProcess(ctx, sit.run.Binary, true, append(args, "--model-version", version)...)
+		if err != nil {
+			return err
+		}
+		sit.others = append(sit.others, prc)
+		_, addr, _ := strings.Cut(line, "http://")
+		addrs = append(addrs, addr)
+	}
+	vms := make([]wick.VM, 0, sit.plan.endpoints+sit.plan.plains)
+	for num := range sit.plan.endpoints {
+		vms = append(vms, wick.VM{
+			ID: wick.VMID(fmt.Sprintf("gpu-%05d", num)), Zone: zone(num), Class: "gpu", Service: modelService,
+			Versions: []wick.ModelVersion{"v1"}, Address: addrs[num%sit.plan.engines],
+		})
+	}
+	for num := range sit.plan.plains {
+		vms = append(vms, wick.VM{
+			ID: wick.VMID(fmt.Sprintf("cpu-%02d", num)), Zone: zone(num), Class: "cpu", Service: plainService,
+			Versions: []wick.ModelVersion{"o1"}, Address: addrs[sit.plan.engines+num],
+		})
+	}
+	for idx := range vms {
+		vms[idx].Role, vms[idx].Reclaimable, vms[idx].Price = wick.RoleEndpoint, true, 1.25
+	}
+	sit.cloud.RegisterAll(vms)
+	return nil
+}
+
+func (sit *site) startEntry(ctx context.Context, num int) error {
+	eid := wick.EntryID(fmt.Sprintf("%s-%02d", zone(num), num))
+	set := setup.Default()
+	pair, err := sit.aut.Issue(eid, time.Now())
+	if err != nil {
+		return err
+	}
+	set.Entry = setup.Entry{ID: eid, Zone: zone(num)}
+	set.Peers = setup.Peers{Certificate: pair.Certificate, Key: pair.Key, Authority: sit.aut.PEM}
+	set.Platform.StoreURL, set.Platform.CloudURL = sit.storeURL, sit.cloudURL
+	set.OperatorKeys = sit.keys
+	set.Listen, err = sit.run.freeAddresses()
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(set)
+	if err != nil {
+		return eris.Wrap(err, "slope: settings")
+	}
+	file := filepath.Join(sit.run.dir, string(eid)+".json")
+	if err := os.WriteFile(file, data, secretMode); err != nil {
+		return eris.Wrap(err, "slope: settings")
+	}
+	sit.cloud.Register(wick.VM{ID: wick.VMID(eid), Role: wick.RoleEntry, Zone: set.Entry.Zone, Address: set.Listen.Peers, Reclaimable: true})
+	prc, _, err := startProcess(ctx, sit.run.Binary, false, "entry", "--settings", file)
+	if err != nil {
+		return err
+	}
+	prc.admin = set.Listen.Admin
+	sit.entries = append(sit.entries, prc)
+	sit.callers = append(sit.callers, "http://"+set.Listen.Callers)
+	return nil
+}
+
+// Ports of entries are below those that the system gives to outgoing
+// connections: a port that was free when it was chosen was taken before the
+// entry listened, in a run of 20 entries.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// freeAddresses returns addresses that were free a moment ago.
+func (run *Run) freeAddresses() (setup.Listen, error) {
+	var lst setup.Listen
+	for _, adr := range []struct {
+		network string
+		addr    *string
+	}{{"tcp", &lst.Callers}, {"udp", &lst.Peers}, {"tcp", &lst.Admin}} {
+		for *adr.addr == "" {
+			if run.port++; run.port > lastPort {
+				return lst, eris.New("slope: no free port")
+			}
+			if addr := fmt.Sprintf("127.0.0.1:%d", run.port); free(adr.network, addr) {
+				*adr.addr = addr
+			}
+		}
+	}
+	return lst, nil
+}
+
+func free(network, addr string) bool {
+	var cls io.Closer
+	var err error
+	if network == "udp" {
+		cls, err = net.ListenPacket(network, addr) //nolint:noctx // closed at once
+	} else {
+		cls, err = net.Listen(network, addr) //nolint:noctx // closed at once
+	}
+	return err == nil && cls.Close() == nil
+}
+
+// roll submits and signs the next version and returns the time from the
+// signature until all entries have adopted it.
+func (sit *site) roll(ctx context.Context) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	ops := &bundle.Client{Store: sit.store, Keys: sit.keys, Clock: wick.SystemClock{}}
+	sit.version++
+	bnd, err := ops.Submit(ctx, sit.signers[0], sampleBundle(sit.version))
+	if err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	if err := ops.Sign(ctx, sit.signers[1], bnd.Version); err != nil {
+		return 0, err
+	}
+	longest := time.Duration(0)
+	for _, prc := range sit.entries {
+		for {
+			at, ok := prc.adoptedAt(bnd.Version)
+			if ok {
+				longest = max(longest, at.Sub(began))
+				break
+			}
+			if !pause(ctx, pollEvery) {
+				return 0, eris.Errorf("slope: version %d not in force everywhere: %s", bnd.Version, prc.lastLine())
+			}
+		}
+	}
+	return longest, nil
+}
+
+// client returns a client of all entries.
+func (sit *site) client() *client.Client {
+	return &client.Client{Entries: sit.callers, Key: customerKey}
+}
+
+// usages reads the usage of all entries.
+func (sit *site) usages(ctx context.Context) ([]usage, error) {
+	out := make([]usage, len(sit.entries))
+	for idx, prc := range sit.entries {
+		var err error
+		if out[idx], err = readUsage(prc.cmd.Process.Pid); err != nil {
+			return nil, err
+		}
+		if out[idx].metrics, err = readMetrics(ctx, &sit.http, prc.admin); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// close ends everything that the site started.
+func (sit *site) close() {
+	var wg sync.WaitGroup
+	for _, prc := range append(sit.entries, sit.others...) {
+		wg.Go(prc.stop)
+	}
+	wg.Wait()
+	sit.http.Close()
+	for _, srv := range sit.servers {
+		_ = srv.Close()
+	}
+}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 // A record notes whether a call was handed to a connection.
@@ -70,9 +72,38 @@
 // carries one call at a time.
 type conn struct {
 	net.Conn
+	cnt meter
 	rec atomic.Pointer[record]
 }
 
+// A meter counts the calls of a client and the bytes of its connections, HTTP
+// headers included, TCP and IP headers not.
+type meter struct{ calls, sent, received metrics.Counter }
+
+func newMeter(name string) meter {
+	if name == "" {
+		return meter{}
+	}
+	return meter{
+		calls:    metrics.GetOrRegisterCounter("wire."+name+".calls", nil),
+		sent:     metrics.GetOrRegisterCounter("wire."+name+".sent", nil),
+		received: metrics.GetOrRegisterCounter("wire."+name+".received", nil),
+	}
+}
+
+func count(cnt metrics.Counter, num int) {
+	if cnt != nil {
+		cnt.Inc(int64(num))
+	}
+}
+
+// Read reads and counts.
+func (con *conn) Read(buf []byte) (int, error) {
+	num, err := con.Conn.Read(buf)
+	count(con.cnt.received, num)
+	return num, err
+}
+
 // Write writes unless the current call has ended or went to another
 // connection.
 func (con *conn) Write(buf []byte) (int, error) {
@@ -81,5 +112,7 @@
 			return 0, err
 		}
 	}
-	return con.Conn.Write(buf)
+	num, err := con.Conn.Write(buf)
+	count(con.cnt.sent, num)
+	return num, err
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -51,9 +51,13 @@
 	ConnTimeout time.Duration
 	// IdleTimeout is how long a pooled connection stays unused; 4 s if zero.
 	IdleTimeout time.Duration
+	// Meter names the counters wire.<Meter>.calls, .sent and .received of the
+	// default registry. Nothing is counted if it is "".
+	Meter string
 
 	once sync.Once
 	tra  *http.Transport
+	cnt  meter
 }
 
 // A Call is one HTTP request.
@@ -93,6 +97,7 @@
 
 func (cli *Client) transport() *http.Transport {
 	cli.once.Do(func() {
+		cli.cnt = newMeter(cli.Meter)
 		maxConns := cli.MaxConns
 		if maxConns == 0 {
 			maxConns = defaultMaxConns
@@ -104,7 +109,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return &conn{Conn: con}, nil
+				return &conn{Conn: con, cnt: cli.cnt}, nil
 			},
 			MaxConnsPerHost:        maxConns,
 			MaxIdleConnsPerHost:    min(maxConns, defaultMaxIdle),
@@ -145,7 +150,9 @@
 		}
 	})
 	defer wait.Stop()
-	res, err := cli.transport().RoundTrip(req)
+	tra := cli.transport()
+	count(cli.cnt.calls, 1)
+	res, err := tra.RoundTrip(req)
 	if err == nil && res.StatusCode == http.StatusSwitchingProtocols {
 		res.Body.Close()
 		err = errSwitching
