member, entry: assign shards and capacity by the whole list

Cause: with bounded views each entry ranked the owner of a ledger shard over its own 65 members and divided the slots of a service by them.

Change: View.Owner also ranks the listed entries that the view does not hold, View.Estimate scales the listed entries by the share of the view that serves. A site whose entries all fit into the view gets the same results as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,6 +65,8 @@
 	// drainNow receives the notice with which the entry is reclaimed.
 	drainNow  chan time.Duration
 	drainOnce sync.Once
+	// listed holds the entries of the list of VMs that are not leaving.
+	listed atomic.Pointer[[]wick.Member]
 	// surveyed is set when the endpoints' load reports were read once.
 	surveyed atomic.Bool
 }
--- a/internal/entry/ledger.go
+++ b/internal/entry/ledger.go
@@ -9,7 +9,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailwick/wagtailwick/internal/ledger"
-	"github.com/wagtailwick/wagtailwick/internal/member"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -78,9 +77,9 @@
 // shardOwner names the entry that batches the writes of a shard. A wrong owner
 // costs conflicts and never safety, so that no lease is needed.
 func (ent *Entry) shardOwner(shd wick.Shard) (wick.Member, bool) {
-	ranked := member.Rank(fmt.Sprintf("ledger-%d", shd), ent.view.Serving(time.Now()))
-	if len(ranked) == 0 {
-		return wick.Member{}, false
+	var listed []wick.Member
+	if mbs := ent.listed.Load(); mbs != nil {
+		listed = *mbs
 	}
-	return ranked[0], true
+	return ent.view.Owner(fmt.Sprintf("ledger-%d", shd), listed, time.Now())
 }
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -143,6 +143,10 @@
 	if len(vms) == 0 {
 		return
 	}
+	if seq != fed.seq {
+		listed := listedEntries(vms)
+		ent.listed.Store(&listed)
+	}
 	// The share depends on the members as well.
 	ent.setCapacity(vms)
 	if seq == fed.seq && now.Sub(fed.at) < listRefresh {
@@ -164,6 +168,16 @@
 	}
 }
 
+func listedEntries(vms []wick.VM) []wick.Member {
+	var out []wick.Member
+	for idx := range vms {
+		if vm := &vms[idx]; vm.Role == wick.RoleEntry && vm.State == wick.VMLive {
+			out = append(out, wick.Member{ID: wick.EntryID(vm.ID), Zone: vm.Zone, Address: vm.Address, State: wick.EntryServing})
+		}
+	}
+	return out
+}
+
 // setCapacity tells admission this entry's share of each service's slots.
 func (ent *Entry) setCapacity(vms []wick.VM) {
 	act, ok := ent.config.Active()
@@ -176,7 +190,7 @@
 			slots[vms[idx].Service] += classSlots(&act.Bundle, vms[idx].Class)
 		}
 	}
-	entries := max(len(ent.view.Serving(time.Now())), 1)
+	entries := ent.view.Estimate(len(*ent.listed.Load()), time.Now())
 	for svc, num := range slots {
 		ent.limit.SetCapacity(svc, (num+entries-1)/entries)
 	}
--- a/internal/slope/control.go
+++ b/internal/slope/control.go
@@ -11,6 +11,7 @@
 	// signatures are measured at each number of entries.
 	signatures = 5
 	axisEntry  = "entries"
+	axisZone   = "entries in the only zone"
 	axisList   = "endpoints in the list"
 	axisBytes  = "bytes/s per entry"
 	axisShare  = "% of a core per entry"
@@ -40,6 +41,20 @@
 	return nil
 }
 
+// zoneSizes are entries in one zone, beyond the 16 that a view holds of it.
+var zoneSizes = []int{16, 32, 64}
+
+// measureZone measures what the candidates for a zone's watch receive as the
+// zone grows, because all views of the zone hold them.
+func (run *Run) measureZone(ctx context.Context) error {
+	for _, num := range zoneSizes {
+		if err := run.control(ctx, "zone", axisZone, float64(num), plan{entries: num, endpoints: controlEngines, oneZone: true}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (run *Run) control(ctx context.Context, prefix, axis string, posX float64, pln plan) error {
 	pln.engines, pln.plains, pln.slots, pln.decodeTime = controlEngines, controlPlains, 8, time.Millisecond
 	run.logf("%s: start at %v", prefix, posX)
--- a/internal/slope/run.go
+++ b/internal/slope/run.go
@@ -62,6 +62,7 @@
 var parts = []part{
 	{"entries", (*Run).measureEntries},
 	{"endpoints", (*Run).measureEndpoints},
+	{"zone", (*Run).measureZone},
 	{"bookings", (*Run).measureBookings},
 	{"load", (*Run).measureLoad},
 	{"memory", (*Run).measureMemory},
--- a/internal/slope/site.go
+++ b/internal/slope/site.go
@@ -25,6 +25,7 @@
 )
 
 const (
+	// zones is the number of zones unless a plan says otherwise.
 	zones      = 4
 	anyPort    = "127.0.0.1:0"
 	startLimit = 60 * time.Second
@@ -34,6 +35,8 @@
 // A plan says what a site consists of.
 type plan struct {
 	entries int
+	// oneZone puts all entries into one zone.
+	oneZone bool
 	// engines and plains answer; each is a process.
 	engines, plains int
 	// endpoints is the number of model endpoints in the list. They share the
@@ -153,13 +156,17 @@
 }
 
 func (sit *site) startEntry(ctx context.Context, num int) error {
-	eid := wick.EntryID(fmt.Sprintf("%s-%02d", zone(num), num))
+	zne := zone(num)
+	if sit.plan.oneZone {
+		zne = zone(0)
+	}
+	eid := wick.EntryID(fmt.Sprintf("%s-%02d", zne, num))
 	set := setup.Default()
 	pair, err := sit.aut.Issue(eid, time.Now())
 	if err != nil {
 		return err
 	}
-	set.Entry = setup.Entry{ID: eid, Zone: zone(num)}
+	set.Entry = setup.Entry{ID: eid, Zone: zne}
 	set.Peers = setup.Peers{Certificate: pair.Certificate, Key: pair.Key, Authority: sit.aut.PEM}
 	set.Platform.StoreURL, set.Platform.CloudURL = sit.storeURL, sit.cloudURL
 	set.OperatorKeys = sit.keys
