--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -40,6 +40,7 @@
 	keysPeersCommand,
 	keysSiteCommand,
 	loadCommand,
+	measureCommand,
 	versionCommand,
 	replayCommand,
 	standinCommand,
