--- a/internal/member/owner_test.go
+++ b/internal/member/owner_test.go
@@ -22,7 +22,7 @@
 	}
 	best := Rank("key", listed)
 	for _, mem := range listed {
-		viw := New(wick.Member{ID: mem.ID, Zone: mem.Zone, Incarnation: 1, State: wick.EntryServing})
+		viw := New(wick.Member{ID: mem.ID, Zone: mem.Zone, Incarnation: 1, State: wick.EntryServing}, time.Now())
 		viw.SetList(vms, now)
 		for _, rec := range viw.known {
 			rec.State = wick.EntryServing
--- a/internal/member/upstream_test.go
+++ b/internal/member/upstream_test.go
@@ -26,7 +26,7 @@
 			}
 			views := make(map[wick.EntryID]*View)
 			for _, vm := range vms[:tc.entries] {
-				viw := New(wick.Member{ID: wick.EntryID(vm.ID), Zone: vm.Zone, Incarnation: 1, State: wick.EntryServing})
+				viw := New(wick.Member{ID: wick.EntryID(vm.ID), Zone: vm.Zone, Incarnation: 1, State: wick.EntryServing}, time.Now())
 				viw.SetList(vms, now)
 				views[viw.Self().ID] = viw
 			}
