stream: tell the replica every second that a request still runs

Cause: a replica took over when neither a copy nor a heartbeat of the origin came for 3 s. Shorter heartbeats were ruled out, since they already take most of the 3 KB/s of control.

Change: a running request without news is copied, empty, once a second.

An empty copy is about 128 B per second and waiting request.

Conclusion: silence now means silence of the request's own copies.

--- a/internal/stream/close_test.go
+++ b/internal/stream/close_test.go
@@ -62,3 +62,28 @@
 		}
 	})
 }
+
+// Guards against a replica that takes over while the origin runs a request
+// that waits for its first token: 40 of 40 requests ran twice at 40 entries
+// when the replica went by heartbeats.
+func TestWaitingRequestIsNotTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wld := newWorld(1, faults{prefill: 12 * time.Second, deaf: true}, disabled{})
+		req, err := wld.entries[0].tab.Accept(t.Context(), Head{Customer: "cus", Prompt: wick.Prompt{Text: "waits"}, MaxTokens: 200})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := readAll(t.Context(), req.Attach(Cursor{}))
+		if err != nil || got != answer("waits") {
+			t.Errorf("got %q, %v", got, err)
+		}
+		if num := wld.ran["waits"]; num != 1 {
+			t.Errorf("the request ran %d times", num)
+		}
+		for _, oth := range wld.entries {
+			oth.kill()
+			oth.tab.Close()
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/stream/copy.go
+++ b/internal/stream/copy.go
@@ -255,5 +255,6 @@
 		req.rep.acked = res.Have
 	}
 	req.rep.final = res.Final
+	req.rep.sent = req.tab.now()
 	return req.rep.head && req.rep.acked == len(req.texts) && (res.Final || !req.state.final())
 }
--- a/internal/stream/fakes_test.go
+++ b/internal/stream/fakes_test.go
@@ -23,6 +23,11 @@
 	slowAdmit float64
 	// sampled makes every attempt give other tokens, as sampling does.
 	sampled bool
+	// prefill delays the first token.
+	prefill time.Duration
+	// deaf keeps heartbeats from arriving, as in a view that is so large that
+	// an entry is heard of only now and then.
+	deaf bool
 
 	truncate, wrongCount, duplicate, gap, late, notSent, reject, loseReply float64
 }
@@ -165,6 +170,9 @@
 func (ent *simEntry) LastHeard(eid wick.EntryID) time.Time {
 	ent.wld.mu.Lock()
 	defer ent.wld.mu.Unlock()
+	if ent.wld.faults.deaf {
+		return time.Time{}
+	}
 	for _, oth := range ent.wld.entries {
 		if oth.mem.ID == eid && oth.lost.IsZero() {
 			return time.Now()
@@ -295,6 +303,9 @@
 	wld.mu.Lock()
 	wld.ran[prompt]++
 	wld.mu.Unlock()
+	if !wait(ctx, flt.prefill) {
+		return wick.Generated{}, wick.ErrTruncated
+	}
 	for idx, text := range gen.Continue {
 		if !flt.sampled && text != answerText(prompt, idx) {
 			wld.violatef("continuation with a wrong token at %d", idx)
--- a/internal/stream/request.go
+++ b/internal/stream/request.go
@@ -115,6 +115,8 @@
 	acked int
 	// final is set when the replica has the final state.
 	final bool
+	// sent is when the last copy arrived there.
+	sent time.Time
 	// refused lists entries that run the request themselves.
 	refused []wick.EntryID
 }
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -30,6 +30,10 @@
 	defaultMaxRequests = 20000
 	defaultMaxBytes    = 512 << 20
 
+	// keepAlive is the longest time between copies of a running request. With
+	// a bounded view, heartbeats of one entry come up to 20 s apart, and a
+	// replica took over requests that waited 12 s for their first token.
+	keepAlive = time.Second
 	// silence is how long an origin is not heard of before its replica takes
 	// over, as the design page sets it.
 	silence = 3 * time.Second
@@ -347,8 +351,10 @@
 		req.mu.Lock()
 		var drop, cancel bool
 		if req.holding && req.state != StateHandedOver {
-			// A replica that is gone is replaced even without new events.
-			if _, ok := req.target(mems); ok && !req.rep.head {
+			// A replica that is gone is replaced even without new events, and
+			// one that waits for events is told that the request still runs.
+			_, ok := req.target(mems)
+			if ok && (!req.rep.head || !req.state.final() && now.Sub(req.rep.sent) >= keepAlive) {
 				tab.markDirty(req)
 			}
 		}
