place: one rendezvous order; cmds: one prologue for bundle commands

Cause: clean-up.

The bundle commands share one function.

Conclusion: no change of behaviour is meant; the order of entries for a key differs from the last version, which matters only while versions are mixed.

--- a/internal/cmds/bundle.go
+++ b/internal/cmds/bundle.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -39,16 +40,30 @@
 		Required().ExistingFile()
 }
 
-// client returns the operators' client.
-func (ofl *operatorFlags) client() (*bundle.Client, error) {
+// run calls fn with the operators' client and, if keyFile is not nil, with the
+// operator's key.
+func (ofl *operatorFlags) run(keyFile *string, fn func(ctx context.Context, cli *bundle.Client, sgr bundle.Signer) error) error {
 	keys := make(bundle.Keys)
 	if err := readJSON(*ofl.trusted, &keys); err != nil {
-		return nil, err
+		return err
 	}
 	if err := keys.Check(); err != nil {
-		return nil, err
+		return err
+	}
+	var sgr bundle.Signer
+	if keyFile != nil {
+		var key certs.OperatorKey
+		err := readJSON(*keyFile, &key)
+		if err == nil {
+			sgr, err = key.Signer()
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return &bundle.Client{Store: &store.Client{URL: *ofl.store}, Keys: keys, Clock: wick.SystemClock{}}, nil
+	ctx, cancel := context.WithTimeout(context.Background(), bundleTimeout)
+	defer cancel()
+	return fn(ctx, &bundle.Client{Store: &store.Client{URL: *ofl.store}, Keys: keys, Clock: wick.SystemClock{}}, sgr)
 }
 
 func readJSON(file string, out any) error {
@@ -62,15 +77,6 @@
 	return nil
 }
 
-// readSigner reads the key file of an operator.
-func readSigner(file string) (bundle.Signer, error) {
-	var key certs.OperatorKey
-	if err := readJSON(file, &key); err != nil {
-		return bundle.Signer{}, err
-	}
-	return key.Signer()
-}
-
 func bundleSubmitCommand(app *kingpin.Application, ev *env) (string, func() error) {
 	cmd := bundleParent(app).Command("submit", "Submit a new version of the bundle. It waits for a signature.\n\n"+
 		"Example: wagtailwick bundle submit --store http://127.0.0.1:6001 --trusted operators.json --key marie.json bundle.json")
@@ -79,14 +85,6 @@
 	key := cmd.Flag("key", "Key file of the submitter.").Required().ExistingFile()
 	file := cmd.Arg("file", "The bundle.").Required().ExistingFile()
 	return cmd.FullCommand(), func() error {
-		cli, err := ofl.client()
-		if err != nil {
-			return err
-		}
-		sgr, err := readSigner(*key)
-		if err != nil {
-			return err
-		}
 		data, err := os.ReadFile(*file)
 		if err != nil {
 			return eris.Wrap(err, "read file")
@@ -95,14 +93,13 @@
 		if err != nil {
 			return err
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), bundleTimeout)
-		defer cancel()
-		bnd, err = cli.Submit(ctx, sgr, bnd)
-		if err != nil {
+		return ofl.run(key, func(ctx context.Context, cli *bundle.Client, sgr bundle.Signer) error {
+			bnd, err := cli.Submit(ctx, sgr, bnd)
+			if err == nil {
+				fmt.Fprintf(ev.stdout, "version %d submitted, not in force before a second operator signs it\n", bnd.Version)
+			}
 			return err
-		}
-		_, err = fmt.Fprintf(ev.stdout, "version %d submitted, not in force before a second operator signs it\n", bnd.Version)
-		return err
+		})
 	}
 }
 
@@ -114,21 +111,13 @@
 	key := cmd.Flag("key", "Key file of the signer, who must not be the submitter.").Required().ExistingFile()
 	ver := cmd.Arg("version", "The version.").Required().Uint64()
 	return cmd.FullCommand(), func() error {
-		cli, err := ofl.client()
-		if err != nil {
-			return err
-		}
-		sgr, err := readSigner(*key)
-		if err != nil {
-			return err
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), bundleTimeout)
-		defer cancel()
-		if err := cli.Sign(ctx, sgr, wick.BundleVersion(*ver)); err != nil {
+		return ofl.run(key, func(ctx context.Context, cli *bundle.Client, sgr bundle.Signer) error {
+			err := cli.Sign(ctx, sgr, wick.BundleVersion(*ver))
+			if err == nil {
+				fmt.Fprintf(ev.stdout, "version %d signed by %s\n", *ver, sgr.Name)
+			}
 			return err
-		}
-		_, err = fmt.Fprintf(ev.stdout, "version %d signed by %s\n", *ver, sgr.Name)
-		return err
+		})
 	}
 }
 
@@ -138,29 +127,26 @@
 	var ofl operatorFlags
 	ofl.register(cmd)
 	return cmd.FullCommand(), func() error {
-		cli, err := ofl.client()
-		if err != nil {
-			return err
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), bundleTimeout)
-		defer cancel()
-		entries, err := cli.List(ctx)
-		if err != nil {
-			return err
-		}
-		for _, ent := range entries {
-			signer := string(ent.Signer)
-			if signer == "" {
-				signer = "nobody"
-			}
-			fmt.Fprintf(ev.stdout, "version %d submitted by %s, signed by %s, moves %d", ent.Version, ent.Submitter, signer, len(ent.Bundle.Moves))
-			if ent.Fault != "" {
-				fmt.Fprintf(ev.stdout, ", not usable: %s", ent.Fault)
+		return ofl.run(nil, func(ctx context.Context, cli *bundle.Client, _ bundle.Signer) error {
+			entries, err := cli.List(ctx)
+			for idx := range entries {
+				printVersion(ev.stdout, &entries[idx])
 			}
-			fmt.Fprintln(ev.stdout)
-		}
-		return nil
+			return err
+		})
+	}
+}
+
+func printVersion(out io.Writer, ent *bundle.Entry) {
+	signer := ent.Signer
+	if signer == "" {
+		signer = "nobody"
 	}
+	fmt.Fprintf(out, "version %d submitted by %s, signed by %s, moves %d", ent.Version, ent.Submitter, signer, len(ent.Bundle.Moves))
+	if ent.Fault != "" {
+		fmt.Fprintf(out, ", not usable: %s", ent.Fault)
+	}
+	fmt.Fprintln(out)
 }
 
 func bundleUndoCommand(app *kingpin.Application, ev *env) (string, func() error) {
@@ -171,21 +157,13 @@
 	key := cmd.Flag("key", "Key file of the submitter.").Required().ExistingFile()
 	ver := cmd.Arg("version", "The version whose content is wanted.").Required().Uint64()
 	return cmd.FullCommand(), func() error {
-		cli, err := ofl.client()
-		if err != nil {
-			return err
-		}
-		sgr, err := readSigner(*key)
-		if err != nil {
-			return err
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), bundleTimeout)
-		defer cancel()
-		bnd, err := cli.Undo(ctx, sgr, wick.BundleVersion(*ver))
-		if err != nil {
+		return ofl.run(key, func(ctx context.Context, cli *bundle.Client, sgr bundle.Signer) error {
+			bnd, err := cli.Undo(ctx, sgr, wick.BundleVersion(*ver))
+			if err == nil {
+				fmt.Fprintf(ev.stdout, "version %d submitted with the content of version %d, not in force before a second operator signs it\n",
+					bnd.Version, *ver)
+			}
 			return err
-		}
-		_, err = fmt.Fprintf(ev.stdout, "version %d submitted with the content of version %d, not in force before a second operator signs it\n", bnd.Version, *ver)
-		return err
+		})
 	}
 }
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -8,7 +8,9 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/entry"
 	"github.com/wagtailwick/wagtailwick/internal/setup"
@@ -33,6 +35,9 @@
 		if err := set.Log.Configure(ev.stderr); err != nil {
 			return eris.Wrap(err, "configure log")
 		}
+		// Hertz logs every start and stop of a server; its lines go through
+		// the configured logger.
+		hlog.SetOutput(logrus.StandardLogger().WriterLevel(logrus.DebugLevel))
 		ent := entry.New(set)
 		signals := make(chan os.Signal, 1)
 		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 
 	"github.com/wagtailwick/wagtailwick/internal/engine"
+	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/pkg/client"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -114,7 +115,7 @@
 	var wg sync.WaitGroup
 	for num := 0; ; num++ {
 		at := started.Add(time.Duration(num) * interval)
-		if at.Sub(started) >= plan.Duration || !sleepUntil(ctx, at) {
+		if at.Sub(started) >= plan.Duration || !retry.Sleep(ctx, time.Until(at)) {
 			break
 		}
 		usePlain := plan.Plain != "" && (plan.Model == "" || rnd.Float64() < float64(plan.PlainShare))
@@ -140,17 +141,6 @@
 	return rep
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (plan *Plan) bound(ctx context.Context) (context.Context, context.CancelFunc) {
 	if plan.Deadline == 0 {
 		return context.WithCancel(ctx)
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailwick/wagtailwick/internal/peer"
+	"github.com/wagtailwick/wagtailwick/internal/place"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -107,7 +108,7 @@
 		}
 	}
 	var zone, elsewhere []*record
-	for _, mem := range Rank(string(viw.self.ID), viw.others()) {
+	for _, mem := range place.Rank(string(viw.self.ID), viw.others()) {
 		rec := viw.known[mem.ID]
 		if viw.suspect(rec, now) && urgency(rec) < 0 {
 			continue
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/wagtailwick/wagtailwick/internal/member"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
+	"github.com/wagtailwick/wagtailwick/internal/place"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -38,7 +39,7 @@
 	for _, tc := range []struct{ entries, zones, zone, elsewhere int }{{5, 4, 1, 3}, {1900, 13, 16, 48}} {
 		viw := member.New(entry(0, tc.zones), start)
 		viw.SetList(list(tc.entries, tc.zones), start)
-		zone := len(member.Within("z0", viw.Others()))
+		zone := len(place.Within("z0", viw.Others()))
 		if elsewhere := len(viw.Others()) - zone; zone != tc.zone || elsewhere != tc.elsewhere {
 			t.Errorf("%d entries: %d in the zone, %d elsewhere", tc.entries, zone, elsewhere)
 		}
@@ -84,16 +85,16 @@
 	}
 	for key := range 50 {
 		name := strconv.Itoa(key)
-		all := member.Rank(name, mbs)
+		all := place.Rank(name, mbs)
 		slices.Reverse(mbs)
-		if !slices.Equal(all, member.Rank(name, mbs)) {
+		if !slices.Equal(all, place.Rank(name, mbs)) {
 			t.Fatal("order depends on the input's order")
 		}
 		without := slices.DeleteFunc(slices.Clone(mbs), func(mem wick.Member) bool { return mem.ID == all[0].ID })
-		if !slices.Equal(all[1:], member.Rank(name, without)) {
+		if !slices.Equal(all[1:], place.Rank(name, without)) {
 			t.Fatal("a leaving member moved others")
 		}
-		if out := member.Outside("z1", all); len(out) != 7 || slices.ContainsFunc(out, func(mem wick.Member) bool { return mem.Zone == "z1" }) {
+		if out := place.Outside("z1", all); len(out) != 7 || slices.ContainsFunc(out, func(mem wick.Member) bool { return mem.Zone == "z1" }) {
 			t.Fatal(out)
 		}
 	}
--- a/internal/member/owner.go
+++ b/internal/member/owner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wagtailwick/wagtailwick/internal/place"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -11,26 +12,15 @@
 // view does not hold. With the view alone, 300 entries named 20 owners of one
 // key.
 func (viw *View) Owner(key string, listed []wick.Member, now time.Time) (wick.Member, bool) {
-	serving := viw.Serving(now)
+	mems := viw.Serving(now)
 	viw.mu.Lock()
 	defer viw.mu.Unlock()
-	var best wick.Member
-	top := uint64(0)
-	consider := func(mem wick.Member) {
-		wgt := weight(key, mem.ID)
-		if best.ID == "" || wgt > top || wgt == top && mem.ID < best.ID {
-			best, top = mem, wgt
-		}
-	}
-	for _, mem := range serving {
-		consider(mem)
-	}
 	for _, mem := range listed {
 		if viw.known[mem.ID] == nil && mem.ID != viw.self.ID {
-			consider(mem)
+			mems = append(mems, mem)
 		}
 	}
-	return best, best.ID != ""
+	return place.First(key, mems)
 }
 
 // Estimate returns how many of the listed entries serve, by the share of the
--- a/internal/member/owner_test.go
+++ b/internal/member/owner_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/wagtailwick/wagtailwick/internal/place"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -20,7 +21,7 @@
 		vms[num] = wick.VM{ID: wick.VMID(fmt.Sprintf("e%03d", num)), Role: wick.RoleEntry, Zone: wick.Zone(rune('a' + num%zones)), State: wick.VMLive}
 		listed[num] = wick.Member{ID: wick.EntryID(vms[num].ID), Zone: vms[num].Zone}
 	}
-	best := Rank("key", listed)
+	best := place.Rank("key", listed)
 	for _, mem := range listed {
 		viw := New(wick.Member{ID: mem.ID, Zone: mem.Zone, Incarnation: 1, State: wick.EntryServing}, time.Now())
 		viw.SetList(vms, now)
--- a/internal/member/upstream.go
+++ b/internal/member/upstream.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/wagtailwick/wagtailwick/internal/place"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -17,12 +18,12 @@
 	viw.mu.Lock()
 	defer viw.mu.Unlock()
 	live := viw.live(now)
-	zone := Rank(watchKey(viw.self.Zone), append(Within(viw.self.Zone, live), viw.self))
+	zone := place.Rank(watchKey(viw.self.Zone), append(place.Within(viw.self.Zone, live), viw.self))
 	pos := slices.IndexFunc(zone, func(mem wick.Member) bool { return mem.ID == viw.self.ID })
 	before := zone[:pos]
 	first := before[:min(watchers, len(before))]
-	out := Rank(string(viw.self.ID), before[len(first):])
+	out := place.Rank(string(viw.self.ID), before[len(first):])
 	out = append(out, first...)
-	out = append(out, Rank(string(viw.self.ID), Outside(viw.self.Zone, live))...)
+	out = append(out, place.Rank(string(viw.self.ID), place.Outside(viw.self.Zone, live))...)
 	return append(out, zone[pos+1:]...)
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/wagtailwick/wagtailwick/internal/place"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -68,7 +69,7 @@
 // Rand returns a generator for jitter and sampling. It differs between entries
 // and incarnations, and a test run with the same members repeats it.
 func Rand(purpose string, self wick.Member) *rand.Rand {
-	src := rand.NewPCG(weight(purpose, self.ID), uint64(self.Incarnation))
+	src := rand.NewPCG(place.Weight(purpose, self.ID), uint64(self.Incarnation))
 	return rand.New(src) //nolint:gosec // jitter and sampling need no secrecy
 }
 
@@ -224,12 +225,12 @@
 		}
 	}
 	if len(zone) > maxZone {
-		zone = Rank(watchKey(viw.self.Zone), zone)
-		rest := Rank(string(viw.self.ID), zone[watchers:])
+		zone = place.Rank(watchKey(viw.self.Zone), zone)
+		rest := place.Rank(string(viw.self.ID), zone[watchers:])
 		viw.remove(rest[maxZone-watchers:])
 	}
 	if len(elsewhere) > maxElsewhere {
-		viw.remove(Rank(string(viw.self.ID), elsewhere)[maxElsewhere:])
+		viw.remove(place.Rank(string(viw.self.ID), elsewhere)[maxElsewhere:])
 	}
 }
 
@@ -295,8 +296,8 @@
 func (viw *View) ShouldWatch(now time.Time) bool {
 	viw.mu.Lock()
 	defer viw.mu.Unlock()
-	zone := append(Within(viw.self.Zone, viw.live(now)), viw.self)
-	for pos, mem := range Rank(watchKey(viw.self.Zone), zone) {
+	zone := append(place.Within(viw.self.Zone, viw.live(now)), viw.self)
+	for pos, mem := range place.Rank(watchKey(viw.self.Zone), zone) {
 		switch {
 		case mem.ID == viw.self.ID:
 			return pos < watchers
--- a/internal/member/rank.go
+++ b/internal/place/place.go
@@ -1,4 +1,7 @@
-package member
+// Package place assigns keys to entries by rendezvous hashing. Entries with the
+// same members assign a key alike, and a member that comes or goes moves only the
+// keys that it gets or had.
+package place
 
 import (
 	"cmp"
@@ -9,8 +12,8 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// weight is the rendezvous weight of an entry for a key.
-func weight(key string, eid wick.EntryID) uint64 {
+// Weight returns the rendezvous weight of an entry for a key.
+func Weight(key string, eid wick.EntryID) uint64 {
 	var dig xxhash.Digest
 	dig.Reset()
 	dig.WriteString(key)         //nolint:errcheck // never fails
@@ -28,7 +31,7 @@
 	}
 	all := make([]weighted, len(mbs))
 	for idx, mem := range mbs {
-		all[idx] = weighted{mem, weight(key, mem.ID)}
+		all[idx] = weighted{mem, Weight(key, mem.ID)}
 	}
 	slices.SortFunc(all, func(one, two weighted) int {
 		return cmp.Or(cmp.Compare(two.wgt, one.wgt), cmp.Compare(one.mem.ID, two.mem.ID))
@@ -40,6 +43,20 @@
 	return out
 }
 
+// First returns the member with the highest weight, without sorting all.
+func First(key string, mbs []wick.Member) (wick.Member, bool) {
+	var best wick.Member
+	var top uint64
+	for idx := range mbs {
+		mem := &mbs[idx]
+		wgt := Weight(key, mem.ID)
+		if best.ID == "" || wgt > top || wgt == top && mem.ID < best.ID {
+			best, top = *mem, wgt
+		}
+	}
+	return best, best.ID != ""
+}
+
 // Outside returns the members that are not in a zone, in the same order.
 func Outside(zone wick.Zone, mbs []wick.Member) []wick.Member {
 	return slices.DeleteFunc(slices.Clone(mbs), func(mem wick.Member) bool { return mem.Zone == zone })
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -142,7 +142,7 @@
 	defer wg.Wait()
 	for idx := range run.trc.Steps {
 		stp := &run.trc.Steps[idx]
-		if !sleepUntil(ctx, began.Add(stp.At.Duration())) {
+		if !retry.Sleep(ctx, time.Until(began.Add(stp.At.Duration()))) {
 			return ctx.Err()
 		}
 		if stp.Complete == nil && stp.Call == nil {
@@ -153,7 +153,7 @@
 		}
 		wg.Go(func() {
 			for num := range max(stp.Repeat, 1) {
-				if !sleepUntil(ctx, began.Add(stp.At.Duration()+time.Duration(num)*stp.Every.Duration())) {
+				if !retry.Sleep(ctx, time.Until(began.Add(stp.At.Duration()+time.Duration(num)*stp.Every.Duration()))) {
 					return
 				}
 				run.wg.Go(func() { run.send(ctx, stp, num) })
@@ -163,17 +163,6 @@
 	return nil
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // printf prints one line.
 func (run *runner) printf(format string, args ...any) {
 	run.outMu.Lock()
--- a/internal/stream/copy.go
+++ b/internal/stream/copy.go
@@ -1,17 +1,16 @@
 package stream
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/place"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -71,14 +70,7 @@
 			}
 		}
 	}
-	slices.SortFunc(out, func(one, two wick.Member) int {
-		return cmp.Compare(score(rid, two.ID), score(rid, one.ID))
-	})
-	return out
-}
-
-func score(rid wick.RequestID, eid wick.EntryID) uint64 {
-	return xxhash.Sum64String(string(rid) + "/" + string(eid))
+	return place.Rank(string(rid), out)
 }
 
 // target returns the replica's entry. It is chosen anew when the last one is
