--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -212,7 +212,8 @@
 	}
 }
 
-func (btr *Beater) send(ctx context.Context, mem wick.Member, now time.Time) {
+// send reports whether the member answered.
+func (btr *Beater) send(ctx context.Context, mem wick.Member, now time.Time) bool {
 	for range beatTries {
 		var hbt Heartbeat
 		tctx, cancel := context.WithTimeout(ctx, beatTimeout)
@@ -222,8 +223,9 @@
 			err = btr.take(mem.ID, hbt)
 		}
 		if err == nil || ctx.Err() != nil {
-			return
+			return err == nil
 		}
 		btr.View.Failed(mem.ID, now)
 	}
+	return false
 }
