fleet: bundle section, decisions, records, runner and wiring of the fleet duty

Cause: nothing held endpoints when zones were reclaimed. Change: optional bundle section fleet, package fleet (decisions without I/O, records by conditional update before each order), duty fleet in the entries. TestSchemaMatchesTypes now covers 9 types instead of 6, as strict as before.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -10,8 +10,13 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// dutyRollout is the duty to decide moves. It is held by lease.
-const dutyRollout wick.Duty = "rollout"
+// Duties that are held by lease.
+const (
+	// dutyRollout is the duty to decide moves.
+	dutyRollout wick.Duty = "rollout"
+	// dutyFleet is the duty to decide which endpoints to hold.
+	dutyFleet wick.Duty = "fleet"
+)
 
 func (ent *Entry) wireDuties() {
 	ent.duties = make(map[wick.Duty]*duty)
@@ -22,7 +27,7 @@
 
 // wants returns the duties that this entry should hold.
 func (ent *Entry) wants(mems []wick.Member) []wick.Duty {
-	return lease.Spread([]wick.Duty{dutyRollout}, mems, ent.self.ID)
+	return lease.Spread([]wick.Duty{dutyRollout, dutyFleet}, mems, ent.self.ID)
 }
 
 // A duty is the work of a duty that this entry holds.
@@ -40,8 +45,11 @@
 	ent.duties[name] = dut
 	go func() {
 		defer close(dut.done)
-		if name == dutyRollout {
+		switch name {
+		case dutyRollout:
 			ent.rollout(ctx, fence)
+		case dutyFleet:
+			ent.holdFleet(ctx, fence)
 		}
 	}()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/wagtailwick/wagtailwick/internal/cloud"
 	"github.com/wagtailwick/wagtailwick/internal/config"
 	"github.com/wagtailwick/wagtailwick/internal/engine"
+	"github.com/wagtailwick/wagtailwick/internal/fleet"
 	"github.com/wagtailwick/wagtailwick/internal/front"
 	"github.com/wagtailwick/wagtailwick/internal/invar"
 	"github.com/wagtailwick/wagtailwick/internal/lease"
@@ -61,7 +62,9 @@
 	leases  *lease.Keeper
 	// duties holds the work of the duties that this entry holds. The keeper
 	// of the leases is its only user.
-	duties  map[wick.Duty]*duty
+	duties map[wick.Duty]*duty
+	// fleet is nil while the entry does not hold the fleet duty.
+	fleet   atomic.Pointer[fleet.Runner]
 	ledger  *ledgerSwitch
 	streams *stream.Table
 	front   *front.Server
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -155,6 +155,7 @@
 	ent.admin.Add("limit", func() any { return ent.limit.Status() })
 	ent.admin.Add("leases", func() any { return ent.leases.Dump() })
 	ent.admin.Add("moves", func() any { return ent.moves.all() })
+	ent.admin.Add("fleet", ent.dumpFleet)
 	ent.admin.Add("ledger", func() any { return ent.ledger.dump() })
 	ent.admin.Add("streams", func() any {
 		requests, bytes := ent.streams.Held()
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -47,6 +47,9 @@
 type Cloud struct {
 	// StartTime is how long a VM takes to start.
 	StartTime time.Duration
+	// OnCreate is called for every order that the cloud accepts, before its
+	// VM starts.
+	OnCreate func(vm wick.VM, ord wick.StartOrder)
 	// OnStart is called for every VM that starts and may set its address.
 	OnStart func(vm *wick.VM)
 	// OnStop is called for every VM that is stopped.
@@ -211,6 +214,9 @@
 		cld.tokens = make(map[string]wick.VM)
 	}
 	cld.tokens[ord.Token] = vm
+	if cld.OnCreate != nil {
+		cld.OnCreate(vm, ord)
+	}
 	return vm, false, nil
 }
 
--- a/internal/invar/invar.go
+++ b/internal/invar/invar.go
@@ -26,6 +26,15 @@
 	SignedOnly       Name = "signedOnly"
 )
 
+// Invariants of the fleet duty.
+const (
+	FleetBound    Name = "fleetBound"
+	FleetOneStart Name = "fleetOneStart"
+	FleetFence    Name = "fleetFence"
+	FleetNeeded   Name = "fleetNeeded"
+	FleetZoneLoss Name = "fleetZoneLoss"
+)
+
 // A Checker receives violations. Its zero value logs and counts.
 type Checker struct {
 	mu sync.Mutex
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -29,6 +29,8 @@
 	Customers []Customer `json:"customers"`
 	// Moves have unique names. A service has at most one move.
 	Moves []Move `json:"moves,omitempty"`
+	// Fleet is nil when the endpoints are not to be changed.
+	Fleet *Fleet `json:"fleet,omitempty"`
 }
 
 // A ServiceKind tells how a service is called.
@@ -111,3 +113,36 @@
 	// WatchMillis is how long To is watched after the last step.
 	WatchMillis wick.Millis `json:"watchMillis,omitempty"`
 }
+
+// A Fleet says which endpoints the fleet duty holds. Services that it does not
+// name are left alone.
+type Fleet struct {
+	// Zones are the availability zones for endpoints. They are unique.
+	Zones []wick.Zone `json:"zones"`
+	// StoreBytesPerSecond is the rate of the weight store.
+	StoreBytesPerSecond int64 `json:"storeBytesPerSecond"`
+	// Offers lists what the cloud sells. A class and kind appears once.
+	Offers []Offer `json:"offers"`
+	// Services have unique names. They are model services.
+	Services []FleetService `json:"services"`
+}
+
+// An Offer is a class of VMs that the cloud sells in every zone of a Fleet.
+type Offer struct {
+	Class       wick.Class `json:"class"`
+	Reclaimable bool       `json:"reclaimable"`
+	// Price is expected where no VM of the list shows the current price.
+	Price wick.Price `json:"price"`
+}
+
+// A FleetService bounds the endpoints of a service.
+type FleetService struct {
+	Service wick.Service `json:"service"`
+	// Min and Max bound the VMs. Leaving VMs count until they have ended.
+	Min int `json:"min"`
+	Max int `json:"max"`
+	// MaxPrice bounds the price of a VM that is started; 0 is no bound.
+	MaxPrice wick.Price `json:"maxPrice,omitempty"`
+	// WeightBytes is the size of a version in the weight store.
+	WeightBytes int64 `json:"weightBytes,omitempty"`
+}
--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -142,6 +142,8 @@
 		"": reflect.TypeFor[bundle.Bundle](), "service": reflect.TypeFor[bundle.Service](), "call": reflect.TypeFor[bundle.Call](),
 		"targets": reflect.TypeFor[bundle.Targets](), "class": reflect.TypeFor[bundle.Class](),
 		"customer": reflect.TypeFor[bundle.Customer](), "move": reflect.TypeFor[bundle.Move](),
+		"fleet": reflect.TypeFor[bundle.Fleet](), "offer": reflect.TypeFor[bundle.Offer](),
+		"fleetService": reflect.TypeFor[bundle.FleetService](),
 	} {
 		obj := root
 		if name != "" {
@@ -169,8 +171,8 @@
 			t.Errorf("%q: schema has %v (required %v), type has %v (required %v)", name, props, obj.Required, fields, required)
 		}
 	}
-	if len(root.Defs) != 6 {
-		t.Errorf("schema defines %d types, want 6", len(root.Defs))
+	if len(root.Defs) != 9 {
+		t.Errorf("schema defines %d types, want 9", len(root.Defs))
 	}
 }
 
--- a/pkg/bundle/check.go
+++ b/pkg/bundle/check.go
@@ -42,6 +42,7 @@
 	chk.checkClasses()
 	chk.checkCustomers()
 	chk.checkMoves()
+	chk.checkFleet()
 	return chk.fts
 }
 
--- a/pkg/wick/store.go
+++ b/pkg/wick/store.go
@@ -13,6 +13,7 @@
 	KindLedger    Kind = "ledger"
 	KindLease     Kind = "lease"
 	KindStatus    Kind = "status"
+	KindFleet     Kind = "fleet"
 )
 
 // An ObjectKey names one object of the platform.
