fleet: count overdue VMs as missing, move endpoints between zones at the maximum

Change: slots that the list has not shown after 5 minutes are no capacity; spread drains an endpoint of the heaviest zone at the maximum, and the freed room goes to the zone that reduces the worst lack.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,6 +53,22 @@
 	At time.Time `json:"at"`
 }
 
+// overdueAfter is when a VM that the list has not shown is no longer counted as
+// capacity. It may have been reclaimed before the list showed it.
+const overdueAfter = 5 * time.Minute
+
+// granted tells whether the slot counts as capacity that is there or ordered.
+func (slt *Slot) granted(now time.Time) bool {
+	switch slt.State {
+	case StateOrdered:
+		return true
+	case StateStarted:
+		return slt.Seen || now.Sub(slt.At) < overdueAfter
+	default:
+		return false
+	}
+}
+
 // A History is what is known of a pool.
 type History struct {
 	Pool
@@ -137,29 +153,25 @@
 	return num
 }
 
-// Survives tells whether the capacity that is there or ordered meets the need
-// after the loss of any one zone. With one zone, it must meet the need as it is.
-func (rec *Record) Survives(inp *Input) bool {
-	total := 0
+// Spare returns by how much the capacity that is there or ordered exceeds the
+// need after the loss of the worst zone. With one zone, nothing is lost.
+func (rec *Record) Spare(inp *Input) int {
+	total, worst := 0, 0
 	zones := make(map[wick.Zone]int)
-	for _, zone := range inp.Zones {
-		zones[zone] = 0
-	}
 	for idx := range rec.Slots {
-		if slt := &rec.Slots[idx]; slt.State == StateStarted || slt.State == StateOrdered {
+		if slt := &rec.Slots[idx]; slt.granted(inp.Now) {
 			total += inp.slots(slt.Class)
 			zones[slt.Zone] += inp.slots(slt.Class)
+			worst = max(worst, zones[slt.Zone])
 		}
 	}
-	if len(zones) == 1 {
-		return total >= inp.Need
+	for _, zone := range inp.Zones {
+		zones[zone] += 0
 	}
-	for _, slots := range zones {
-		if total-slots < inp.Need {
-			return false
-		}
+	if len(zones) == 1 {
+		worst = 0
 	}
-	return true
+	return total - worst - inp.Need
 }
 
 // An Input is what a step decides by.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -177,7 +177,7 @@
 	pln.granted = make(map[wick.Zone]int)
 	for idx := range pln.rec.Slots {
 		slt := &pln.rec.Slots[idx]
-		if slt.State == StateOrdered || slt.State == StateStarted {
+		if slt.granted(pln.inp.Now) {
 			pln.grant(slt.Pool, 1)
 		}
 	}
@@ -227,6 +227,13 @@
 	return worst
 }
 
+// lackWith returns what would be missing with another VM of a pool.
+func (pln *planner) lackWith(pool Pool) int {
+	pln.grant(pool, 1)
+	defer pln.grant(pool, -1)
+	return pln.lack(pln.inp.Need)
+}
+
 // room tells whether another VM may be ordered.
 func (pln *planner) room() bool {
 	return pln.rec.Held()+len(pln.unknown) < pln.inp.Service.Max
@@ -252,14 +259,19 @@
 			return busy > 0
 		}
 		if !pln.room() {
+			pln.spread()
 			return true
 		}
 		room, lack := pln.inp.Service.Max-pln.rec.Held()-len(pln.unknown), pln.lack(pln.inp.Need)
 		pool, ok := pln.best(func(pool Pool, cost float64) float64 {
 			slots := pln.inp.slots(pool.Class)
 			gain := float64(pln.gain(pool.Zone, slots, pln.inp.Need))
-			// With little room left, small endpoints would use it up.
+			// With little room left, small endpoints would use it up, and the
+			// last one must go where spread made room for it.
 			gain *= min(1, float64(slots*room)/float64(max(lack, 1)))
+			if room == 1 {
+				gain = gain/1000 + float64(lack-pln.lackWith(pool))
+			}
 			if few {
 				// The minimum is spread over the zones, too.
 				gain += 1 / float64(1+pln.granted[pool.Zone])
@@ -273,6 +285,38 @@
 	return true
 }
 
+// spread drains an endpoint of a zone that holds too much, when the maximum
+// leaves no room for one in another zone. Waves of reclaims crowd endpoints
+// into the zones that they spare. What is left after the worst loss does not
+// shrink by it.
+func (pln *planner) spread() {
+	for idx := range pln.rec.Slots {
+		switch pln.rec.Slots[idx].State {
+		case StateOrdered, StateLeaving, StateDraining, StateStopping:
+			return
+		default:
+		}
+	}
+	lack := pln.lack(pln.inp.Need)
+	slt := pln.dearest(func(slt *Slot) bool {
+		if slt.State != StateStarted || !slt.Seen {
+			return false
+		}
+		pln.grant(slt.Pool, -1)
+		defer pln.grant(slt.Pool, 1)
+		if pln.total < pln.inp.Need || pln.lack(pln.inp.Need) > lack {
+			return false
+		}
+		_, ok := pln.best(func(pool Pool, cost float64) float64 {
+			return float64(lack-pln.lackWith(pool)) / cost
+		})
+		return ok
+	})
+	if slt != nil {
+		pln.to(slt, StateDraining)
+	}
+}
+
 // best returns the pool with the highest value above 0 that may be tried now.
 func (pln *planner) best(value func(pool Pool, cost float64) float64) (Pool, bool) {
 	var top Pool
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -204,8 +204,8 @@
 	}
 }
 
-// decide takes a step and checks that a scale-down leaves enough after the
-// loss of any zone.
+// decide takes a step and checks that a drain leaves enough after the loss of
+// any zone, or no less than before.
 func (run *Runner) decide(rec Record, inp *Input) (Record, bool) {
 	if run.nextLoad.After(rec.NextLoad) {
 		rec.NextLoad = run.nextLoad
@@ -214,7 +214,8 @@
 	if rec.Held() > inp.Service.Max || next.draining() <= rec.draining() {
 		return next, changed
 	}
-	if !run.cfg.Checker.Check(next.Survives(inp), invar.FleetZoneLoss, "%s would not survive the loss of a zone", rec.Service) {
+	before, after := rec.Spare(inp), next.Spare(inp)
+	if !run.cfg.Checker.Check(after >= min(before, 0), invar.FleetZoneLoss, "%s: a drain leaves %d over the need, not %d", rec.Service, after, before) {
 		return rec, false
 	}
 	return next, changed
