--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -93,7 +92,7 @@
 	ent.streams = stream.New(stream.Config{
 		Self: ent.self.ID, Incarnation: ent.self.Incarnation, Zone: ent.self.Zone,
 		Router: ent.route, Admitter: ent.limit, Engine: ent.engine, Plain: ent.plain,
-		Ledger: ent.ledger, Peers: ent.peers, Members: &liveMembers{view: ent.view, prober: &member.Prober{Beater: ent.beater, Find: ent.findEntry}},
+		Ledger: ent.ledger, Peers: ent.peers, Members: liveMembers{ent.view},
 		Invar: ent.invar, Trusts: ent.trusts,
 		MaxRequests: int64(ent.set.Limits.MaxInFlight + ent.set.Limits.MaxQueued),
 		MaxBytes:    maxRequestBytes,
@@ -101,29 +100,11 @@
 }
 
 // liveMembers shows the membership to the streams.
-type liveMembers struct {
-	view   *member.View
-	prober *member.Prober
-}
-
-func (lms *liveMembers) Members() []wick.Member { return lms.view.Live(time.Now()) }
+type liveMembers struct{ view *member.View }
 
-func (lms *liveMembers) LastHeard(eid wick.EntryID) time.Time { return lms.prober.LastHeard(eid) }
+func (lms liveMembers) Members() []wick.Member { return lms.view.Live(time.Now()) }
 
-// findEntry returns another entry from the view or the list of VMs.
-func (ent *Entry) findEntry(eid wick.EntryID) (wick.Member, bool) {
-	named := func(mem wick.Member) bool { return mem.ID == eid }
-	mbs := ent.view.Others()
-	if idx := slices.IndexFunc(mbs, named); idx >= 0 {
-		return mbs[idx], true
-	}
-	if listed := ent.listed.Load(); listed != nil {
-		if idx := slices.IndexFunc(*listed, named); idx >= 0 {
-			return (*listed)[idx], true
-		}
-	}
-	return wick.Member{}, false
-}
+func (lms liveMembers) LastHeard(eid wick.EntryID) time.Time { return lms.view.LastHeard(eid) }
 
 // trusts reports whether an endpoint's explicit refusal means that a call did
 // not run. An endpoint of an unknown class is not trusted.
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -219,8 +219,7 @@
 	}
 }
 
-// send reports whether the member answered.
-func (btr *Beater) send(ctx context.Context, mem wick.Member, now time.Time) bool {
+func (btr *Beater) send(ctx context.Context, mem wick.Member, now time.Time) {
 	for range beatTries {
 		var hbt Heartbeat
 		tctx, cancel := context.WithTimeout(ctx, beatTimeout)
@@ -230,9 +229,8 @@
 			err = btr.take(mem.ID, hbt)
 		}
 		if err == nil || ctx.Err() != nil {
-			return err == nil
+			return
 		}
 		btr.View.Failed(mem.ID, now)
 	}
-	return false
 }
