--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -83,7 +83,7 @@
 		bnd := sampleBundle()
 		// A low maximum shows every VM too many.
 		bnd.Fleet.Services[0].Max = []int{19, 13, 7}[seed%3]
-		if off == offWrite {
+		if off == offKeep {
 			bnd.Fleet.Services[0].Max = 5
 		}
 		wld = newWorld(off, bnd)
@@ -98,6 +98,9 @@
 		}
 		time.Sleep(3 * time.Minute)
 		for step := range steps {
+			if off == offKeep {
+				wld.refuse(rnd)
+			}
 			wld.disturb(rnd, ids[rnd.IntN(len(ids))], wick.Incarnation(step+10))
 			time.Sleep(time.Second + time.Duration(rnd.Int64N(int64(40*time.Second))))
 		}
@@ -130,6 +133,30 @@
 	return wld.chk.Counts(), wld.counts
 }
 
+// refuse pauses the holder with a start in its hands while the cloud refuses
+// the starts of the next holder.
+func (wld *world) refuse(rnd *rand.Rand) {
+	wld.sto.SetFaults(fake.StoreFaults{}, 1)
+	wld.cld.SetFaults(fake.CloudFaults{RefuseStarts: 1, ListLagMillis: 20_000})
+	for _, zone := range []wick.Zone{"z1", "z2", "z3", "z4"} {
+		wld.cld.Reclaim(fake.CloudReclaim{Zone: zone, Reclaim: fake.Reclaim{NoticeMillis: 1000}})
+	}
+	for _, prc := range wld.procs {
+		prc.mu.Lock()
+		prc.pauseNext, prc.pauseWrite = time.Minute+time.Duration(rnd.Int64N(int64(time.Minute))), false
+		prc.mu.Unlock()
+	}
+	time.Sleep(20 * time.Second)
+	for _, prc := range wld.procs {
+		prc.mu.Lock()
+		prc.pauseNext = 0
+		prc.mu.Unlock()
+	}
+	time.Sleep(20 * time.Second)
+	wld.cld.SetFaults(fake.CloudFaults{})
+	time.Sleep(2 * time.Minute)
+}
+
 // disturb makes one random change.
 func (wld *world) disturb(rnd *rand.Rand, self wick.EntryID, inc wick.Incarnation) {
 	prc := wld.procs[self]
@@ -210,7 +237,7 @@
 		want invar.Name
 	}{
 		{offToken, invar.FleetOneStart},
-		{offWrite, invar.FleetBound},
+		{offKeep, invar.FleetBound},
 		{offFence, invar.FleetFence},
 		{offVersion, invar.FleetNeeded},
 		{offZones, invar.FleetZoneLoss},
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math"
 	"slices"
 	"strings"
@@ -21,7 +22,7 @@
 const (
 	offNone    off = ""
 	offToken   off = "token of the record"
-	offWrite   off = "conditional update"
+	offKeep    off = "slots after a refusal"
 	offFence   off = "fencing number"
 	offVersion off = "versions of moves"
 	offZones   off = "zones"
@@ -280,10 +281,14 @@
 	if !pst.prc.pass() {
 		return 0, wick.ErrUnavailable
 	}
-	if pst.prc.wld.off == offWrite && key.Kind == wick.KindFleet {
-		rev = 0
-		if obj, err := pst.Store.Get(ctx, key); err == nil {
-			rev = obj.Revision
+	if pst.prc.wld.off == offKeep && key.Kind == wick.KindFleet {
+		rec, err := Parse(wick.Object{Key: key, Data: data})
+		if err != nil {
+			return 0, err
+		}
+		rec.Slots = slices.DeleteFunc(rec.Slots, func(slt Slot) bool { return slt.State == StateIdle })
+		if data, err = json.Marshal(&rec); err != nil {
+			return 0, err
 		}
 	}
 	return pst.Store.Put(context.WithoutCancel(ctx), key, data, rev)
