--- a/internal/peer/quic.go
+++ b/internal/peer/quic.go
@@ -62,7 +62,10 @@
 	maxConnsPerPeer = 2
 	streamWindow    = 512 << 10
 	connWindow      = 1 << 20
-	idleTimeout     = 60 * time.Second
+	// idleTimeout is far above the 21 s after which a member of a view of 64 is
+	// contacted in one direction on average. With 60 s, one contact in 17 needed
+	// a new handshake of 7 KB.
+	idleTimeout = 5 * time.Minute
 	// handshakeTimeout is below the 3 s after which a peer is suspect.
 	handshakeTimeout = 2 * time.Second
 )
--- a/internal/slope/control.go
+++ b/internal/slope/control.go
@@ -42,7 +42,7 @@
 }
 
 // zoneSizes are entries in one zone, beyond the 16 that a view holds of it.
-var zoneSizes = []int{16, 40, 64}
+var zoneSizes = []int{16, 64}
 
 // measureZone measures what the candidates for a zone's watch receive as the
 // zone grows, because all views of the zone hold them.
