bench: compare routing policies on virtual time

Cause: no figures showed what predicted routing gains over a round robin. Change: wagtailwick bench replays generated traces through route.Table and limit.Limiter on a queue of events. limit.Limiter and limit.FIFO get Enqueue, which gives a place without blocking, since an event loop can't wait in Admit. Endpoints are a model of fake.Engine. The comparison with the fake found that the model did not refresh a prompt's blocks at the end of an answer.

--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,106 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// A Topic is one comparison of policies.
+type Topic struct {
+	Name     string
+	Policies []Policy
+	// Change adapts a workload to the topic.
+	Change func(wkl *Workload)
+}
+
+// Topics holds all comparisons.
+var Topics = []Topic{
+	{
+		Name:     "routing",
+		Policies: []Policy{{Name: "predicted"}, {Name: "round robin", RoundRobin: true}},
+	},
+	{
+		Name:     "admission",
+		Policies: []Policy{{Name: "fair, early refusal"}, {Name: "FIFO", FIFO: true}},
+		Change: func(wkl *Workload) {
+			// Overload is what admission is for.
+			wkl.PerSecond *= 1.6
+		},
+	},
+	{
+		Name:     "hold",
+		Policies: []Policy{{Name: "hold"}, {Name: "refuse", Refuse: true}},
+	},
+	{
+		Name:     "hold1",
+		Policies: []Policy{{Name: "hold, 1 slot"}, {Name: "refuse, 1 slot", Refuse: true}},
+		Change: func(wkl *Workload) {
+			wkl.Rates.Slots, wkl.Rates.MaxWaiting = 1, 1
+			wkl.PerSecond /= 5
+		},
+	},
+}
+
+// An Option says what to run.
+type Option struct {
+	// Seeds is the number of runs, from First on.
+	Seeds int
+	First uint64
+	// Procs bounds the runs at the same time.
+	Procs int
+}
+
+// Run runs a topic with a workload and prints its table.
+func Run(out io.Writer, tpc *Topic, wkl Workload, opt Option) error {
+	if tpc.Change != nil {
+		tpc.Change(&wkl)
+	}
+	runs := make([][]*result, len(tpc.Policies))
+	for idx := range runs {
+		runs[idx] = make([]*result, opt.Seeds)
+	}
+	var grp errgroup.Group
+	grp.SetLimit(max(opt.Procs, 1))
+	for num := range opt.Seeds {
+		grp.Go(func() error {
+			trc := wkl.generate(opt.First + uint64(num)) //nolint:gosec // a count
+			for idx, pol := range tpc.Policies {
+				runs[idx][num] = newWorld(&wkl, pol).play(trc)
+			}
+			return nil
+		})
+	}
+	if err := grp.Wait(); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s, %s: %d seeds from %d, mean and standard deviation\n\n", tpc.Name, wkl.Name, opt.Seeds, opt.First)
+	return table(out, tpc, runs)
+}
+
+// table prints the figures as a Markdown table.
+func table(out io.Writer, tpc *Topic, runs [][]*result) error {
+	tbl := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
+	fmt.Fprint(tbl, "| \t")
+	for _, pol := range tpc.Policies {
+		fmt.Fprintf(tbl, "| %s\t", pol.Name)
+	}
+	fmt.Fprintf(tbl, "|\n| ---\t%s|\n", strings.Repeat("| ---\t", len(tpc.Policies)))
+	for _, fig := range figures {
+		fmt.Fprintf(tbl, "| %s\t", fig.name)
+		for idx := range runs {
+			list := make([]float64, 0, len(runs[idx]))
+			for _, res := range runs[idx] {
+				list = append(list, fig.of(res))
+			}
+			mean, dev := spread(list)
+			fmt.Fprintf(tbl, "| "+fig.format+" ± "+fig.format+"\t", mean, dev)
+		}
+		fmt.Fprint(tbl, "|\n")
+	}
+	fmt.Fprint(tbl, "\n")
+	return tbl.Flush()
+}
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -27,6 +27,7 @@
 
 // commands lists every command in the order of the help text.
 var commands = []command{
+	benchCommand,
 	bundleListCommand,
 	bundleSignCommand,
 	bundleStatusCommand,
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -169,28 +169,15 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	cst := lim.customer(query.Customer)
-	leave, err := cst.enter(&query, lim.clock.Now())
+	plc, err := lim.Enqueue(query)
 	if err != nil {
 		return nil, err
 	}
-	gat := lim.gate(query.Service)
-	itm, err := gat.enqueue(&query, cst)
-	if err != nil {
-		leave()
-		return nil, err
-	}
-	if err := gat.wait(ctx, itm); err != nil {
-		leave()
+	if err := plc.gat.wait(ctx, plc.itm); err != nil {
+		plc.leave()
 		return nil, err
 	}
-	var once sync.Once
-	return func(out wick.Outcome) {
-		once.Do(func() {
-			leave()
-			gat.release(itm, out)
-		})
-	}, nil
+	return plc.Release, nil
 }
 
 // enter counts a new request against the customer's limits. Accepted work was
