route: count answers that miss the latency targets as late

Cause: nothing outside of tests set Outcome.Late, so that a version that is slow but does not fail left no evidence against it. Change: the table compares the times of complete answers with the bundle's targets before it passes the sample on. Conclusion: late answers are evidence for versions only.

--- a/internal/bench/job.go
+++ b/internal/bench/job.go
@@ -20,10 +20,12 @@
 // product.
 type job struct {
 	*request
-	ent     *entry
-	place   place
-	began   time.Time
-	tokens  wick.Tokens
+	ent    *entry
+	place  place
+	began  time.Time
+	tokens wick.Tokens
+	// base is tokens at the start of the attempt.
+	base    wick.Tokens
 	first   time.Time
 	last    time.Time
 	exclude []wick.VMID
@@ -152,6 +154,7 @@
 	cll.onToken = func() { wld.after(delay, func() { jb.token(cll) }) }
 	cll.onEnd = func(err error) { wld.after(delay, func() { jb.ended(cll, err) }) }
 	jb.asg, jb.eng, jb.cll, jb.sent, jb.firstAt = asg, eng, cll, wld.now, time.Time{}
+	jb.base = jb.tokens
 	jb.ent.running = append(jb.ent.running, jb)
 	wld.after(delay, func() {
 		if cll.ended || jb.cll != cll {
@@ -211,6 +214,9 @@
 	if !jb.firstAt.IsZero() {
 		out.FirstToken = jb.firstAt.Sub(jb.sent)
 	}
+	if num := jb.tokens - jb.base; num > 1 {
+		out.BetweenTokens = jb.last.Sub(jb.firstAt) / time.Duration(num-1)
+	}
 	vid := jb.asg.VM.ID
 	jb.detach(out)
 	if err == nil {
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -114,6 +114,7 @@
 // done takes the outcome of the attempt.
 func (att *attempt) done(out wick.Outcome) {
 	tab, ep, now := att.tab, att.ep, att.tab.clock.Now()
+	out.Late = out.Late || tab.late(att.vm.Service, out)
 	ep.shd.mu.Lock()
 	ep.own--
 	if ep.reports == att.reports {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -66,7 +66,7 @@
 	ejectMu sync.Mutex
 
 	infoMu  sync.RWMutex
-	targets map[wick.Service]time.Duration
+	targets map[wick.Service]target
 	delays  map[wick.Zone]time.Duration
 	// stopped is a grow-only set of versions that get nothing.
 	stopped map[poolKey]bool
@@ -108,7 +108,7 @@
 		zone: zone, seed: xxhash.Sum64String(string(self)), clock: wick.SystemClock{},
 		checker: &invar.Checker{}, policy: predicted{}, machine: newMachine(),
 		prefixes: newPrefixIndex(defaultPrefixBlocks),
-		targets:  make(map[wick.Service]time.Duration),
+		targets:  make(map[wick.Service]target),
 		delays:   make(map[wick.Zone]time.Duration),
 		stopped:  make(map[poolKey]bool),
 	}
@@ -143,28 +143,38 @@
 	return nil
 }
 
+// A target holds the latency targets of a service; zero is none.
+type target struct{ first, between time.Duration }
+
 // SetBundle takes the latency targets of a bundle.
 func (tab *Table) SetBundle(bun *bundle.Bundle) {
 	tab.infoMu.Lock()
 	defer tab.infoMu.Unlock()
 	for _, svc := range bun.Services {
-		target := max(svc.Targets.FirstTokenMillis, svc.Targets.ReplyMillis).Duration()
-		if target == 0 {
-			target = defaultTarget
+		tab.targets[svc.Name] = target{
+			first:   max(svc.Targets.FirstTokenMillis, svc.Targets.ReplyMillis).Duration(),
+			between: svc.Targets.BetweenTokensMillis.Duration(),
 		}
-		tab.targets[svc.Name] = target
 	}
 }
 
 func (tab *Table) target(svc wick.Service) time.Duration {
 	tab.infoMu.RLock()
 	defer tab.infoMu.RUnlock()
-	if target := tab.targets[svc]; target > 0 {
-		return target
+	if tgt := tab.targets[svc]; tgt.first > 0 {
+		return tgt.first
 	}
 	return defaultTarget
 }
 
+// late reports whether a complete answer missed the service's targets.
+func (tab *Table) late(svc wick.Service, out wick.Outcome) bool {
+	tab.infoMu.RLock()
+	defer tab.infoMu.RUnlock()
+	tgt := tab.targets[svc]
+	return out.Err == nil && (tgt.first > 0 && out.FirstToken > tgt.first || tgt.between > 0 && out.BetweenTokens > tgt.between)
+}
+
 func (tab *Table) isStopped(svc wick.Service, ver wick.ModelVersion) bool {
 	tab.infoMu.RLock()
 	defer tab.infoMu.RUnlock()
