limit: refuse new requests that would wait past the first token's target

Cause: a request whose wait alone exceeds the target was queued until its deadline, and its late answer took capacity from others. Change: the gate takes the targets of the bundle and refuses new requests whose predicted wait is over the target.

--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -43,12 +44,20 @@
 	// hold is the mean time of requests that ended.
 	hold        time.Duration
 	decreasedAt time.Time
+	// first is the target for the first token or the reply; zero is none.
+	first time.Duration
 }
 
 func newGate(clk wick.Clock) *gate {
 	return &gate{clock: clk, capacity: defaultCapacity, limit: defaultCapacity, hold: defaultHold}
 }
 
+func (gat *gate) setTargets(tgt bundle.Targets) {
+	gat.mu.Lock()
+	defer gat.mu.Unlock()
+	gat.first = max(tgt.FirstTokenMillis, tgt.ReplyMillis).Duration()
+}
+
 func (gat *gate) setCapacity(slots int) {
 	gat.mu.Lock()
 	defer gat.mu.Unlock()
@@ -83,7 +92,7 @@
 	if !query.Accepted && queued >= maxQueued || query.Accepted && faq.count >= maxAcceptedQueued {
 		return nil, refuse(wick.ErrBusy, wait, "limit: queue of %s is full", query.Customer)
 	}
-	if gat.hopeless(query.Deadline, now, wait) {
+	if gat.hopeless(query.Deadline, now, wait) || !query.Accepted && gat.first > 0 && wait > gat.first {
 		return nil, refuse(wick.ErrDeadline, wait, "limit: %s waits about %s", query.Customer, wait)
 	}
 	faq.push(itm)
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -88,6 +88,13 @@
 		next[cus.Name] = cst
 	}
 	lim.customers = next
+	for idx := range bun.Services {
+		svc := &bun.Services[idx]
+		if lim.gates[svc.Name] == nil {
+			lim.gates[svc.Name] = newGate(lim.clock)
+		}
+		lim.gates[svc.Name].setTargets(svc.Targets)
+	}
 }
 
 func newCustomer(weight float64, maxInFlight int, perSecond float64) *customer {
