--- a/examples/site.sh
+++ b/examples/site.sh
@@ -34,7 +34,7 @@
 echo "== keys and settings"
 "$bin" keys site --dir "$dir" a1:a a2:a b1:b b2:b c1:c >/dev/null
 . "$dir/site.env"
-"$bin" check "$bundle" "$dir/a1.json" >/dev/null
+"$bin" check "$bundle" "$dir/a1.json"
 
 echo "== stand-ins and entries"
 start store standin store --listen "$STORE"
--- a/internal/cmds/site.go
+++ b/internal/cmds/site.go
@@ -28,7 +28,7 @@
 func keysSiteCommand(app *kingpin.Application, ev *env) (string, func() error) {
 	cmd := keysParent(app).Command("site", keysSiteHelp)
 	dir := cmd.Flag("dir", "Folder for the files; it must exist.").Required().ExistingDir()
-	port := cmd.Flag("port", "First port.").Default("20000").Int()
+	port := cmd.Flag("port", "First port.").Default("30000").Int()
 	entries := cmd.Arg("entry", "Entries, each as id:zone.").Required().Strings()
 	return cmd.FullCommand(), func() error {
 		wtr := &siteWriter{ev: ev, dir: *dir, keys: make(bundle.Keys), port: *port}
