route, entry: serve the active version only; undone moves stay undone

Outside of moves the routing asked for no version, and an endpoint that had loaded several served the first of its list, whatever the bundle's active version was. A stop of a version was kept for ever on running entries and unknown to restarted ones. A bundle submitted for another reason that still named an undone move would have started it again.

Change: routing takes the active version of the bundle; a newer bundle whose move was not stopped allows a version again; a move under the same name as an undone one of the version before is undone at once, with a reason that says how to try again. The check reads the earlier record and waits while the store can't be read.

TestActiveVersion fails without the change.

Conclusion: what a bundle says is what endpoints of several versions serve.

--- a/internal/entry/moves.go
+++ b/internal/entry/moves.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -100,6 +101,11 @@
 			rec = move.New(mid, *mov, time.Now())
 			ent.moves.put(rec)
 		}
+		if stp, ok := ent.carriedStop(mid, mov); ok {
+			ent.takeStop(stp)
+		} else {
+			ent.route.AllowVersion(mov.Service, mov.To)
+		}
 		ent.applyRecord(rec)
 	}
 	ent.moves.keep(ids)
@@ -110,6 +116,42 @@
 	}
 }
 
+// carriedStop returns the stop of a move that an earlier bundle version had
+// under the same name. Such a move stays undone: a bundle that is submitted for
+// another reason must not show a bad version to callers again. Operators try
+// again with a move of another name.
+func (ent *Entry) carriedStop(mid wick.MoveID, mov *bundle.Move) (canary.Stop, bool) {
+	for _, stp := range ent.notices.Stops() {
+		_, name, _ := strings.Cut(string(stp.Move), "-")
+		if name == mov.Name && stp.Service == mov.Service && stp.Version == mov.To {
+			return canary.Stop{
+				Move: mid, Service: mov.Service, Version: mov.To, By: stp.From, At: time.Now(),
+				Reason: carriedReason(stp.Move),
+			}, true
+		}
+	}
+	return canary.Stop{}, false
+}
+
+func carriedReason(earlier wick.MoveID) string {
+	return fmt.Sprintf("undone as %s; a move of another name tries again", earlier)
+}
+
+// carriedUndo returns why a move that has not begun is undone at once: the
+// bundle version before had it under the same name and it was undone there.
+// The rule passes from version to version, since the new record is undone too.
+func (ent *Entry) carriedUndo(ctx context.Context, prev wick.BundleVersion, mov *bundle.Move) (string, error) {
+	earlier := moveID(prev, mov)
+	rec, rev, err := ent.keeper().Load(ctx, earlier)
+	if err != nil {
+		return "", err
+	}
+	if rev == 0 || rec.State != move.StateUndone || rec.To != mov.To || rec.Service != mov.Service {
+		return "", nil
+	}
+	return carriedReason(earlier), nil
+}
+
 // takeRecord takes a record that the holder or the platform reported.
 func (ent *Entry) takeRecord(rec move.Record) {
 	if act, ok := ent.config.Active(); !ok || !names(&act.Bundle, rec.Move) {
@@ -297,6 +339,13 @@
 		Evidence: fmt.Sprintf("old %d of %d bad, new %d of %d bad, level %.2f",
 			vdt.Totals.OldBad, vdt.Totals.Old, vdt.Totals.CandidateBad, vdt.Totals.Candidate, vdt.Level),
 	}
+	if known.State == move.StatePending && inp.Stop == "" {
+		var err error
+		if inp.Stop, err = ent.carriedUndo(ctx, ver-1, mov); err != nil {
+			logrus.WithError(err).WithField("move", mid).Warn("entry: earlier move not read")
+			return
+		}
+	}
 	rec, err := ent.keeper().Update(ctx, known, fence, func(rec move.Record) (move.Record, bool) {
 		return move.Step(rec, inp)
 	})
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -34,6 +34,10 @@
 }
 
 func (tab *Table) pick(query *wick.RouteQuery, choice wick.VersionChoice) (wick.Assignment, error) {
+	if choice.Version == "" {
+		// An endpoint may serve several versions; only the active one counts.
+		choice.Version = tab.activeVersion(query.Service)
+	}
 	pl := (*tab.pools.Load())[poolKey{service: query.Service, version: choice.Version}]
 	if pl == nil || choice.Version != "" && tab.isStopped(query.Service, choice.Version) {
 		return wick.Assignment{}, eris.Wrapf(wick.ErrNotFound, "route: no endpoint of %s %s", query.Service, choice.Version)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wagtailwick/wagtailwick/internal/invar"
+	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -362,3 +363,32 @@
 		t.Errorf("%d blocks, bound 1024", sum)
 	}
 }
+
+// Guards against an endpoint of several versions that serves another one than
+// the active version of the bundle, and against stops that outlive the move.
+func TestActiveVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tab, now := newTable(t), time.Now()
+		vms := makeVMs(3, "a")
+		for idx := range vms {
+			vms[idx].Versions = []wick.ModelVersion{verOne, verTwo}
+		}
+		tab.SetVMs(vms, now)
+		reportAll(tab, vms, now)
+		query := wick.RouteQuery{Service: svcQuote, Now: now}
+		for _, ver := range []wick.ModelVersion{verOne, verTwo} {
+			tab.SetBundle(&bundle.Bundle{Services: []bundle.Service{{Name: svcQuote, Active: ver}}})
+			if asg := mustPick(t, tab, query); asg.Version != ver {
+				t.Errorf("active %s: got %s", ver, asg.Version)
+			}
+		}
+		tab.StopVersion(svcQuote, verTwo)
+		if _, err := tab.Pick(query); !errors.Is(err, wick.ErrNotFound) {
+			t.Errorf("stopped: got %v", err)
+		}
+		tab.AllowVersion(svcQuote, verTwo)
+		if asg := mustPick(t, tab, query); asg.Version != verTwo {
+			t.Errorf("allowed: got %s", asg.Version)
+		}
+	})
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -68,7 +68,9 @@
 	infoMu  sync.RWMutex
 	targets map[wick.Service]target
 	delays  map[wick.Zone]time.Duration
-	// stopped is a grow-only set of versions that get nothing.
+	// active holds the version of each service that serves outside of moves.
+	active map[wick.Service]wick.ModelVersion
+	// stopped holds versions that get nothing until a newer bundle allows them.
 	stopped map[poolKey]bool
 	// notices were learnt here and not yet taken for the peers.
 	notices []Notice
@@ -110,6 +112,7 @@
 		prefixes: newPrefixIndex(defaultPrefixBlocks),
 		targets:  make(map[wick.Service]target),
 		delays:   make(map[wick.Zone]time.Duration),
+		active:   make(map[wick.Service]wick.ModelVersion),
 		stopped:  make(map[poolKey]bool),
 	}
 	tab.rnd.Store(tab.seed)
@@ -146,7 +149,7 @@
 // A target holds the latency targets of a service; zero is none.
 type target struct{ first, between time.Duration }
 
-// SetBundle takes the latency targets of a bundle.
+// SetBundle takes the active versions and latency targets of a bundle.
 func (tab *Table) SetBundle(bun *bundle.Bundle) {
 	tab.infoMu.Lock()
 	defer tab.infoMu.Unlock()
@@ -155,6 +158,30 @@
 			first:   max(svc.Targets.FirstTokenMillis, svc.Targets.ReplyMillis).Duration(),
 			between: svc.Targets.BetweenTokensMillis.Duration(),
 		}
+		tab.active[svc.Name] = svc.Active
+	}
+}
+
+// activeVersion returns the version that serves outside of moves, "" before
+// the first bundle.
+func (tab *Table) activeVersion(svc wick.Service) wick.ModelVersion {
+	tab.infoMu.RLock()
+	defer tab.infoMu.RUnlock()
+	return tab.active[svc]
+}
+
+// AllowVersion takes back the stop of a version, because a newer bundle names
+// it in a move that was not stopped.
+func (tab *Table) AllowVersion(svc wick.Service, ver wick.ModelVersion) {
+	tab.infoMu.Lock()
+	key := poolKey{service: svc, version: ver}
+	known := tab.stopped[key]
+	delete(tab.stopped, key)
+	tab.infoMu.Unlock()
+	if known {
+		tab.feedMu.Lock()
+		tab.rebuild()
+		tab.feedMu.Unlock()
 	}
 }
 
@@ -181,8 +208,7 @@
 	return tab.stopped[poolKey{service: svc, version: ver}]
 }
 
-// StopVersion sends nothing more to a version and moves its running work. It
-// cannot be taken back.
+// StopVersion sends nothing more to a version and moves its running work.
 func (tab *Table) StopVersion(svc wick.Service, ver wick.ModelVersion) {
 	tab.infoMu.Lock()
 	known := tab.stopped[poolKey{service: svc, version: ver}]
