--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -253,6 +253,9 @@
 // missing and none is on its way.
 func (pln *planner) start() bool {
 	busy := pln.underWay()
+	if busy == 0 && pln.probe() {
+		return true
+	}
 	for limit := max(minAtOnce, pln.inp.Service.Max/20); busy < limit; busy++ {
 		few := pln.count < pln.inp.Service.Min
 		if !few && pln.lack(pln.inp.Need) == 0 {
@@ -285,11 +288,33 @@
 	return true
 }
 
+// probe repeats a refused order when the list shows an unknown VM: an earlier
+// holder may have started it with the order's token after the refusal. If not,
+// the order starts another VM within the maximum.
+func (pln *planner) probe() bool {
+	if len(pln.unknown) == 0 || !pln.room() {
+		return false
+	}
+	pool := poolOf(pln.unknown[0])
+	if pln.inp.Now.Before(pln.rec.get(pool, pln.inp.Now).RetryAt) {
+		return false
+	}
+	for idx := range pln.rec.Slots {
+		if pln.rec.Slots[idx].State == StateIdle {
+			return pln.order(pool)
+		}
+	}
+	return false
+}
+
 // spread drains an endpoint of a zone that holds too much, when the maximum
 // leaves no room for one in another zone. Waves of reclaims crowd endpoints
 // into the zones that they spare. What is left after the worst loss does not
 // shrink by it.
 func (pln *planner) spread() {
+	if len(pln.unknown) > 0 {
+		return
+	}
 	for idx := range pln.rec.Slots {
 		switch pln.rec.Slots[idx].State {
 		case StateOrdered, StateLeaving, StateDraining, StateStopping:
@@ -396,9 +421,15 @@
 	return pln.count >= pln.inp.Service.Min && pln.lack(reserve) == 0
 }
 
-// shrink drains the most expensive surplus endpoint, or starts a much cheaper
-// one whose start makes an expensive one surplus.
+// shrink is the last step. It drains the most expensive surplus endpoint, or
+// starts a much cheaper one whose start makes an expensive one surplus.
 func (pln *planner) shrink() {
+	// Only VMs of the record count as what stays.
+	for _, vm := range pln.unknown {
+		if vm.State == wick.VMLive {
+			pln.grant(poolOf(vm), -1)
+		}
+	}
 	if pln.rec.Held() > pln.inp.Service.Max {
 		if slt := pln.dearest(func(slt *Slot) bool { return slt.State == StateStarted }); slt != nil {
 			pln.to(slt, StateDraining)
