stream: guard the token counts of an attempt against late events

Cause: generate counts tokens in variables that its sink writes without a lock. An engine that passes on events after Generate has returned races with the read of the counts. The fake of the simulation does that on purpose.

Change: a mutex around the counts.

--- a/internal/stream/run.go
+++ b/internal/stream/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -263,17 +264,23 @@
 // generate calls the engine and reports the outcome to the router.
 func (run *runner) generate(ctx context.Context, asg wick.Assignment, gen wick.Generation) result {
 	began := run.tab.now()
+	// An engine may still pass on events after Generate has returned.
+	var mut sync.Mutex
 	var first time.Duration
 	num := 0
 	res := result{}
 	res.gen, res.err = run.tab.cfg.Engine.Generate(ctx, asg.VM, gen, func(tok wick.Token) error {
+		mut.Lock()
 		if num == 0 {
 			first = run.tab.now().Sub(began)
 		}
 		num++
+		mut.Unlock()
 		return run.req.accept(gen.Attempt, tok)
 	})
 	run.req.seal(gen.Attempt)
+	mut.Lock()
+	defer mut.Unlock()
 	out := wick.Outcome{
 		Err: res.err, FirstToken: first, Cancelled: res.err != nil && (ctx.Err() != nil || errors.Is(res.err, errStale)),
 		CachedTokens: res.gen.CachedTokens, PromptTokens: res.gen.PromptTokens,
