setup: one bound for requests held, no settings without effect

Cause: the operations page had to say that maxInFlight and maxQueued count only as a sum and that requestMillis does nothing.

Change: limits.maxRequests replaces the two; requestMillis is gone.

--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -94,7 +94,7 @@
 		Router: ent.route, Admitter: ent.limit, Engine: ent.engine, Plain: ent.plain,
 		Ledger: ent.ledger, Peers: ent.peers, Members: liveMembers{ent.view},
 		Invar: ent.invar, Trusts: ent.trusts,
-		MaxRequests: int64(ent.set.Limits.MaxInFlight + ent.set.Limits.MaxQueued),
+		MaxRequests: int64(ent.set.Limits.MaxRequests),
 		MaxBytes:    maxRequestBytes,
 	})
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -76,15 +76,13 @@
 
 // Limits bound what one entry holds at once.
 type Limits struct {
-	MaxInFlight int `json:"maxInFlight"`
-	// MaxQueued bounds requests that wait for admission.
-	MaxQueued int `json:"maxQueued"`
+	// MaxRequests bounds accepted, waiting and replicated requests together.
+	MaxRequests int `json:"maxRequests"`
 	// MaxBodyBytes is at most 768 KiB, because a request has to fit into one
 	// message to its replica (wick.MaxMessageBytes): a larger one is lost with
 	// its entry.
-	MaxBodyBytes  int         `json:"maxBodyBytes"`
-	DrainMillis   wick.Millis `json:"drainMillis"`
-	RequestMillis wick.Millis `json:"requestMillis"`
+	MaxBodyBytes int         `json:"maxBodyBytes"`
+	DrainMillis  wick.Millis `json:"drainMillis"`
 }
 
 // Log formats.
@@ -99,11 +97,9 @@
 		Platform: Platform{TimeoutMillis: 2000},
 		Log:      Log{Level: "info", Format: FormatJSON},
 		Limits: Limits{
-			MaxInFlight:   2000,
-			MaxQueued:     4000,
-			MaxBodyBytes:  768 << 10,
-			DrainMillis:   25_000,
-			RequestMillis: 120_000,
+			MaxRequests:  6000,
+			MaxBodyBytes: 768 << 10,
+			DrainMillis:  25_000,
 		},
 	}
 }
@@ -170,7 +166,7 @@
 	return faults
 }
 
-// jsonPath returns the path of a value, such as "$.limits.maxQueued".
+// jsonPath returns the path of a value, such as "$.limits.maxRequests".
 func jsonPath(parts []string) string {
 	return strings.Join(append([]string{"$"}, parts...), ".")
 }
