--- a/internal/procs/main_test.go
+++ b/internal/procs/main_test.go
@@ -14,7 +14,7 @@
 var binary string
 
 // sites bounds the sites that run at once: each is 14 processes.
-var sites = make(chan struct{}, 4)
+var sites = make(chan struct{}, 6)
 
 func TestMain(m *testing.M) {
 	os.Exit(run(m))
