fleet: end runs without a mechanism at their first violation

Cause: TestMechanisms/slots_after_a_refusal did not end within 60 s under the race detector. Change: a run without a mechanism ends when the expected invariant failed.

--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -98,6 +98,9 @@
 		}
 		time.Sleep(3 * time.Minute)
 		for step := range steps {
+			if off != offNone && wld.chk.Counts()[mechanisms[off]] > 0 {
+				break
+			}
 			if off == offKeep {
 				wld.refuse(rnd)
 			}
@@ -229,28 +232,28 @@
 	}
 }
 
+// mechanisms holds the invariant that fails without each mechanism.
+var mechanisms = map[off]invar.Name{
+	offToken:   invar.FleetOneStart,
+	offKeep:    invar.FleetBound,
+	offFence:   invar.FleetFence,
+	offVersion: invar.FleetNeeded,
+	offZones:   invar.FleetZoneLoss,
+}
+
 // TestMechanisms guards against checks that would not notice when a mechanism
 // is missing.
 func TestMechanisms(t *testing.T) {
-	for _, tc := range []struct {
-		off  off
-		want invar.Name
-	}{
-		{offToken, invar.FleetOneStart},
-		{offKeep, invar.FleetBound},
-		{offFence, invar.FleetFence},
-		{offVersion, invar.FleetNeeded},
-		{offZones, invar.FleetZoneLoss},
-	} {
-		t.Run(string(tc.off), func(t *testing.T) {
+	for off, want := range mechanisms {
+		t.Run(string(off), func(t *testing.T) {
 			t.Parallel()
 			for seed := uint64(1); seed <= 40; seed++ {
-				if vios, _ := run(t, seed, *flagSteps, tc.off); vios[tc.want] > 0 {
+				if vios, _ := run(t, seed, *flagSteps, off); vios[want] > 0 {
 					t.Logf("seed %d: %v", seed, vios)
 					return
 				}
 			}
-			t.Errorf("no violation of %s", tc.want)
+			t.Errorf("no violation of %s", want)
 		})
 	}
 }
