bench: compare evidence and fixed time steps for rollout

Cause: no figures showed what the sequential test gains over fixed steps with endpoints under load. Change: the topic rollout runs canary.Judge and move.Step with good, flaky, slow and later failing versions, against shares that grow at fixed times.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -15,6 +16,8 @@
 	Policies []Policy
 	// Change adapts a workload to the topic.
 	Change func(wkl *Workload)
+	// Rollout runs a move of each kind of version per seed.
+	Rollout bool
 }
 
 // Topics holds all comparisons.
@@ -31,6 +34,14 @@
 			wkl.PerSecond *= 1.6
 		},
 	},
+	{
+		Name:     "rollout",
+		Policies: []Policy{{Name: "evidence"}, {Name: "fixed steps", Fixed: true}},
+		Rollout:  true,
+		Change: func(wkl *Workload) {
+			wkl.Duration = moveDeadline + 20*time.Second
+		},
+	},
 	{
 		Name:     "hold",
 		Policies: []Policy{{Name: "hold"}, {Name: "refuse", Refuse: true}},
@@ -59,9 +70,14 @@
 	if tpc.Change != nil {
 		tpc.Change(&wkl)
 	}
+	kinds := []badness{""}
+	figs := figures
+	if tpc.Rollout {
+		kinds, figs = badnesses, rolloutFigures()
+	}
 	runs := make([][]*result, len(tpc.Policies))
 	for idx := range runs {
-		runs[idx] = make([]*result, opt.Seeds)
+		runs[idx] = make([]*result, opt.Seeds*len(kinds))
 	}
 	var grp errgroup.Group
 	grp.SetLimit(max(opt.Procs, 1))
@@ -69,7 +85,9 @@
 		grp.Go(func() error {
 			trc := wkl.generate(opt.First + uint64(num)) //nolint:gosec // a count
 			for idx, pol := range tpc.Policies {
-				runs[idx][num] = newWorld(&wkl, pol).play(trc)
+				for kdx, kind := range kinds {
+					runs[idx][num*len(kinds)+kdx] = newWorld(&wkl, pol, kind).play(trc)
+				}
 			}
 			return nil
 		})
@@ -78,18 +96,18 @@
 		return err
 	}
 	fmt.Fprintf(out, "%s, %s: %d seeds from %d, mean and standard deviation\n\n", tpc.Name, wkl.Name, opt.Seeds, opt.First)
-	return table(out, tpc, runs)
+	return table(out, tpc, figs, runs)
 }
 
 // table prints the figures as a Markdown table.
-func table(out io.Writer, tpc *Topic, runs [][]*result) error {
+func table(out io.Writer, tpc *Topic, figs []figure, runs [][]*result) error {
 	tbl := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
 	fmt.Fprint(tbl, "| \t")
 	for _, pol := range tpc.Policies {
 		fmt.Fprintf(tbl, "| %s\t", pol.Name)
 	}
 	fmt.Fprintf(tbl, "|\n| ---\t%s|\n", strings.Repeat("| ---\t", len(tpc.Policies)))
-	for _, fig := range figures {
+	for _, fig := range figs {
 		fmt.Fprintf(tbl, "| %s\t", fig.name)
 		for idx := range runs {
 			list := make([]float64, 0, len(runs[idx]))
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -12,6 +12,8 @@
 	wkl := Workloads[0]
 	wkl.Duration = 15 * time.Second
 	for idx := range Topics {
+		wkl := wkl
+		wkl.PerSecond /= 2
 		var first string
 		for range 2 {
 			var buf bytes.Buffer
@@ -35,7 +37,7 @@
 		wkl.PerSecond *= 1.5
 		for _, tpc := range Topics {
 			for _, pol := range tpc.Policies {
-				res := newWorld(&wkl, pol).play(wkl.generate(9))
+				res := newWorld(&wkl, pol, good).play(wkl.generate(9))
 				if sum := res.answered + res.refused + res.cut + res.failed; sum != res.offered || res.answered == 0 {
 					t.Errorf("%s %s: %d of %d requests ended", wkl.Name, pol.Name, sum, res.offered)
 				}
--- a/internal/bench/job.go
+++ b/internal/bench/job.go
@@ -150,6 +150,9 @@
 	cll := &call{
 		version: asg.Version, tokens: jb.inputTokens() + jb.tokens, blocks: jb.blocks, next: jb.tokens, count: jb.answer,
 	}
+	if wld.rollout != nil {
+		wld.rollout.spoil(cll, jb)
+	}
 	delay := wld.delay(jb.ent.zone, asg.VM.Zone)
 	cll.onToken = func() { wld.after(delay, func() { jb.token(cll) }) }
 	cll.onEnd = func(err error) { wld.after(delay, func() { jb.ended(cll, err) }) }
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -17,6 +17,7 @@
 	first, between []time.Duration
 	// perCustomer counts requests and answers in time.
 	perCustomer map[wick.Customer]*[2]int
+	rollout     *rollout
 }
 
 func newResult() *result { return &result{perCustomer: make(map[wick.Customer]*[2]int)} }
@@ -72,8 +73,11 @@
 	return float64(list[int(part*float64(len(list)-1))]) / float64(time.Millisecond)
 }
 
-// percent is the format of shares.
-const percent = "%.2f"
+// Formats of figures.
+const (
+	percent = "%.2f"
+	whole   = "%.0f"
+)
 
 // A figure is one line of a table.
 type figure struct {
@@ -91,7 +95,7 @@
 
 // figures are the lines of the tables for routing and admission.
 var figures = []figure{
-	{"requests offered", "%.0f", func(res *result) float64 { return float64(res.offered) }},
+	{"requests offered", whole, func(res *result) float64 { return float64(res.offered) }},
 	{"answers in time, % of offered", percent, func(res *result) float64 { return 100 * ratio(float64(res.inTime), float64(res.offered)) }},
 	{"least of a customer, %", percent, leastCustomer},
 	{"refused, %", percent, func(res *result) float64 { return 100 * ratio(float64(res.refused), float64(res.offered)) }},
@@ -100,9 +104,9 @@
 	{"VM hours / 1000 answers in time", "%.4f", func(res *result) float64 { return 1000 * ratio(res.hours, float64(res.inTime)) }},
 	{"price / 1000 answers in time, $", "%.4f", func(res *result) float64 { return 1000 * ratio(res.dollars, float64(res.inTime)) }},
 	{"tokens recomputed, % of prompts", percent, func(res *result) float64 { return 100 * ratio(float64(res.recomputed), float64(res.prompt)) }},
-	{"first token p50, ms", "%.0f", func(res *result) float64 { return quantile(res.first, 0.5) }},
-	{"first token p95, ms", "%.0f", func(res *result) float64 { return quantile(res.first, 0.95) }},
-	{"first token p99, ms", "%.0f", func(res *result) float64 { return quantile(res.first, 0.99) }},
+	{"first token p50, ms", whole, func(res *result) float64 { return quantile(res.first, 0.5) }},
+	{"first token p95, ms", whole, func(res *result) float64 { return quantile(res.first, 0.95) }},
+	{"first token p99, ms", whole, func(res *result) float64 { return quantile(res.first, 0.99) }},
 	{"between tokens p50, ms", "%.1f", func(res *result) float64 { return quantile(res.between, 0.5) }},
 	{"between tokens p95, ms", "%.1f", func(res *result) float64 { return quantile(res.between, 0.95) }},
 	{"between tokens p99, ms", "%.1f", func(res *result) float64 { return quantile(res.between, 0.99) }},
@@ -117,8 +121,10 @@
 	return least
 }
 
-// spread returns the mean and the standard deviation over runs.
+// spread returns the mean and the standard deviation over runs, without those
+// that say nothing.
 func spread(list []float64) (mean, dev float64) {
+	list = slices.DeleteFunc(list, math.IsNaN)
 	for _, val := range list {
 		mean += val / float64(len(list))
 	}
--- a/internal/bench/trace.go
+++ b/internal/bench/trace.go
@@ -107,6 +107,8 @@
 	kind     string
 	input    string
 	answer   wick.Tokens
+	// dice decides whether a bad version fails the request, from 0 to 1.
+	dice float64
 	// deadline is the caller's, target when the answer is in time.
 	deadline time.Duration
 }
@@ -199,7 +201,7 @@
 	answer := wick.Tokens(max(1, knd.Answer/2+rnd.IntN(knd.Answer+1)))
 	return request{
 		at: at, entry: rnd.IntN(wkl.Entries), customer: customerName(num), kind: knd.Name,
-		input: doc + text(rnd, knd.Own), answer: answer,
+		input: doc + text(rnd, knd.Own), answer: answer, dice: rnd.Float64(),
 		deadline: wkl.FirstToken + time.Duration(answer)*wkl.BetweenTokens + time.Second,
 	}
 }
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wagtailwick/wagtailwick/internal/canary"
 	"github.com/wagtailwick/wagtailwick/internal/limit"
 	"github.com/wagtailwick/wagtailwick/internal/route"
 	"github.com/wagtailwick/wagtailwick/pkg/bundle"
@@ -39,6 +40,8 @@
 	FIFO bool
 	// Refuse ends a request that finds no free endpoint instead of holding it.
 	Refuse bool
+	// Fixed replaces evidence by fixed time steps in rollouts.
+	Fixed bool
 }
 
 // A place is a request's place at an admitter: limit.Place or one of a FIFO.
@@ -56,6 +59,8 @@
 	table *route.Table
 	admit func(query wick.AdmitQuery) (place, error)
 	limit *limit.Limiter
+	// judge is nil without a rollout.
+	judge *canary.Judge
 	// waiting holds the requests in the queue of admission.
 	waiting []*job
 	// running holds the requests that were sent, by which moves are found.
@@ -74,15 +79,21 @@
 	entries []*entry
 	res     *result
 	born    int
+	// rollout is nil without a move.
+	rollout *rollout
 }
 
 // newWorld returns a world before its first event.
-func newWorld(wkl *Workload, pol Policy) *world {
+func newWorld(wkl *Workload, pol Policy, kind badness) *world {
 	epoch := time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
 	wld := &world{
 		timeline: timeline{now: epoch}, wkl: wkl, pol: pol, start: epoch.Add(warmUp),
 		byID: make(map[wick.VMID]*engine), res: newResult(),
 	}
+	if kind != "" {
+		wld.startRollout(kind)
+		wld.res.rollout = wld.rollout
+	}
 	for _, zon := range wkl.Zones {
 		for range zon.Engines {
 			wld.addEngine(zon.Name, zon.Price)
@@ -101,6 +112,9 @@
 		ID: vid, Role: wick.RoleEndpoint, Zone: zone, Service: service, Versions: []wick.ModelVersion{version},
 		State: wick.VMLive, Price: price, Reclaimable: true,
 	}, wld.wkl.Rates)
+	if wld.rollout != nil {
+		eng.vm.Versions = append(eng.vm.Versions, candidate)
+	}
 	wld.engines = append(wld.engines, eng)
 	wld.byID[vid] = eng
 }
@@ -111,8 +125,17 @@
 	if wld.pol.RoundRobin {
 		opts = append(opts, route.WithRoundRobin())
 	}
+	var jdg *canary.Judge
+	if wld.rollout != nil {
+		jdg = newJudge(num)
+		if wld.pol.Fixed {
+			opts = append(opts, route.WithVersions(&fixedVersions{rol: wld.rollout}))
+		} else {
+			opts = append(opts, route.WithVersions(jdg))
+		}
+	}
 	ent := &entry{
-		wld: wld, zone: zone, seqs: make(map[wick.VMID]uint64),
+		wld: wld, zone: zone, judge: jdg, seqs: make(map[wick.VMID]uint64),
 		table: route.New(wick.EntryID("entry"+strconv.Itoa(num)), zone, opts...),
 	}
 	bun := wld.wkl.bundle()
