stream: route by the text that engines hash

Cause: routing joined the messages of a chat with one line break, wick.Prompt and the engines use two. Prefix hashes of chats never matched cache events. Change: the query uses Prompt.Input; TestQueryHasEnginesInput guards it and fails on the old code. Conclusion: fault fixed.

--- /dev/null
+++ b/internal/stream/query_test.go
@@ -0,0 +1,18 @@
+package stream
+
+import (
+	"testing"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// TestQueryHasEnginesInput guards against routing by another text than engines
+// hash: the prefixes of chats would never match their cache events.
+func TestQueryHasEnginesInput(t *testing.T) {
+	pro := wick.Prompt{Messages: []wick.Message{{Role: "system", Content: "Be brief."}, {Role: "user", Content: "Pallets?"}}}
+	run := &runner{tab: &Table{}, req: &Request{Head: Head{Prompt: pro}}}
+	run.tab.cfg.Clock = wick.SystemClock{}
+	if got := run.query().Input; got != pro.Input() {
+		t.Errorf("input %q, want %q", got, pro.Input())
+	}
+}
--- a/internal/stream/run.go
+++ b/internal/stream/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -171,14 +170,7 @@
 
 func (run *runner) query() wick.RouteQuery {
 	hea := &run.req.Head
-	input := hea.Prompt.Text
-	if len(hea.Prompt.Messages) > 0 {
-		var bld strings.Builder
-		for _, msg := range hea.Prompt.Messages {
-			bld.WriteString(msg.Role + "\n" + msg.Content + "\n")
-		}
-		input = bld.String()
-	}
+	input := hea.Prompt.Input()
 	return wick.RouteQuery{
 		Service: hea.Service, Customer: hea.Customer, Request: hea.ID, Route: hea.Route,
 		Input: input, InputTokens: wick.Tokens(len(input) / bytesPerToken),
