limit, front: refuse long waits as busy; say what "executed" speaks of

In a burst of repeats of booked keys the caller was left with "executed: no" for a key that had run before.

Change: the refusal is a limit with Retry-After.

Conclusion: a refusal for load no longer ends the repeats of a booking.

--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -49,7 +49,11 @@
 	})
 	ans, err := srv.cfg.Table.Call(ctx, que)
 	if err != nil {
-		problemOf(err).write(rct)
+		prb := problemOf(err)
+		if cal.key != "" && !que.Idempotent && prb.Executed == stream.ExecutedNo && prb.Detail == "" {
+			prb.Detail = repeatDetail
+		}
+		prb.write(rct)
 		return
 	}
 	rct.SetStatusCode(ans.Reply.Status)
@@ -64,6 +68,10 @@
 	rct.Response.SetBody(ans.Reply.Body)
 }
 
+// repeatDetail is given with a refusal of a call with a key. It may come before
+// the ledger was asked, when nothing is known of earlier calls with the key.
+const repeatDetail = "this request did not run; an earlier one with the same key may have: repeat with the same key, never with a new one"
+
 // plainPath takes the path below the service from a request URI: as it is sent
 // on, with the query, and decoded for matching. Paths that an endpoint might
 // read in another way than matchCall are refused, since a wrong match would
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -96,9 +96,13 @@
 	if !query.Accepted && queued >= maxQueued || query.Accepted && faq.count >= maxAcceptedQueued {
 		return nil, refuse(wick.ErrBusy, wait, "limit: queue of %s is full", query.Customer)
 	}
-	if gat.hopeless(query.Deadline, now, wait) || !query.Accepted && gat.first > 0 && wait > gat.first {
+	if gat.hopeless(query.Deadline, now, wait) {
 		return nil, refuse(wick.ErrDeadline, wait, "limit: %s waits about %s", query.Customer, wait)
 	}
+	// The caller's own deadline may allow it, so that a retry can help.
+	if !query.Accepted && gat.first > 0 && wait > gat.first {
+		return nil, refuse(wick.ErrBusy, wait, "limit: %s waits about %s, over the latency target", query.Customer, wait)
+	}
 	faq.push(itm)
 	gat.pump()
 	return itm, nil
