stream, bench: call bounds of waiting timeouts

Cause: read as a newcomer; constants named after patience and comments about news need explaining.

Change: names and comments only.

Conclusion: no change of behaviour.

--- a/internal/bench/job.go
+++ b/internal/bench/job.go
@@ -10,7 +10,7 @@
 
 // Bounds of stream's runner for attempts and the wait for an endpoint.
 const (
-	patience    = 10 * time.Second
+	pickTimeout = 10 * time.Second
 	backoffBase = 20 * time.Millisecond
 	backoffMax  = time.Second
 	maxAttempts = 8
@@ -110,7 +110,7 @@
 }
 
 // pick looks for an endpoint. As in stream, a request without one is held and
-// tried again until its patience ends.
+// tried again until its pick times out.
 func (jb *job) pick() {
 	if jb.done {
 		return
@@ -131,7 +131,7 @@
 		return
 	}
 	held := wld.now.Sub(jb.pickedAt)
-	if errors.Is(err, wick.ErrDeadline) || held >= patience || wld.pol.Refuse && jb.failed == 0 && jb.tokens == 0 {
+	if errors.Is(err, wick.ErrDeadline) || held >= pickTimeout || wld.pol.Refuse && jb.failed == 0 && jb.tokens == 0 {
 		jb.finish(wick.Outcome{Err: err})
 		return
 	}
--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// SetMove takes the state of a service's move. Stale news cannot revive a move
+// SetMove takes the state of a service's move. A stale update cannot revive a move
 // that was stopped.
 func (jdg *Judge) SetMove(mov Move) {
 	jdg.mu.Lock()
@@ -219,7 +219,7 @@
 }
 
 // Stop takes a stop of a peer or of a move object. It returns true when it is
-// news, so that the entry forwards it.
+// new, so that the entry forwards it.
 func (jdg *Judge) Stop(stp Stop) bool {
 	jdg.mu.Lock()
 	defer jdg.mu.Unlock()
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// TestStopIsFinal guards against stale news that revives a stopped version.
+// TestStopIsFinal guards against stale updates that revive a stopped version.
 func TestStopIsFinal(t *testing.T) {
 	jdg := newJudge(t, 1)
 	if !jdg.Stop(Stop{Move: "1-m"}) || jdg.Stop(Stop{Move: "1-m"}) {
--- a/internal/canary/sim_test.go
+++ b/internal/canary/sim_test.go
@@ -249,12 +249,12 @@
 	for _, ent := range sm.ents {
 		wait := time.Duration(sm.rnd.IntN(900)) * time.Millisecond
 		if sm.rnd.IntN(4) == 0 {
-			// Old news arrives after newer news.
+			// An old update arrives after a newer one.
 			wait += 4 * time.Second
 		}
 		sm.after(wait, func() {
 			if !ent.away {
-				// Stale news after a stop must not revive the version.
+				// A stale update after a stop must not revive the version.
 				ent.jdg.SetMove(Move{ID: rec.Move, Service: rec.Service, From: rec.From, To: rec.To, Share: rec.Share, Proved: rec.Proved()})
 			}
 		})
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -294,9 +294,9 @@
 					Service: svcQuote, Customer: customer, Priority: wick.Priority(rnd.IntN(10)), Accepted: rnd.IntN(4) == 0,
 					Deadline: time.Now().Add(time.Duration(rnd.IntN(500)) * time.Millisecond), Cost: wick.Tokens(rnd.IntN(99)),
 				}
-				patience, hold := time.Duration(rnd.IntN(200))*time.Millisecond, time.Duration(rnd.IntN(50))*time.Millisecond
+				waitTimeout, hold := time.Duration(rnd.IntN(200))*time.Millisecond, time.Duration(rnd.IntN(50))*time.Millisecond
 				grp.Go(func() {
-					ctx, cancel := context.WithTimeout(t.Context(), patience)
+					ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 					defer cancel()
 					if done, err := lim.Admit(ctx, query); err == nil {
 						time.Sleep(hold)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// Guards against late news of an earlier incarnation and states that go back.
+// Guards against late updates of an earlier incarnation and states that go back.
 func TestIncarnations(t *testing.T) {
 	viw := member.New(entry(0, 4), start)
 	mem := entry(1, 4)
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -44,7 +44,7 @@
 type Leaving struct {
 	VM    wick.VMID `cbor:"1,keyasint" json:"vm"`
 	Since time.Time `cbor:"2,keyasint" json:"since"`
-	// Source is where the news came from first: the list, the endpoint's load
+	// Source is where the notice came from first: the list, the endpoint's load
 	// report or its refusal.
 	Source string `cbor:"3,keyasint,omitempty" json:"source,omitempty"`
 }
--- a/internal/procs/kill_test.go
+++ b/internal/procs/kill_test.go
@@ -57,7 +57,7 @@
 }
 
 // TestPause guards against an entry that was paused for longer than its lease
-// and its peers' patience: its callers get their own answers, no booking runs
+// and its peers' timeouts: its callers get their own answers, no booking runs
 // twice, and the others serve meanwhile.
 func TestPause(t *testing.T) {
 	wld := start(t)
--- a/internal/route/feed.go
+++ b/internal/route/feed.go
@@ -114,7 +114,7 @@
 }
 
 // MarkLeaving takes a leaving notice of a peer. It returns true when the notice
-// is news, so that the entry forwards it.
+// is new, so that the entry forwards it.
 func (tab *Table) MarkLeaving(ntc Notice, now time.Time) bool {
 	shd := tab.shard(ntc.VM)
 	shd.mu.Lock()
--- a/internal/stream/remote.go
+++ b/internal/stream/remote.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// resumePatience covers the silence after which a replica takes over and
+	// resumeTimeout covers the silence after which a replica takes over and
 	// the time until its first token.
-	resumePatience = 12 * time.Second
-	// unknownPatience bounds the search for a request that no entry knows.
-	unknownPatience = time.Second
+	resumeTimeout = 12 * time.Second
+	// unknownTimeout bounds the search for a request that no entry knows.
+	unknownTimeout = time.Second
 	// candidates is how many entries of the rendezvous order are asked.
 	candidates = 3
 )
@@ -81,7 +81,7 @@
 			rdr.remote.holder = ""
 		}
 		waited := rdr.tab.now().Sub(began)
-		if waited >= resumePatience || (fnd == foundNone && waited >= unknownPatience) {
+		if waited >= resumeTimeout || (fnd == foundNone && waited >= unknownTimeout) {
 			return Batch{}, &FailError{Err: eris.Wrap(wick.ErrNotFound, "stream: request"), Executed: ExecutedUnknown}
 		}
 		retry.Sleep(ctx, retry.Backoff(num, backoffBase, repickEvery))
--- a/internal/stream/run.go
+++ b/internal/stream/run.go
@@ -20,12 +20,12 @@
 	// maxAttempts bounds attempts that fail without a notice; migrations are
 	// not counted.
 	maxAttempts = 8
-	// newPatience and oldPatience bound the wait for an endpoint before and
+	// newPickTimeout and resumePickTimeout bound the wait for an endpoint before and
 	// after the first token. Work that has begun is worth a longer wait.
-	newPatience = 10 * time.Second
-	oldPatience = 30 * time.Second
-	// pinPatience is how long a continuation waits for its own version.
-	pinPatience = time.Second
+	newPickTimeout    = 10 * time.Second
+	resumePickTimeout = 30 * time.Second
+	// pinTimeout is how long a continuation waits for its own version.
+	pinTimeout  = time.Second
 	repickEvery = 100 * time.Millisecond
 	backoffBase = 20 * time.Millisecond
 	backoffMax  = time.Second
@@ -184,15 +184,15 @@
 func (run *runner) pick(ctx context.Context) (wick.Assignment, error) {
 	began := run.tab.now()
 	for num := 0; ; num++ {
-		asg, err := run.pickNow(run.tab.now().Sub(began) >= pinPatience)
+		asg, err := run.pickNow(run.tab.now().Sub(began) >= pinTimeout)
 		if err == nil {
 			return asg, nil
 		}
-		patience := newPatience
+		timeout := newPickTimeout
 		if run.failed > 0 || run.version != "" {
-			patience = oldPatience
+			timeout = resumePickTimeout
 		}
-		if errors.Is(err, wick.ErrDeadline) || run.tab.now().Sub(began) >= patience {
+		if errors.Is(err, wick.ErrDeadline) || run.tab.now().Sub(began) >= timeout {
 			return asg, err
 		}
 		if !retry.Sleep(ctx, retry.Backoff(num, backoffBase, backoffMax)) {
