route, client: index 32 KiB of a prompt; refusals while parsing ran nothing

Cause: blocks shrank from 512 to 256 bytes when two definitions were merged, and the bound of 64 blocks then covered half of what its comment said. The client took 400, 408, 413 and 431, which an entry gives in plain text before any handler, for calls that may have run.

Change: 128 blocks; those four statuses mean not executed for model calls.

--- a/internal/route/prefix.go
+++ b/internal/route/prefix.go
@@ -8,7 +8,7 @@
 
 const (
 	// maxBlocks bounds the indexed part of a prompt, 32 KiB of text.
-	maxBlocks = 64
+	maxBlocks = 128
 	// maxHolders bounds the endpoints that are remembered for a block.
 	maxHolders = 4
 	// defaultPrefixBlocks bounds the blocks in the index.
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -355,8 +355,10 @@
 		return eris.Wrap(err, "read refusal")
 	}
 	if err := json.Unmarshal(body, ref); err != nil || ref.Executed == "" {
-		// An answer that is not ours says nothing about execution.
 		ref = &RefusalError{Title: "unexpected answer", Executed: ExecutedUnknown}
+		if parseRefusal(resp.StatusCode()) {
+			ref = &RefusalError{Title: consts.StatusMessage(resp.StatusCode()), Executed: ExecutedNo}
+		}
 	}
 	ref.Status = resp.StatusCode()
 	if secs, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
@@ -364,3 +366,16 @@
 	}
 	return ref
 }
+
+// parseRefusal reports whether an entry gives the status in plain text to calls
+// that it could not parse. Other answers that are no problem document say
+// nothing about execution.
+func parseRefusal(status int) bool {
+	switch status {
+	case consts.StatusBadRequest, consts.StatusRequestTimeout, consts.StatusRequestEntityTooLarge,
+		consts.StatusRequestHeaderFieldsTooLarge:
+		return true
+	default:
+		return false
+	}
+}
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -121,3 +121,21 @@
 	}
 	wg.Wait()
 }
+
+// TestUnparsed guards against a call that an entry refused while parsing it and
+// that its caller takes for one which may have run, and against trust in
+// statuses that a load balancer gives.
+func TestUnparsed(t *testing.T) {
+	for status, want := range map[int]error{
+		http.StatusRequestEntityTooLarge: wick.ErrNotExecuted,
+		http.StatusBadRequest:            wick.ErrNotExecuted,
+		http.StatusBadGateway:            wick.ErrUnknownOutcome,
+	} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			cli := scripted(t, func(wtr http.ResponseWriter, _ *http.Request) { http.Error(wtr, "plain text", status) })
+			if _, err := cli.Complete(t.Context(), Completion{Model: "quotes", Prompt: "p"}, nil); !errors.Is(err, want) {
+				t.Errorf("error %v, want %v", err, want)
+			}
+		})
+	}
+}
