stream: a committed run without the phases of attempts

Change: phases of attempts can be switched off in tests, like the attempt check, replicas and handover; TestLostReplyNeedsPhases runs a lost reply with and without them.

Figures: with the phases off, a call that ran is refused with executed "no"; with them "unknown".

--- a/internal/stream/attempt.go
+++ b/internal/stream/attempt.go
@@ -56,6 +56,14 @@
 	return phaseMaybeRan
 }
 
+// phaseOf returns the phase of an attempt of the table.
+func (tab *Table) phaseOf(vm wick.VM, err error, answered bool) phase {
+	if tab.off.phases && err != nil {
+		return phaseNotSent
+	}
+	return phaseOf(err, tab.trusts(vm), answered)
+}
+
 // failure returns the explicit failure of a request with these attempts.
 func (ats *attempts) failure(chk *invar.Checker, err error) *FailError {
 	fai := refusal(err)
--- a/internal/stream/plain.go
+++ b/internal/stream/plain.go
@@ -368,7 +368,7 @@
 	defer cal.mu.Unlock()
 	cal.out = out
 	if err != nil {
-		cal.tries.settle(phaseOf(err, cal.tab.trusts(asg.VM), false))
+		cal.tries.settle(cal.tab.phaseOf(asg.VM, err, false))
 		cal.exclude = append(cal.exclude, asg.VM.ID)
 	}
 	return rep, err
--- a/internal/stream/plain_test.go
+++ b/internal/stream/plain_test.go
@@ -199,3 +199,32 @@
 		}
 	})
 }
+
+// Guards against checks of P4 that would not notice a missing mechanism: with
+// the phases of attempts off, a call whose reply was lost is refused as not
+// executed although it ran.
+func TestLostReplyNeedsPhases(t *testing.T) {
+	for name, tst := range map[string]struct {
+		off  disabled
+		want Executed
+	}{
+		"phases": {disabled{}, ExecutedUnknown}, "no phases": {disabled{phases: true}, ExecutedNo},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				wld := newWorld(1, faults{}, disabled{})
+				sim := &simPlain{errs: []error{wick.ErrUnknownOutcome, wick.ErrUnknownOutcome, wick.ErrUnknownOutcome}}
+				tab := New(Config{Router: wld, Admitter: wld, Plain: sim, Ledger: sim, Invar: &wld.chk})
+				tab.off = tst.off
+				_, err := tab.Call(t.Context(), PlainQuery{Idempotent: true})
+				var fai *FailError
+				if !errors.As(err, &fai) || fai.Executed != tst.want || sim.sent == 0 {
+					t.Errorf("got %v after %d executions, want executed %q", err, sim.sent, tst.want)
+				}
+				for _, oth := range wld.entries {
+					oth.kill()
+				}
+			})
+		})
+	}
+}
--- a/internal/stream/run.go
+++ b/internal/stream/run.go
@@ -282,7 +282,7 @@
 	}
 	asg.Done(out)
 	res.out = out
-	res.phase = phaseOf(res.err, run.tab.trusts(asg.VM), num.Load() > 0)
+	res.phase = run.tab.phaseOf(asg.VM, res.err, num.Load() > 0)
 	return res
 }
 
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -93,6 +93,7 @@
 	attemptCheck bool
 	replica      bool
 	handover     bool
+	phases       bool
 }
 
 // A Table holds the requests of one entry.
