slope: start measured sites in one place

Cause: clean-up; two measurements repeated how a site is started, left to rest and measured idle.

Change: both use settled, which also closes the site on an error.

The measurements were not run again.

Conclusion: no change of what is measured is meant.

--- a/internal/slope/serve.go
+++ b/internal/slope/serve.go
@@ -57,22 +57,34 @@
 	return (after - before) / time.Since(began).Seconds(), err
 }
 
-// measureLoad measures processor time per request over the tokens of an
-// answer. Both entries count, the one that accepts and the one that holds the
-// replica, because every node does both at the target.
-func (run *Run) measureLoad(ctx context.Context) error {
-	sit, err := run.startSite(ctx, plan{entries: 2, engines: loadEngines, endpoints: loadEngines, slots: loadSlots, decodeTime: decodeTime})
+// settled starts a site, waits until it is at rest and returns its processor
+// time per second at rest.
+func (run *Run) settled(ctx context.Context, pln plan) (*site, float64, error) {
+	sit, err := run.startSite(ctx, pln)
 	if err != nil {
-		return err
+		return nil, 0, err
 	}
-	defer sit.close()
 	if !pause(ctx, run.Settle) {
-		return ctx.Err()
+		sit.close()
+		return nil, 0, ctx.Err()
 	}
 	idle, err := sit.idle(ctx)
+	if err != nil {
+		sit.close()
+		return nil, 0, err
+	}
+	return sit, idle, nil
+}
+
+// measureLoad measures processor time per request over the tokens of an
+// answer. Both entries count, the one that accepts and the one that holds the
+// replica, because every node does both at the target.
+func (run *Run) measureLoad(ctx context.Context) error {
+	sit, idle, err := run.settled(ctx, plan{entries: 2, engines: loadEngines, endpoints: loadEngines, slots: loadSlots, decodeTime: decodeTime})
 	if err != nil {
 		return err
 	}
+	defer sit.close()
 	for _, tokens := range answers {
 		for range run.Repeat {
 			if err := run.answered(ctx, sit, idle, tokens); err != nil {
@@ -125,18 +137,11 @@
 
 // measureBookings measures platform calls and processor time over bookings.
 func (run *Run) measureBookings(ctx context.Context) error {
-	sit, err := run.startSite(ctx, plan{entries: bookEntries, engines: 1, plains: 2, endpoints: 1, slots: loadSlots, decodeTime: decodeTime})
+	sit, idle, err := run.settled(ctx, plan{entries: bookEntries, engines: 1, plains: 2, endpoints: 1, slots: loadSlots, decodeTime: decodeTime})
 	if err != nil {
 		return err
 	}
 	defer sit.close()
-	if !pause(ctx, run.Settle) {
-		return ctx.Err()
-	}
-	idle, err := sit.idle(ctx)
-	if err != nil {
-		return err
-	}
 	for _, rate := range bookRates {
 		for range run.Repeat {
 			if err := run.booked(ctx, sit, idle, rate); err != nil {
