--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,205 @@
+// Package edge is one entry in front of endpoints that the platform's registry
+// lists. It follows the plan, the endpoints and the other entries through the
+// platform's store, passes requests through to endpoints, and takes the duty of
+// the calls that one entry makes for all. It keeps nothing on its VM.
+package edge
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wagtailwick/wagtailwick/internal/admin"
+	"github.com/wagtailwick/wagtailwick/internal/feed"
+	"github.com/wagtailwick/wagtailwick/internal/lease"
+	"github.com/wagtailwick/wagtailwick/internal/plan"
+	"github.com/wagtailwick/wagtailwick/internal/pool"
+	"github.com/wagtailwick/wagtailwick/internal/quota"
+	"github.com/wagtailwick/wagtailwick/internal/relay"
+	"github.com/wagtailwick/wagtailwick/internal/retry"
+	"github.com/wagtailwick/wagtailwick/internal/roster"
+	"github.com/wagtailwick/wagtailwick/internal/usage"
+	"github.com/wagtailwick/wagtailwick/internal/wire"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+var log = logrus.WithField("component", "edge")
+
+// DutyControl is the duty of the calls that one entry makes for all.
+const DutyControl wick.Duty = "control"
+
+const (
+	// backendPause batches the changes of endpoints, whose entries change with
+	// every heartbeat.
+	backendPause = 700 * time.Millisecond
+	// memberPause and publishEvery are the pace of the entries' records.
+	memberPause  = time.Second
+	publishEvery = time.Second
+	// planConfirmedFor is how long after the store's last answer the plan is
+	// taken to be the newest.
+	planConfirmedFor = 6 * time.Second
+	// endpointDial bounds the time to connect to an endpoint. All are within
+	// a region.
+	endpointDial = 400 * time.Millisecond
+	// endpointIdle is how long a connection to an endpoint is kept.
+	endpointIdle = 4 * time.Second
+)
+
+// leaseTiming lets another entry take the control duty within about 6 s.
+var leaseTiming = lease.Timing{Renew: 1500 * time.Millisecond, Expiry: 4500 * time.Millisecond}
+
+// Kinds name the kinds of objects that operators and endpoints write.
+type Kinds struct {
+	Plan, Backend, VersionOrder wick.Kind
+}
+
+// Bounds are the figures that operators agree with the platform.
+type Bounds struct {
+	// RetryRatio and RetryReserve bound the requests that are sent to
+	// endpoints again, over all entries, in any RetryWindow.
+	RetryRatio   float64
+	RetryReserve float64
+	// UsageWindow is the length of a usage window, UsageLate the time after
+	// its end by which it must be reported.
+	UsageWindow, UsageLate time.Duration
+	// HandoverPause passes between the calls of two holders of a duty.
+	HandoverPause time.Duration
+	// Grace is the time from the order to stop until the process is killed.
+	Grace time.Duration
+	// Entries is the number of entries before any record is read.
+	Entries int
+}
+
+// A Config wires an Edge. All fields must be set, but Duties may be nil.
+type Config struct {
+	ID          wick.EntryID
+	Incarnation wick.Incarnation
+	Zone        wick.Zone
+	Store       wick.Store
+	Dialect     wick.Dialect
+	Catalog     wick.Catalog
+	Duties      wick.Duties
+	Kinds       Kinds
+	Bounds      Bounds
+	// Callers, Ready and Admin are "host:port". Admin may be "".
+	Callers, Ready, Admin string
+	MaxConnections        int
+}
+
+// An Edge is one entry.
+type Edge struct {
+	cfg      Config
+	plans    plan.Current
+	backends *feed.Follower
+	config   *feed.Follower
+	members  *feed.Follower
+	pool     *pool.Pool
+	roster   *roster.Roster
+	quotas   quota.Book
+	budget   retry.Budget
+	tally    usage.Tally
+	client   wire.Client
+	leases   *lease.Keeper
+	relay    *relay.Server
+	ready    *readyServer
+	admin    admin.Server
+	beat     uint64
+}
+
+// New returns an edge. Run must be called.
+func New(cfg Config) *Edge {
+	edg := &Edge{cfg: cfg, pool: pool.New(cfg.Zone), roster: roster.New(cfg.Store, cfg.ID)}
+	edg.budget = retry.Budget{Share: retryMargin * cfg.Bounds.RetryRatio, Reserve: edg.retryReserve(cfg.Bounds.Entries)}
+	edg.tally.Window = cfg.Bounds.UsageWindow
+	edg.client = wire.Client{
+		DialTimeout: endpointDial, ConnTimeout: endpointDial, IdleTimeout: endpointIdle, Meter: "endpoints",
+	}
+	edg.config = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.Plan, Handler: &planHandler{edg}}
+	edg.backends = &feed.Follower{
+		Store: cfg.Store, Kind: cfg.Kinds.Backend, Handler: &backendHandler{edg: edg}, Pause: backendPause,
+	}
+	edg.members = &feed.Follower{Store: cfg.Store, Kind: wick.KindMember, Handler: edg.roster, Pause: memberPause}
+	edg.leases = lease.NewKeeper(cfg.Store, cfg.ID, cfg.Incarnation,
+		func() []wick.Member { return nil },
+		func([]wick.Member) []wick.Duty { return []wick.Duty{DutyControl} },
+		lease.WithTiming(leaseTiming))
+	return edg
+}
+
+// retryMargin keeps the entries' retries below the agreed bound, since windows
+// of the entries and of the bound do not coincide.
+const retryMargin = 0.8
+
+func (edg *Edge) retryReserve(entries int) float64 {
+	return retryMargin * edg.cfg.Bounds.RetryReserve / float64(max(entries, 1))
+}
+
+// Run serves until ctx ends, then drains and returns.
+func (edg *Edge) Run(ctx context.Context) error {
+	if err := edg.listen(ctx); err != nil {
+		return err
+	}
+	// Loops go on while the entry drains.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var grp errgroup.Group
+	for _, loop := range []func(context.Context){
+		edg.config.Run, edg.backends.Run, edg.members.Run, edg.publishLoop, edg.shareLoop,
+	} {
+		grp.Go(func() error { loop(work); return nil })
+	}
+	control, stopControl := context.WithCancel(work)
+	defer stopControl()
+	if edg.cfg.Duties != nil {
+		grp.Go(func() error { edg.leases.Run(control); return nil })
+		grp.Go(func() error { edg.usageLoop(control); return nil })
+	}
+	served := make(chan error, 1)
+	go func() { served <- edg.relay.Serve() }()
+	log.WithFields(logrus.Fields{"id": edg.cfg.ID, "zone": edg.cfg.Zone, "incarnation": edg.cfg.Incarnation}).Info("edge: started")
+	select {
+	case err := <-served:
+		return eris.Wrap(err, "edge: server ended")
+	case <-ctx.Done():
+	}
+	stopControl()
+	edg.drain()
+	stop()
+	_ = grp.Wait() // the loops return no errors
+	log.Info("edge: stopped")
+	return nil
+}
+
+// listen opens the entry's addresses.
+func (edg *Edge) listen(ctx context.Context) error {
+	var lcf net.ListenConfig
+	lis, err := lcf.Listen(ctx, "tcp", edg.cfg.Callers)
+	if err != nil {
+		return eris.Wrap(err, "edge: listen for callers")
+	}
+	edg.relay = relay.New(relay.Config{
+		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
+		Pool: edg.pool, Quotas: &edg.quotas, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
+		PlanConfirmed: edg.planConfirmed,
+	})
+	edg.ready, err = newReadyServer(ctx, edg.cfg.Ready)
+	if err != nil {
+		return err
+	}
+	if edg.cfg.Admin == "" {
+		return nil
+	}
+	edg.admin.Add("pool", func() any { return edg.pool.Summaries() })
+	edg.admin.Add("leases", func() any { return edg.leases.Dump() })
+	edg.admin.Add("members", func() any { return edg.roster.All() })
+	return eris.Wrap(edg.admin.Start(edg.cfg.Admin), "edge")
+}
+
+// planConfirmed reports whether the plan was lately known to be the newest.
+func (edg *Edge) planConfirmed() bool {
+	return time.Since(edg.config.Answered()) < planConfirmedFor
+}
--- /dev/null
+++ b/internal/edge/loops.go
@@ -0,0 +1,161 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/internal/retry"
+	"github.com/wagtailwick/wagtailwick/internal/roster"
+	"github.com/wagtailwick/wagtailwick/internal/usage"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	shareEvery = 500 * time.Millisecond
+	usageEvery = 250 * time.Millisecond
+	// storeTimeout bounds one write of the entry's record.
+	storeTimeout = 2 * time.Second
+	// staleRecord is the age at which the record of an entry that has ended is
+	// removed.
+	staleRecord = 40 * time.Second
+)
+
+// publishLoop writes the entry's record.
+func (edg *Edge) publishLoop(ctx context.Context) {
+	for retry.Sleep(ctx, publishEvery) {
+		if err := edg.publish(ctx, false); err != nil {
+			log.WithError(err).Debug("edge: record not written")
+		}
+	}
+}
+
+func (edg *Edge) publish(ctx context.Context, leaving bool) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	edg.beat++
+	return edg.roster.Publish(ctx, roster.Record{ //nolint:wrapcheck // our own package
+		ID: edg.cfg.ID, Incarnation: edg.cfg.Incarnation, Zone: edg.cfg.Zone, Beat: edg.beat, Leaving: leaving,
+		Demand: edg.quotas.Demand(time.Now()), Began: edg.tally.Counts(),
+	})
+}
+
+// shareLoop shares quotas and the retry budget with the other entries.
+func (edg *Edge) shareLoop(ctx context.Context) {
+	for {
+		edg.share(time.Now())
+		if !retry.Sleep(ctx, shareEvery) {
+			return
+		}
+	}
+}
+
+func (edg *Edge) share(now time.Time) {
+	frozen := !edg.members.FailingSince().IsZero()
+	recs := edg.roster.Alive(now, frozen)
+	own := edg.quotas.Demand(now)
+	total := make(map[wick.Customer]float64)
+	for cus, val := range own {
+		total[cus] += val
+	}
+	entries := 1
+	for _, rec := range recs {
+		if rec.ID == edg.cfg.ID {
+			continue
+		}
+		entries++
+		for cus, val := range rec.Demand {
+			total[cus] += val
+		}
+	}
+	if len(recs) == 0 {
+		entries = edg.cfg.Bounds.Entries
+	}
+	edg.quotas.SetShares(entries, own, total)
+}
+
+// usageLoop reports usage while this entry holds the control duty.
+func (edg *Edge) usageLoop(ctx context.Context) {
+	rpt := &usage.Reporter{
+		Store: edg.cfg.Store, Duties: edg.cfg.Duties, Window: edg.cfg.Bounds.UsageWindow,
+		Late: edg.cfg.Bounds.UsageLate, Sum: edg.began,
+	}
+	for retry.Sleep(ctx, usageEvery) {
+		fence, ok := edg.control(time.Now())
+		if !ok {
+			continue
+		}
+		if err := rpt.Step(ctx, fence, time.Now()); err != nil {
+			log.WithError(err).WithField("fence", fence).Warn("edge: usage not reported")
+			retry.Sleep(ctx, usageEvery)
+		}
+	}
+}
+
+// control returns the fencing number if this entry may make the calls of the
+// control duty: it holds the lease and the holder before has been silent for
+// the pause between holders.
+func (edg *Edge) control(now time.Time) (wick.Fence, bool) {
+	since, ok := edg.leases.Since(DutyControl)
+	if !ok || now.Sub(since) < edg.cfg.Bounds.HandoverPause {
+		return 0, false
+	}
+	return edg.leases.Holds(DutyControl)
+}
+
+// began sums the counts of a window over all entries.
+func (edg *Edge) began(num uint64) map[wick.Customer]int {
+	out := make(map[wick.Customer]int)
+	if tbl := edg.plans.Load(); tbl != nil {
+		for idx := range tbl.Plan.Customers {
+			out[tbl.Plan.Customers[idx].Name] = 0
+		}
+	}
+	for cus, cnt := range edg.tally.Counts()[num] {
+		out[cus] += cnt
+	}
+	for _, rec := range edg.roster.All() {
+		if rec.ID == edg.cfg.ID {
+			continue
+		}
+		for cus, cnt := range rec.Began[num] {
+			out[cus] += cnt
+		}
+	}
+	return out
+}
+
+const (
+	// leaveAfter is when the load balancer has noticed that the entry is not
+	// ready and sends no new connections.
+	leaveAfter = 2500 * time.Millisecond
+	// refuseAfter is when requests on kept connections are refused.
+	refuseAfter = 3 * time.Second
+	// stopMargin is left of the grace period for the process to end.
+	stopMargin = 500 * time.Millisecond
+	drainEvery = 50 * time.Millisecond
+)
+
+// drain lets running requests complete and refuses new ones.
+func (edg *Edge) drain() {
+	began := time.Now()
+	edg.ready.noteDraining()
+	edg.relay.AskToLeave()
+	log.WithField("active", edg.relay.Active()).Info("edge: draining")
+	ctx, cancel := context.WithTimeout(context.Background(), edg.cfg.Bounds.Grace-stopMargin)
+	defer cancel()
+	if err := edg.publish(ctx, true); err != nil {
+		log.WithError(err).Warn("edge: last record not written")
+	}
+	for retry.Sleep(ctx, drainEvery) {
+		passed := time.Since(began)
+		if passed > refuseAfter {
+			edg.relay.Drain()
+		}
+		if passed > leaveAfter && edg.relay.Active() == 0 {
+			break
+		}
+	}
+	log.WithFields(logrus.Fields{"active": edg.relay.Active(), "ms": time.Since(began).Milliseconds()}).Info("edge: drained")
+}
--- /dev/null
+++ b/internal/edge/ready.go
@@ -0,0 +1,58 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/rotisserie/eris"
+)
+
+// A readyServer tells the load balancer whether to send new connections. It
+// answers on every path.
+type readyServer struct {
+	// plan and backends are set once each is known.
+	plan, backends, draining atomic.Bool
+}
+
+func newReadyServer(ctx context.Context, addr string) (*readyServer, error) {
+	var lcf net.ListenConfig
+	lis, err := lcf.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, eris.Wrap(err, "edge: listen for readiness")
+	}
+	rds := &readyServer{}
+	hrz := server.New(
+		server.WithListener(lis), server.WithTransport(standard.NewTransporter), server.WithDisablePrintRoute(true),
+		config.Option{F: func(opt *config.Options) { opt.NoDefaultServerHeader = true }},
+	)
+	hrz.Use(rds.answer)
+	go func() {
+		if err := hrz.Run(); err != nil {
+			log.WithError(err).Error("edge: readiness server ended")
+		}
+	}()
+	return rds, nil
+}
+
+func (rds *readyServer) notePlan()     { rds.plan.Store(true) }
+func (rds *readyServer) noteBackends() { rds.backends.Store(true) }
+func (rds *readyServer) noteDraining() { rds.draining.Store(true) }
+
+func (rds *readyServer) ready() bool {
+	return rds.plan.Load() && rds.backends.Load() && !rds.draining.Load()
+}
+
+func (rds *readyServer) answer(_ context.Context, rct *app.RequestContext) {
+	defer rct.Abort()
+	if rds.ready() {
+		rct.String(consts.StatusOK, "ready\n")
+		return
+	}
+	rct.String(consts.StatusServiceUnavailable, "not ready\n")
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,136 @@
+// Package feed follows one kind of objects in the platform's store: it lists
+// the kind, then watches for changes, and lists again when changes were missed.
+package feed
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/internal/retry"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	backoffBase  = 50 * time.Millisecond
+	backoffLimit = 800 * time.Millisecond
+)
+
+var log = logrus.WithField("component", "feed")
+
+// A Handler takes what a Follower reads. Its methods are called by one
+// goroutine.
+type Handler interface {
+	// Replace takes all objects of the kind.
+	Replace(objs []wick.Object)
+	// Change takes one changed or deleted object.
+	Change(obj wick.Object)
+}
+
+// A Follower keeps a Handler up to date. All fields but Pause must be set
+// before Run.
+type Follower struct {
+	Store   wick.Store
+	Kind    wick.Kind
+	Handler Handler
+	// Pause is the least time between two watches, so that kinds that change
+	// all the time are read in batches.
+	Pause time.Duration
+
+	// answered is the time of the last answer in nanoseconds since 1970, and
+	// failing since when there has been none (0 if the last call succeeded).
+	answered atomic.Int64
+	failing  atomic.Int64
+	// recovered is when calls last succeeded again after a failure.
+	recovered atomic.Int64
+}
+
+// Answered returns when the store last answered, the zero time if never.
+func (fol *Follower) Answered() time.Time { return nanos(fol.answered.Load()) }
+
+// FailingSince returns since when calls fail, the zero time if they succeed.
+func (fol *Follower) FailingSince() time.Time { return nanos(fol.failing.Load()) }
+
+// RecoveredAt returns when the store last answered again after a failure, the
+// zero time if it never failed.
+func (fol *Follower) RecoveredAt() time.Time { return nanos(fol.recovered.Load()) }
+
+func nanos(val int64) time.Time {
+	if val == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, val)
+}
+
+// Run follows until ctx ends.
+func (fol *Follower) Run(ctx context.Context) {
+	var rev wick.Revision
+	listed, failures := false, 0
+	for ctx.Err() == nil {
+		began := time.Now()
+		var err error
+		if listed {
+			rev, err = fol.watch(ctx, rev)
+			listed = !errors.Is(err, wick.ErrHistoryGone)
+		} else {
+			rev, err = fol.list(ctx)
+			listed = err == nil
+		}
+		fol.note(err)
+		if err == nil {
+			failures = 0
+			if !retry.Sleep(ctx, fol.Pause-time.Since(began)) {
+				return
+			}
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		log.WithError(err).WithField("kind", fol.Kind).Debug("feed: read failed")
+		retry.Sleep(ctx, retry.Backoff(failures, backoffBase, backoffLimit))
+		failures++
+	}
+}
+
+// note records the result of a call and logs when the store is lost or found.
+func (fol *Follower) note(err error) {
+	now := time.Now()
+	if err == nil || errors.Is(err, wick.ErrHistoryGone) {
+		fol.answered.Store(now.UnixNano())
+		if since := fol.failing.Swap(0); since != 0 {
+			fol.recovered.Store(now.UnixNano())
+			log.WithFields(logrus.Fields{"kind": fol.Kind, "after": now.Sub(nanos(since)).String()}).Info("feed: store answers again")
+		}
+		return
+	}
+	metrics.GetOrRegisterCounter("feed.failures", nil).Inc(1)
+	if fol.failing.CompareAndSwap(0, now.UnixNano()) {
+		log.WithError(err).WithField("kind", fol.Kind).Warn("feed: store lost")
+	}
+}
+
+func (fol *Follower) list(ctx context.Context) (wick.Revision, error) {
+	objs, rev, err := fol.Store.List(ctx, fol.Kind)
+	if err != nil {
+		return 0, err //nolint:wrapcheck // wick.Store's errors are ours
+	}
+	metrics.GetOrRegisterCounter("feed.lists", nil).Inc(1)
+	fol.Handler.Replace(objs)
+	return rev, nil
+}
+
+func (fol *Follower) watch(ctx context.Context, rev wick.Revision) (wick.Revision, error) {
+	objs, next, err := fol.Store.Watch(ctx, fol.Kind, rev)
+	if err != nil {
+		return rev, err //nolint:wrapcheck // wick.Store's errors are ours
+	}
+	for idx := range objs {
+		fol.Handler.Change(objs[idx])
+	}
+	return max(rev, next), nil
+}
--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -7,41 +7,23 @@
 	"errors"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
-	"github.com/rotisserie/eris"
 
+	"github.com/wagtailwick/wagtailwick/internal/httpio"
 	"github.com/wagtailwick/wagtailwick/internal/stream"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-var errAborted = errors.New("front: answer aborted")
-
-// An abortWriter ends the response without the last chunk when it was aborted,
-// so that a truncated answer is an error for every HTTP client.
-type abortWriter struct {
-	network.ExtWriter
-	aborted bool
-}
-
-// Finalize writes the last chunk unless the response was aborted.
-func (abw *abortWriter) Finalize() error {
-	if abw.aborted {
-		return errAborted
-	}
-	return eris.Wrap(abw.ExtWriter.Finalize(), "front")
-}
-
 // writeEvents sends the events of the reader and closes it. The first batch is
 // given if it was read before.
 func (srv *Server) writeEvents(ctx context.Context, rct *app.RequestContext, rdr *stream.Reader, first *stream.Batch) {
 	defer rdr.Close()
-	abw := &abortWriter{ExtWriter: resp.NewChunkedBodyWriter(&rct.Response, rct.GetWriter())}
+	abw := &httpio.AbortWriter{ExtWriter: resp.NewChunkedBodyWriter(&rct.Response, rct.GetWriter())}
 	rct.Response.HijackWriter(abw)
 	wri := sse.NewWriter(rct)
 	if err := sendEvents(ctx, wri, rdr, first); err != nil {
-		abw.aborted = true
+		abw.Aborted = true
 		// A handover is followed by a reconnect; other ends are told.
 		if !errors.Is(err, stream.ErrHandedOver) && ctx.Err() == nil {
 			prb := problemOf(err)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailwick/wagtailwick/internal/httpio"
 	"github.com/wagtailwick/wagtailwick/internal/stream"
 	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
@@ -37,7 +38,6 @@
 	maxKeyBytes           = 255
 	// middlePriority is the priority of requests without X-Priority.
 	middlePriority = wick.Priority(5)
-	maxRefusals    = 64
 )
 
 // A Config wires a Server. Zero limits are defaults.
@@ -99,9 +99,9 @@
 // New returns a server. Serve must be called.
 func New(cfg Config) *Server {
 	cfg.setDefaults()
-	lis := &limitListener{
-		Listener: cfg.Listener, limit: int64(cfg.MaxConnections), readTimeout: cfg.ReadTimeout,
-		writeTimeout: cfg.WriteTimeout, refusing: make(chan struct{}, maxRefusals),
+	lis := &httpio.Listener{
+		Listener: cfg.Listener, Limit: int64(cfg.MaxConnections), ReadTimeout: cfg.ReadTimeout,
+		WriteTimeout: cfg.WriteTimeout, Refusal: func() []byte { return kindConnections.refuse("").encode() },
 	}
 	hrz := server.New(
 		server.WithListener(lis), server.WithTransport(standard.NewTransporter),
--- a/internal/front/conn.go
+++ b/internal/httpio/listen.go
@@ -1,4 +1,6 @@
-package front
+// Package httpio holds what the HTTP servers of entries share: a listener that
+// bounds connections, and the writer of an answer that may be cut off.
+package httpio
 
 import (
 	"fmt"
@@ -13,29 +15,42 @@
 // refuseTimeout bounds the write of a refusal to a connection over the limit.
 const refuseTimeout = time.Second
 
-// A limitListener bounds the number of connections. One over the limit gets a
-// problem and is closed.
-type limitListener struct {
+// maxRefusals bounds the refusals that are written at once.
+const maxRefusals = 64
+
+// A Listener bounds the number of connections. One over the limit gets the
+// refusal and is closed.
+type Listener struct {
 	net.Listener
-	limit        int64
-	readTimeout  time.Duration
-	writeTimeout time.Duration
-	open         atomic.Int64
+	// Limit is the number of open connections.
+	Limit int64
+	// ReadTimeout bounds the time until the first request of a connection is
+	// read, WriteTimeout one write.
+	ReadTimeout  time.Duration
+	WriteTimeout time.Duration
+	// Refusal returns the JSON body of a 503 answer.
+	Refusal func() []byte
+
+	once sync.Once
+	open atomic.Int64
 	// refusing bounds refusals that are written at once.
 	refusing chan struct{}
 }
 
+// Open returns the number of open connections.
+func (lis *Listener) Open() int64 { return lis.open.Load() }
+
 // Accept returns the next connection within the limit.
-func (lis *limitListener) Accept() (net.Conn, error) {
+func (lis *Listener) Accept() (net.Conn, error) {
 	for {
 		con, err := lis.Listener.Accept()
 		if err != nil {
 			return nil, err //nolint:wrapcheck // hertz compares the error
 		}
-		if lis.open.Add(1) <= lis.limit {
+		if lis.open.Add(1) <= lis.Limit {
 			// hertz sets a read timeout only from the second request of a
 			// connection on. Its detection of closed connections clears this.
-			if err := con.SetReadDeadline(time.Now().Add(lis.readTimeout)); err != nil {
+			if err := con.SetReadDeadline(time.Now().Add(lis.ReadTimeout)); err != nil {
 				lis.open.Add(-1)
 				_ = con.Close()
 				continue
@@ -49,7 +64,8 @@
 }
 
 // refuse writes the problem without holding up Accept.
-func (lis *limitListener) refuse(con net.Conn) {
+func (lis *Listener) refuse(con net.Conn) {
+	lis.once.Do(func() { lis.refusing = make(chan struct{}, maxRefusals) })
 	select {
 	case lis.refusing <- struct{}{}:
 	default:
@@ -59,7 +75,7 @@
 	go func() {
 		defer func() { <-lis.refusing }()
 		defer func() { _ = con.Close() }()
-		body := kindConnections.refuse("").encode()
+		body := lis.Refusal()
 		if con.SetDeadline(time.Now().Add(refuseTimeout)) != nil {
 			return
 		}
@@ -78,13 +94,13 @@
 // a caller that does not read holds nothing for long.
 type limitConn struct {
 	net.Conn
-	lis  *limitListener
+	lis  *Listener
 	once sync.Once
 }
 
 // Write writes within the write timeout.
 func (con *limitConn) Write(buf []byte) (int, error) {
-	if err := con.SetWriteDeadline(time.Now().Add(con.lis.writeTimeout)); err != nil {
+	if err := con.SetWriteDeadline(time.Now().Add(con.lis.WriteTimeout)); err != nil {
 		return 0, err //nolint:wrapcheck // net.Conn returns net errors
 	}
 	return con.Conn.Write(buf) //nolint:wrapcheck // net.Conn returns net errors
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -38,6 +38,7 @@
 	members func() []wick.Member
 	wants   Wants
 	hooks   Hooks
+	timing  Timing
 
 	// hookMu serialises calls of hooks, so that a duty's stop has ended
 	// before its next start.
@@ -58,11 +59,22 @@
 // WithHooks sets the functions that start and stop duties.
 func WithHooks(hks Hooks) Option { return func(kee *Keeper) { kee.hooks = hks } }
 
+// A Timing sets the pace of leases. All entries must use the same.
+type Timing struct {
+	// Renew is the time between renewals, Expiry how long a lease lasts
+	// without one, at least three times Renew.
+	Renew, Expiry time.Duration
+}
+
+// WithTiming replaces RenewEvery and Expiry.
+func WithTiming(tim Timing) Option { return func(kee *Keeper) { kee.timing = tim } }
+
 // NewKeeper returns a keeper for the entry. The membership is asked for at
 // every renewal.
 func NewKeeper(sto wick.Store, id wick.EntryID, inc wick.Incarnation, members func() []wick.Member, wants Wants, opts ...Option) *Keeper {
 	kee := &Keeper{
 		sto: sto, clk: wick.SystemClock{}, id: id, inc: inc, members: members, wants: wants,
+		timing: Timing{Renew: RenewEvery, Expiry: Expiry},
 		leases: make(map[wick.Duty]*Lease), started: make(map[wick.Duty]wick.Fence),
 	}
 	for _, opt := range opts {
@@ -82,7 +94,7 @@
 	for ctx.Err() == nil {
 		kee.Step(ctx)
 		// The jitter keeps entries that started together from renewing together.
-		pause := RenewEvery - time.Duration(rand.Int64N(int64(RenewEvery/10))) //nolint:gosec // jitter
+		pause := kee.timing.Renew - time.Duration(rand.Int64N(int64(kee.timing.Renew/10))) //nolint:gosec // jitter
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
@@ -121,7 +133,9 @@
 	for _, duty := range want {
 		wanted[duty] = true
 		if kee.leases[duty] == nil {
-			kee.leases[duty] = New(kee.sto, kee.clk, duty, kee.id, kee.inc)
+			lea := New(kee.sto, kee.clk, duty, kee.id, kee.inc)
+			lea.expiry = kee.timing.Expiry
+			kee.leases[duty] = lea
 		}
 	}
 	keep, drop := map[wick.Duty]*Lease{}, map[wick.Duty]*Lease{}
@@ -211,6 +225,20 @@
 	}
 }
 
+// Since returns when this entry acquired a duty that it holds now.
+func (kee *Keeper) Since(duty wick.Duty) (time.Time, bool) {
+	kee.mu.Lock()
+	lea := kee.leases[duty]
+	kee.mu.Unlock()
+	if lea == nil {
+		return time.Time{}, false
+	}
+	_, ok := lea.Holds()
+	lea.mu.Lock()
+	defer lea.mu.Unlock()
+	return lea.since, ok
+}
+
 // Holds returns the fencing number of a duty that this entry holds now.
 func (kee *Keeper) Holds(duty wick.Duty) (wick.Fence, bool) {
 	kee.mu.Lock()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -78,12 +78,16 @@
 	seen time.Time
 	// renewed is when the last successful renewal began.
 	renewed time.Time
+	// since is when the lease was acquired.
+	since time.Time
+	// expiry is how long the lease lasts without renewal.
+	expiry  time.Duration
 	machine *stateless.StateMachine
 }
 
 // New returns the entry's side of the lease of duty.
 func New(sto wick.Store, clk wick.Clock, duty wick.Duty, id wick.EntryID, inc wick.Incarnation) *Lease {
-	lea := &Lease{sto: sto, clk: clk, duty: duty, id: id, inc: inc, state: Free}
+	lea := &Lease{sto: sto, clk: clk, duty: duty, id: id, inc: inc, state: Free, expiry: Expiry}
 	lea.machine = stateless.NewStateMachineWithExternalStorage(
 		func(context.Context) (stateless.State, error) { return lea.state, nil },
 		func(_ context.Context, next stateless.State) error {
@@ -108,7 +112,7 @@
 func (lea *Lease) Holds() (wick.Fence, bool) {
 	lea.mu.Lock()
 	defer lea.mu.Unlock()
-	return lea.doc.Fence, lea.state == Held && lea.clk.Now().Sub(lea.renewed) < Expiry
+	return lea.doc.Fence, lea.state == Held && lea.clk.Now().Sub(lea.renewed) < lea.expiry
 }
 
 // Step acquires a free or expired lease or renews a held one, and returns the
@@ -119,7 +123,7 @@
 		lea.fire(released)
 	}
 	mine := lea.state == Held || lea.state == Suspect
-	if mine && lea.clk.Now().Sub(lea.renewed) >= Expiry {
+	if mine && lea.clk.Now().Sub(lea.renewed) >= lea.expiry {
 		lea.fire(doubted)
 	}
 	lea.mu.Unlock()
@@ -189,7 +193,7 @@
 	defer lea.mu.Unlock()
 	// A value of an earlier incarnation of this entry is a dead process.
 	own := lea.doc.Holder == lea.id && lea.doc.Incarnation <= lea.inc
-	return lea.rev == 0 || lea.doc.Released || own || lea.clk.Now().Sub(lea.seen) >= Expiry
+	return lea.rev == 0 || lea.doc.Released || own || lea.clk.Now().Sub(lea.seen) >= lea.expiry
 }
 
 // write renews, acquires or releases by one conditional update. A lost
@@ -223,6 +227,7 @@
 	defer lea.mu.Unlock()
 	lea.doc, lea.rev, lea.seen, lea.renewed = doc, rev, lea.clk.Now(), began
 	if lea.state == Free {
+		lea.since = lea.seen
 		lea.fire(acquired)
 	} else {
 		lea.fire(renewed)
--- /dev/null
+++ b/internal/pool/pick.go
@@ -0,0 +1,215 @@
+package pool
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/internal/place"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	// prefillRate is the prompt tokens that an endpoint is taken to read in a
+	// millisecond.
+	prefillRate = 36.0
+	// homeCredit is the share of a prompt's shared parts that the first
+	// endpoint in the parts' rendezvous order is taken to keep when this entry
+	// has not sent them there: other entries have.
+	homeCredit = 0.75
+	// secondCredit is the same for the second endpoint of the order, which
+	// takes the load that the first can't.
+	secondCredit = 0.25
+	// otherZoneMillis is the cost of leaving the zone.
+	otherZoneMillis = 40.0
+	// runningMillis is the cost of each request that an endpoint runs: every
+	// one slows all tokens.
+	runningMillis = 4.0
+	// queuedMillis is the cost of each request that waits at an endpoint.
+	queuedMillis = 60.0
+	// slotMillis is the cost of a full set of slots at a plain endpoint.
+	slotMillis = 100.0
+	// failureMillis is the cost of an endpoint that fails every request.
+	failureMillis = 2000.0
+	// reportAge is how old a report may be.
+	reportAge = 3 * time.Second
+)
+
+// A Query asks for an endpoint.
+type Query struct {
+	Service wick.Service
+	// Model is set for requests that generate tokens.
+	Model bool
+	// Parts and Input describe the prompt of a model request.
+	Parts []wick.PromptPart
+	Input wick.Tokens
+	// Exclude lists endpoints that the request was sent to before.
+	Exclude []wick.VMID
+	Now     time.Time
+}
+
+// A homeKey names a prompt part and an endpoint.
+type homeKey struct {
+	part string
+	vid  wick.VMID
+}
+
+// A Ticket is an endpoint chosen for one request.
+type Ticket struct {
+	Backend wick.Backend
+	// Leaving is closed when the endpoint leaves.
+	Leaving <-chan struct{}
+
+	grp     *group
+	end     *endpoint
+	prefill wick.Tokens
+	once    sync.Once
+}
+
+// Pick returns an endpoint. The error wraps wick.ErrNotFound when no endpoint
+// of the service takes requests. Done must be called on the ticket.
+func (pl *Pool) Pick(que Query) (*Ticket, error) {
+	grp := pl.group(que.Service)
+	if grp == nil {
+		return nil, eris.Wrapf(wick.ErrNotFound, "pool: no endpoint of %s", que.Service)
+	}
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	end := grp.best(que, pl.zone)
+	if end == nil {
+		return nil, eris.Wrapf(wick.ErrNotFound, "pool: no endpoint of %s is left", que.Service)
+	}
+	tic := &Ticket{Backend: end.bke, Leaving: end.leaving, grp: grp, end: end}
+	end.inFlight++
+	if que.Model {
+		tic.prefill = max(que.Input-end.cached(que.Parts), 0)
+		end.prefill += tic.prefill
+		end.remember(que.Parts, que.Now)
+	}
+	return tic, nil
+}
+
+// best returns the endpoint of the lowest cost among those of the best
+// standing.
+func (grp *group) best(que Query, zone wick.Zone) *endpoint {
+	top := standsOut
+	for _, end := range grp.eps {
+		if !slices.Contains(que.Exclude, end.bke.ID) {
+			top = max(top, end.standing(que.Now))
+		}
+	}
+	if top == standsOut {
+		return nil
+	}
+	var best *endpoint
+	var least float64
+	homes := grp.homesOf(que)
+	for _, end := range grp.eps {
+		if end.standing(que.Now) != top || slices.Contains(que.Exclude, end.bke.ID) {
+			continue
+		}
+		cost := grp.cost(end, que, homes)
+		if end.bke.Zone != zone {
+			cost += otherZoneMillis
+		}
+		if best == nil || cost < least || cost == least && end.bke.ID < best.bke.ID {
+			best, least = end, cost
+		}
+	}
+	return best
+}
+
+// cost estimates the time until an endpoint answers, in milliseconds.
+func (grp *group) cost(end *endpoint, que Query, homes [2]wick.VMID) float64 {
+	cost := end.failures * failureMillis
+	if !que.Model {
+		return cost + slotMillis*float64(end.inFlight)/float64(max(end.bke.Slots, 1))
+	}
+	running := end.inFlight
+	if que.Now.Sub(end.report.At) < reportAge {
+		running = max(running, end.report.Running)
+		cost += queuedMillis * float64(end.report.Queued)
+	}
+	cost += runningMillis*float64(running) + float64(end.prefill)/prefillRate
+	missing := max(que.Input-end.cached(que.Parts), 0)
+	shared := sharedTokens(que.Parts)
+	if missing >= shared {
+		switch end.bke.ID {
+		case homes[0]:
+			missing -= wick.Tokens(homeCredit * float64(shared))
+		case homes[1]:
+			missing -= wick.Tokens(secondCredit * float64(shared))
+		}
+	}
+	return cost + float64(missing)/prefillRate
+}
+
+// sharedTokens returns the tokens of all parts but the request's own.
+func sharedTokens(parts []wick.PromptPart) wick.Tokens {
+	var sum wick.Tokens
+	for idx := 0; idx+1 < len(parts); idx++ {
+		sum += parts[idx].Tokens
+	}
+	return sum
+}
+
+// homesOf returns the first two endpoints in the rendezvous order of the
+// prompt's longest shared part. All entries find the same ones.
+func (grp *group) homesOf(que Query) [2]wick.VMID {
+	var homes [2]wick.VMID
+	if len(que.Parts) < 2 {
+		return homes
+	}
+	part := que.Parts[len(que.Parts)-2].ID
+	var tops [2]uint64
+	for vid, end := range grp.eps {
+		if end.bke.Leaving {
+			continue
+		}
+		wgt := grp.weight(homeKey{part, vid})
+		switch {
+		case homes[0] == "" || wgt > tops[0]:
+			homes[1], tops[1] = homes[0], tops[0]
+			homes[0], tops[0] = vid, wgt
+		case homes[1] == "" || wgt > tops[1]:
+			homes[1], tops[1] = vid, wgt
+		}
+	}
+	return homes
+}
+
+// maxHomes bounds the cache of rendezvous weights.
+const maxHomes = 1 << 15
+
+func (grp *group) weight(key homeKey) uint64 {
+	wgt, ok := grp.homes[key]
+	if !ok {
+		if len(grp.homes) >= maxHomes {
+			grp.homes = make(map[homeKey]uint64)
+		}
+		wgt = place.Weight(key.part, wick.EntryID(key.vid))
+		grp.homes[key] = wgt
+	}
+	return wgt
+}
+
+// Began notes that the request's answer has begun.
+func (tic *Ticket) Began() {
+	tic.grp.mu.Lock()
+	defer tic.grp.mu.Unlock()
+	tic.end.prefill -= tic.prefill
+	tic.prefill = 0
+}
+
+// Done ends the request at the endpoint. Calls after the first do nothing.
+func (tic *Ticket) Done(fate Fate, now time.Time) {
+	tic.once.Do(func() {
+		tic.Began()
+		tic.grp.mu.Lock()
+		defer tic.grp.mu.Unlock()
+		tic.end.inFlight--
+		tic.end.settle(fate, now)
+	})
+}
--- /dev/null
+++ b/internal/relay/refuse.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/wagtailwick/wagtailwick/internal/wire"
+)
+
+// A refusal is an answer of the relay's own.
+type refusal struct {
+	status int
+	// reason is a stable name for logs and callers.
+	reason string
+	// executed is "no" when the request did not run and never will.
+	executed string
+	// after is when the caller should come back, 0 if that is no help.
+	after time.Duration
+}
+
+const (
+	executedNo      = "no"
+	executedUnknown = "unknown"
+)
+
+// Refusals of the relay.
+var (
+	refusalNoPlan     = refusal{503, "noPlan", executedNo, 500 * time.Millisecond}
+	refusalStalePlan  = refusal{503, "planMayBeOld", executedNo, 500 * time.Millisecond}
+	refusalNoRoute    = refusal{404, "noRoute", executedNo, 0}
+	refusalNoCustomer = refusal{401, "unknownKey", executedNo, 0}
+	refusalDraining   = refusal{503, "draining", executedNo, 50 * time.Millisecond}
+	refusalQuota      = refusal{429, "quota", executedNo, 0}
+	refusalNoEndpoint = refusal{503, "noEndpoint", executedNo, 300 * time.Millisecond}
+	refusalRefused    = refusal{503, "endpointsRefused", executedNo, 200 * time.Millisecond}
+	refusalUnknown    = refusal{502, "outcomeUnknown", executedUnknown, 0}
+	refusalTimeout    = refusal{504, "timeout", executedUnknown, 0}
+	refusalExpired    = refusal{503, "expired", executedNo, 100 * time.Millisecond}
+)
+
+// in returns the refusal with another time to come back.
+func (rfl refusal) in(after time.Duration) refusal {
+	rfl.after = after
+	return rfl
+}
+
+// write answers with the refusal.
+func (rfl refusal) write(rct *app.RequestContext) {
+	metrics.GetOrRegisterCounter("relay.refused."+rfl.reason, nil).Inc(1)
+	body, err := json.Marshal(wire.Problem{Type: "/problems/" + rfl.reason, Status: rfl.status, Executed: rfl.executed})
+	if err != nil {
+		log.WithError(err).Error("relay: refusal not encoded")
+	}
+	rct.SetStatusCode(rfl.status)
+	rct.Response.Header.Set(wire.HeaderType, wire.ProblemMedia)
+	if rfl.after > 0 {
+		secs := math.Ceil(rfl.after.Seconds()*100) / 100
+		rct.Response.Header.Set(wire.HeaderRetry, strconv.FormatFloat(secs, 'f', -1, 64))
+	}
+	rct.Response.SetBody(body)
+}
--- /dev/null
+++ b/internal/relay/send.go
@@ -0,0 +1,163 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/internal/pool"
+	"github.com/wagtailwick/wagtailwick/internal/wire"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	// timeoutSlack is how long after the end of a request's time the answer
+	// of the endpoint, which stops by itself, is still awaited.
+	timeoutSlack = 100 * time.Millisecond
+	// leastLeft is the least time with which a request is sent.
+	leastLeft = 20 * time.Millisecond
+)
+
+// A send is one try at one endpoint.
+type send struct {
+	tic  *pool.Ticket
+	at   time.Time
+	rep  *wire.Reply
+	note wick.ReplyNote
+}
+
+// pick chooses the next endpoint.
+func (jb *job) pick() (*pool.Ticket, error) {
+	que := pool.Query{
+		Service: jb.service, Model: len(jb.ask.Parts) > 0, Parts: jb.ask.Parts, Input: jb.ask.InputTokens,
+		Exclude: jb.tried, Now: time.Now(),
+	}
+	tic, err := jb.srv.cfg.Pool.Pick(que)
+	if err == nil {
+		jb.tried = append(jb.tried, tic.Backend.ID)
+	}
+	return tic, err //nolint:wrapcheck // our own package
+}
+
+// open sends the request to the endpoint of tic and reads the reply's headers.
+// The ending is meaningful only if the reply is nil or bad.
+func (jb *job) open(ctx context.Context, tic *pool.Ticket, last string) (*send, ending) {
+	snd := &send{tic: tic, at: time.Now()}
+	hdr := jb.header.Clone()
+	dsp := wick.Dispatch{
+		Endpoint: tic.Backend.ID, Deadline: jb.until.Sub(snd.at), Rank: jb.mat.Rank(), LastEvent: last,
+	}
+	if jb.mat.Customer != nil {
+		dsp.Customer = jb.mat.Customer.Name
+	}
+	jb.srv.cfg.Dialect.WriteDispatch(hdr, dsp)
+	rep, err := jb.srv.cfg.Client.Do(ctx, wire.Call{
+		Method: string(jb.rct.Method()), URL: "http://" + tic.Backend.Address,
+		Host: string(jb.rct.Request.Header.Host()), Target: string(jb.rct.Request.Header.RequestURI()),
+		Header: hdr, Body: jb.rct.Request.Body(), Once: true, Fresh: !jb.mat.Route.Repeatable(),
+		Stall: jb.until.Sub(snd.at) + 2*timeoutSlack,
+	})
+	if err != nil {
+		return snd, jb.endOf(ctx, err)
+	}
+	snd.rep = rep
+	snd.note = jb.srv.cfg.Dialect.ReadReply(rep.Status, rep.Header)
+	switch {
+	case snd.note.Request != "" && snd.note.Request != jb.ask.ID:
+		metrics.GetOrRegisterCounter("relay.strayReplies", nil).Inc(1)
+		return snd, endLost
+	case snd.note.NotExecuted:
+		return snd, endRefused
+	case !snd.note.Genuine:
+		return snd, endLost
+	case rep.Status >= http.StatusInternalServerError:
+		return snd, endFailure
+	default:
+		return snd, endAnswer
+	}
+}
+
+// endOf tells how a send without a complete reply ended.
+func (jb *job) endOf(ctx context.Context, err error) ending {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return endGone
+	case errors.Is(err, wick.ErrNotSent):
+		return endUnsent
+	case ctx.Err() != nil:
+		return endTimeout
+	default:
+		return endLost
+	}
+}
+
+// close ends the send at the endpoint.
+func (snd *send) close(edg ending) {
+	if snd.rep != nil {
+		snd.rep.Close()
+	}
+	snd.tic.Done(fateOf(edg), time.Now())
+}
+
+func fateOf(edg ending) pool.Fate {
+	switch edg {
+	case endAnswer:
+		return pool.FateAnswered
+	case endFailure:
+		return pool.FateFailed
+	case endRefused:
+		return pool.FateRefused
+	case endUnsent:
+		return pool.FateUnreached
+	case endTimeout, endGone:
+		return pool.FateCancelled
+	default:
+		return pool.FateLost
+	}
+}
+
+// left reports whether there is time for another send.
+func (jb *job) left() bool { return time.Until(jb.until) > leastLeft }
+
+// finish answers when no endpoint's answer can be given.
+func (jb *job) finish(act action) {
+	switch act {
+	case actRefuse:
+		jb.refuse(refusalRefused)
+	case actTimeout:
+		rfl := refusalTimeout
+		if jb.trl.ran == 0 {
+			rfl = refusalExpired
+		}
+		jb.fail(rfl)
+	case actUnknown, actDeliver:
+		jb.fail(refusalUnknown)
+	case actDrop:
+		jb.rct.SetConnectionClose()
+		jb.note("caller left", logrus.Fields{})
+	case actAgain:
+	}
+}
+
+// fail answers that the request may have run.
+func (jb *job) fail(rfl refusal) {
+	rfl.write(jb.rct)
+	jb.note("failed", logrus.Fields{"reason": rfl.reason, "status": rfl.status, "sends": jb.trl.sends})
+}
+
+// headReply copies the endpoint's status and headers to the caller.
+func (jb *job) headReply(rep *wire.Reply) {
+	jb.srv.cfg.Dialect.CleanReply(rep.Header)
+	dropHop(rep.Header, strings.Split(rep.Header.Get("Connection"), ","))
+	jb.rct.SetStatusCode(rep.Status)
+	for name, vals := range rep.Header {
+		for _, val := range vals {
+			jb.rct.Response.Header.Add(name, val)
+		}
+	}
+}
--- /dev/null
+++ b/internal/usage/usage.go
@@ -0,0 +1,63 @@
+// Package usage counts the requests of each customer in windows of time, and
+// reports the sums over all entries once for each window.
+package usage
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// keptWindows is the number of windows whose counts are kept.
+const keptWindows = 6
+
+// A Tally counts for one entry. Window must be set before the first call.
+type Tally struct {
+	// Window is the length of one window.
+	Window time.Duration
+
+	mu     sync.Mutex
+	counts map[uint64]map[wick.Customer]int
+}
+
+// WindowOf returns the number of the window that a time is in.
+func WindowOf(at time.Time, window time.Duration) uint64 {
+	return uint64(at.UnixMilli()) / uint64(window.Milliseconds()) //nolint:gosec // positive after 1970
+}
+
+// EndOf returns when a window ends.
+func EndOf(num uint64, window time.Duration) time.Time {
+	return time.UnixMilli(int64(num+1) * window.Milliseconds()) //nolint:gosec // far below the limit
+}
+
+// Began counts a request that began to run.
+func (tal *Tally) Began(cus wick.Customer, at time.Time) {
+	num := WindowOf(at, tal.Window)
+	tal.mu.Lock()
+	defer tal.mu.Unlock()
+	if tal.counts == nil {
+		tal.counts = make(map[uint64]map[wick.Customer]int)
+	}
+	if tal.counts[num] == nil {
+		tal.counts[num] = make(map[wick.Customer]int)
+		for old := range tal.counts {
+			if old+keptWindows < num {
+				delete(tal.counts, old)
+			}
+		}
+	}
+	tal.counts[num][cus]++
+}
+
+// Counts returns a copy of the counts of the kept windows.
+func (tal *Tally) Counts() map[uint64]map[wick.Customer]int {
+	tal.mu.Lock()
+	defer tal.mu.Unlock()
+	out := make(map[uint64]map[wick.Customer]int, len(tal.counts))
+	for num, cnt := range tal.counts {
+		out[num] = maps.Clone(cnt)
+	}
+	return out
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,6 +45,8 @@
 // A Client sends calls over pooled connections. Its zero value is ready to
 // use, and it must not be copied after the first call.
 type Client struct {
+	// DialTimeout bounds the time to open a connection; 1 s if zero.
+	DialTimeout time.Duration
 	// MaxConns bounds the connections to one address; 256 if zero.
 	MaxConns int
 	// ConnTimeout bounds the wait for a connection until the first byte is
@@ -66,6 +69,14 @@
 	URL    string
 	Header http.Header
 	Body   []byte
+	// Host is the Host header, the host of URL if "".
+	Host string
+	// Target is the request target, sent as it is instead of the path and
+	// query of URL, unless "".
+	Target string
+	// Fresh sends the call on a new connection that is not used again. No
+	// late answer of an earlier call can be taken for its own.
+	Fresh bool
 	// Once keeps net/http from sending the call a second time. Without it,
 	// net/http repeats GET calls and calls with an Idempotency-Key that fail
 	// on a reused connection.
@@ -102,7 +113,7 @@
 		if maxConns == 0 {
 			maxConns = defaultMaxConns
 		}
-		dialer := &net.Dialer{Timeout: defaultDialTimeout, KeepAlive: 5 * time.Second}
+		dialer := &net.Dialer{Timeout: orDefault(cli.DialTimeout, defaultDialTimeout), KeepAlive: 5 * time.Second}
 		cli.tra = &http.Transport{
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				con, err := dialer.DialContext(ctx, network, addr)
@@ -142,6 +153,7 @@
 	if call.Header != nil {
 		req.Header = call.Header.Clone()
 	}
+	call.apply(req)
 	rep := &Reply{stall: orDefault(call.Stall, defaultStall), cancel: cancel}
 	rep.timer = time.AfterFunc(rep.stall, func() { cancel(errStalled) })
 	wait := time.AfterFunc(orDefault(cli.ConnTimeout, defaultConnTimeout), func() {
@@ -174,6 +186,22 @@
 	return rep, nil
 }
 
+// apply sets the parts of a request that differ from net/http's defaults.
+func (call *Call) apply(req *http.Request) {
+	if call.Host != "" {
+		req.Host = call.Host
+	}
+	if call.Target != "" {
+		// net/http sends Opaque unless it begins with two slashes.
+		if strings.HasPrefix(call.Target, "//") {
+			req.URL.Path, req.URL.RawPath = call.Target, ""
+		} else {
+			req.URL.Opaque, req.URL.RawQuery = call.Target, ""
+		}
+	}
+	req.Close = call.Fresh
+}
+
 // Read reads from the reply's body. A body that is shorter than announced
 // ends with io.ErrUnexpectedEOF.
 func (rep *Reply) Read(buf []byte) (int, error) {
@@ -188,13 +216,19 @@
 // ReadAll reads the whole body. It fails with wick.ErrTruncated if the body
 // ends early, has no recognizable end or exceeds limit bytes.
 func (rep *Reply) ReadAll(limit int64) ([]byte, error) {
+	if !rep.sized {
+		return nil, Fail(wick.ErrTruncated, "read", errNoLength)
+	}
+	return rep.ReadBody(limit)
+}
+
+// ReadBody is ReadAll for replies that may also end with their connection.
+func (rep *Reply) ReadBody(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(rep, limit+1))
 	switch {
 	case err != nil:
 	case int64(len(body)) > limit:
 		err = errTooLarge
-	case !rep.sized:
-		err = errNoLength
 	default:
 		return body, nil
 	}
--- /dev/null
+++ b/pkg/wick/dialect.go
@@ -0,0 +1,91 @@
+package wick
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// A PromptPart is one part of a model request's prompt. Requests share parts;
+// endpoints keep them cached in order.
+type PromptPart struct {
+	ID     string
+	Tokens Tokens
+}
+
+// An Ask is what the headers of a caller's request say.
+type Ask struct {
+	ID  RequestID
+	Key CallerKey
+	// Deadline is the time that the caller waits, 0 if it is not said.
+	Deadline time.Duration
+	// InputTokens and OutputTokens bound a model request; both are 0 for
+	// other requests.
+	InputTokens, OutputTokens Tokens
+	Parts                     []PromptPart
+	// LastEvent is the last event that the caller has, or "".
+	LastEvent string
+}
+
+// A Dispatch is what an endpoint is told beside the caller's request.
+type Dispatch struct {
+	Endpoint VMID
+	// Customer is "" for requests of public routes.
+	Customer Customer
+	// Deadline is the time that is left.
+	Deadline time.Duration
+	Rank     Rank
+	// LastEvent is the last event that the caller has, or "".
+	LastEvent string
+}
+
+// A ReplyNote is what the headers of an endpoint's reply say.
+type ReplyNote struct {
+	// Request is the request that the reply belongs to, or "".
+	Request RequestID
+	// NotExecuted is set when the endpoint says that it did not run the
+	// request and never will.
+	NotExecuted bool
+	// Genuine is set when the reply bears the endpoint's signature.
+	Genuine bool
+}
+
+// A Dialect reads and writes the headers of requests and replies.
+type Dialect interface {
+	ReadAsk(hdr http.Header) Ask
+	// WriteDispatch turns the caller's headers into those for an endpoint.
+	WriteDispatch(hdr http.Header, dsp Dispatch)
+	ReadReply(status int, hdr http.Header) ReplyNote
+	// CleanReply removes what callers must not see.
+	CleanReply(hdr http.Header)
+}
+
+// A Catalog decodes the objects that operators and endpoints write to the
+// platform. Errors wrap ErrInvalid.
+type Catalog interface {
+	Plan(obj Object) (Plan, error)
+	Backend(obj Object) (Backend, error)
+	VersionOrder(obj Object) (VersionOrder, error)
+}
+
+// A UsageReport counts the requests of each customer that began to run in one
+// window of time.
+type UsageReport struct {
+	Window uint64           `json:"window"`
+	Counts map[Customer]int `json:"counts"`
+}
+
+// A ScaleOrder sets the number of endpoints of a service in a zone.
+type ScaleOrder struct {
+	Service     Service
+	Zone        Zone
+	Count       int
+	Reclaimable bool
+}
+
+// Duties are calls that one entry makes for all. Errors wrap ErrBusy,
+// ErrConflict (nothing to be had) or ErrUnavailable.
+type Duties interface {
+	ReportUsage(ctx context.Context, fence Fence, rep UsageReport) error
+	Scale(ctx context.Context, fence Fence, ord ScaleOrder) error
+}
--- a/pkg/wick/errors.go
+++ b/pkg/wick/errors.go
@@ -11,6 +11,9 @@
 	// ErrUnavailable reports that a system outside could not be reached. A
 	// write that returns it may have taken effect.
 	ErrUnavailable = errors.New("unavailable")
+	// ErrHistoryGone reports that a watch asked for changes that the platform
+	// no longer keeps. The kind must be listed again.
+	ErrHistoryGone = errors.New("history gone")
 	// ErrBusy reports a full queue or a limit. Nothing was done.
 	ErrBusy = errors.New("busy")
 	// ErrNotExecuted reports that an endpoint refused a call before running it.
--- /dev/null
+++ b/pkg/wick/plan.go
@@ -0,0 +1,155 @@
+package wick
+
+import "time"
+
+type (
+	// A RouteName names one route of a plan.
+	RouteName string
+	// A CallerKey is the secret that a caller proves its customer with.
+	CallerKey string
+	// A PlanVersion numbers the versions of the plan. Zero is no version.
+	PlanVersion uint64
+	// A Rank orders requests by urgency: 0 is the most urgent.
+	Rank int
+)
+
+// A RouteKind tells which requests of a route may run more than once.
+type RouteKind string
+
+// Kinds of routes.
+const (
+	// RouteIdempotent requests may run any number of times.
+	RouteIdempotent RouteKind = "idempotent"
+	// RouteOnce requests run at most once.
+	RouteOnce RouteKind = "once"
+	// RouteStream requests are answered by a series of events.
+	RouteStream RouteKind = "stream"
+)
+
+// A Plan is the configuration that an edge serves by. It is immutable.
+type Plan struct {
+	Version PlanVersion
+	// Routes of one host have distinct path prefixes.
+	Routes    []RoutePlan
+	Services  []ServicePlan
+	Customers []CustomerPlan
+	Limits    CallerLimits
+}
+
+// A RoutePlan sends the requests of a host and path prefix to services.
+type RoutePlan struct {
+	Name RouteName
+	Host string
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string
+	Kind       RouteKind
+	// Splits is not empty.
+	Splits []Split
+	// Timeout bounds the time until the final answer; 0 is no bound.
+	Timeout time.Duration
+	// Target is the latency objective: to the first event of a stream, to
+	// the whole answer otherwise.
+	Target time.Duration
+	// MaxAttempts is the number of endpoints that may run one request.
+	MaxAttempts int
+	Rank        Rank
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another endpoint after their last event.
+	Resumable bool
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (rpl *RoutePlan) Repeatable() bool {
+	return rpl.Kind == RouteIdempotent || rpl.Kind == RouteStream && rpl.Resumable
+}
+
+// A Split is the part of a route's requests that goes to one service.
+type Split struct {
+	Service Service
+	// Weight is relative to the other splits of the route and positive.
+	Weight float64
+}
+
+// A ServicePlan describes one service.
+type ServicePlan struct {
+	Name Service
+	// Model is set for services whose endpoints generate tokens.
+	Model *ModelPlan
+	// Scaling is nil when the number of endpoints is not ours to change.
+	Scaling *ScalingPlan
+}
+
+// A ModelPlan describes the endpoints of a model service.
+type ModelPlan struct {
+	Slots int
+	// CacheTokens is the memory of one endpoint for running requests and
+	// cached prompts.
+	CacheTokens Tokens
+}
+
+// A ScalingPlan bounds the endpoints of a service in each zone.
+type ScalingPlan struct {
+	Min, Max int
+	// BootTime passes until an ordered endpoint serves.
+	BootTime time.Duration
+	// SpotPrice is the price of a reclaimable endpoint as a share of the
+	// zone's price.
+	SpotPrice float64
+	// ZonePrices holds the price of a second by zone.
+	ZonePrices map[Zone]float64
+}
+
+// A CustomerPlan describes one customer.
+type CustomerPlan struct {
+	Name Customer
+	Keys []CallerKey
+	// Rank replaces the route's rank if HasRank is set.
+	Rank    Rank
+	HasRank bool
+	Quota   Quota
+}
+
+// A Quota bounds what a customer may ask for over all entries.
+type Quota struct {
+	// Rate is in units a second, 0 for no bound. Burst is in units.
+	Rate, Burst float64
+	// ByTokens counts a request by its tokens, PlainTokens if it has none.
+	// Otherwise a request counts 1.
+	ByTokens    bool
+	PlainTokens float64
+}
+
+// CallerLimits bound what callers may send. Zero is no bound.
+type CallerLimits struct {
+	IdleTimeout time.Duration
+}
+
+// A Backend is one endpoint as the platform's registry lists it.
+type Backend struct {
+	ID      VMID
+	Service Service
+	Zone    Zone
+	// Address is "host:port".
+	Address string
+	Version ModelVersion
+	Slots   int
+	// Leaving is set once the endpoint takes no new work.
+	Leaving bool
+	// LeavesIn is the time that was left when the entry was written, 0 if
+	// unknown.
+	LeavesIn    time.Duration
+	Reclaimable bool
+	// Born tells the starts of an endpoint with one id apart.
+	Born int64
+}
+
+// A VersionOrder asks to move a service to endpoints of a version.
+type VersionOrder struct {
+	Service Service
+	Target  ModelVersion
+	// Within is the time that the move may take.
+	Within time.Duration
+	// Ended is set once the move is recorded as done or undone.
+	Ended bool
+}
--- a/pkg/wick/store.go
+++ b/pkg/wick/store.go
@@ -14,6 +14,8 @@
 	KindLease     Kind = "lease"
 	KindStatus    Kind = "status"
 	KindFleet     Kind = "fleet"
+	KindMember    Kind = "member"
+	KindUsage     Kind = "usage"
 )
 
 // An ObjectKey names one object of the platform.
@@ -31,6 +33,8 @@
 	// Data is JSON of at most MaxObjectBytes. It is empty for a deleted
 	// object reported by a watch.
 	Data []byte
+	// Status is what was written with PutStatus, empty if nothing was.
+	Status []byte
 	// Deleted marks a deletion reported by a watch.
 	Deleted bool
 }
@@ -54,6 +58,7 @@
 	Delete(ctx context.Context, key ObjectKey, rev Revision) error
 	// Watch waits until objects of the kind change after the given revision
 	// and returns them with the revision to continue from. It returns no
-	// objects and no error when its wait time passes without a change.
+	// objects and no error when its wait time passes without a change, and
+	// ErrHistoryGone when the changes are no longer known.
 	Watch(ctx context.Context, kind Kind, after Revision) ([]Object, Revision, error)
 }
