quota: shares from published demand; use part of the agreed slack

Ruled out: the bucket arithmetic (one entry alone stays at its share). Change: shares follow what all entries have published; an entry that is cut off keeps its share 12 s, then halves it; half of the agreed overshoot is spent.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,6 +63,9 @@
 	// endpoints again, over all entries, in any RetryWindow.
 	RetryRatio   float64
 	RetryReserve float64
+	// QuotaOvershoot is the share by which all entries together may exceed a
+	// customer's quota, QuotaSlack the units beyond that.
+	QuotaOvershoot, QuotaSlack float64
 	// UsageWindow is the length of a usage window, UsageLate the time after
 	// its end by which it must be reported.
 	UsageWindow, UsageLate time.Duration
@@ -114,6 +117,7 @@
 func New(cfg Config) *Edge {
 	edg := &Edge{cfg: cfg, pool: pool.New(cfg.Zone), roster: roster.New(cfg.Store, cfg.ID)}
 	edg.budget = retry.Budget{Share: retryMargin * cfg.Bounds.RetryRatio, Reserve: edg.retryReserve(cfg.Bounds.Entries)}
+	edg.quotas = quota.Book{Overshoot: cfg.Bounds.QuotaOvershoot, Slack: cfg.Bounds.QuotaSlack}
 	edg.tally.Window = cfg.Bounds.UsageWindow
 	edg.client = wire.Client{
 		DialTimeout: endpointDial, ConnTimeout: endpointDial, IdleTimeout: endpointIdle, Meter: "endpoints",
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/quota"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/internal/roster"
 	"github.com/wagtailwick/wagtailwick/internal/usage"
@@ -15,6 +16,9 @@
 const (
 	shareEvery = 500 * time.Millisecond
 	usageEvery = 250 * time.Millisecond
+	// quotaMemory is how long an entry whose record no longer changes keeps its
+	// share of the quotas: it may be cut off and still serve.
+	quotaMemory = 12 * time.Second
 	// storeTimeout bounds one write of the entry's record.
 	storeTimeout = 2 * time.Second
 	// staleRecord is the age at which the record of an entry that has ended is
@@ -52,27 +56,22 @@
 }
 
 func (edg *Edge) share(now time.Time) {
-	frozen := !edg.members.FailingSince().IsZero()
-	recs := edg.roster.Alive(now, frozen)
-	own := edg.quotas.Demand(now)
-	total := make(map[wick.Customer]float64)
-	for cus, val := range own {
-		total[cus] += val
-	}
-	entries := 1
+	since := edg.members.FailingSince()
+	recs := edg.roster.Alive(now, quotaMemory, !since.IsZero())
+	var own quota.Demand
+	others := make([]quota.Demand, 0, max(len(recs), edg.cfg.Bounds.Entries))
 	for _, rec := range recs {
 		if rec.ID == edg.cfg.ID {
+			own = rec.Demand
 			continue
 		}
-		entries++
-		for cus, val := range rec.Demand {
-			total[cus] += val
-		}
+		others = append(others, rec.Demand)
 	}
-	if len(recs) == 0 {
-		entries = edg.cfg.Bounds.Entries
+	for len(recs) == 0 && len(others) < edg.cfg.Bounds.Entries-1 {
+		others = append(others, nil)
 	}
-	edg.quotas.SetShares(entries, own, total)
+	cutOff := !since.IsZero() && now.Sub(since) > quotaMemory
+	edg.quotas.SetShares(own, others, cutOff)
 }
 
 // usageLoop reports usage while this entry holds the control duty.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -13,13 +13,26 @@
 const (
 	// evenPart of each quota is split evenly over the entries, so that an
 	// entry whose use begins has something to spend. The rest follows use.
-	evenPart = 0.3
+	evenPart = 0.5
 	// useWindow smooths the use that an entry reports.
 	useWindow = 3 * time.Second
 )
 
+const (
+	// slackPart is the part of the agreed overshoot and slack that is used.
+	// The rest covers entries whose views of the demand differ.
+	slackPart = 0.5
+	// cutOffPart is left of an entry's share once the other entries may have
+	// given it away.
+	cutOffPart = 0.5
+)
+
 // A Book holds the buckets of one entry. Its zero value is ready to use.
 type Book struct {
+	// Overshoot is the share by which a quota may be exceeded, and Slack the
+	// units beyond that, over all entries. They are set before the first call.
+	Overshoot, Slack float64
+
 	mu      sync.Mutex
 	buckets map[wick.Customer]*bucket
 	// shares is the part of each customer's quota that this entry may spend.
@@ -37,16 +50,31 @@
 	useAt time.Time
 }
 
-// SetShares sets the entry's share of each quota from the demand of all
-// entries, its own included. The number of entries is at least 1.
-func (bok *Book) SetShares(entries int, own, total map[wick.Customer]float64) {
+// A Demand is what one entry asks for each customer, in units a second.
+type Demand map[wick.Customer]float64
+
+// SetShares sets the entry's share of each quota from the demand that the
+// entries have published. Own must be what the others read of this entry, not
+// newer: otherwise the shares of a growing demand add up to more than 1. With
+// cutOff the others may have given this entry's share away.
+func (bok *Book) SetShares(own Demand, others []Demand, cutOff bool) {
 	bok.mu.Lock()
 	defer bok.mu.Unlock()
-	bok.even = 1 / float64(max(entries, 1))
+	factor := 1.0
+	if cutOff {
+		factor = cutOffPart
+	}
+	bok.even = factor / float64(len(others)+1)
+	total := make(Demand)
+	for _, dem := range append(others, own) {
+		for cus, val := range dem {
+			total[cus] += val
+		}
+	}
 	bok.shares = make(map[wick.Customer]float64, len(total))
 	for cus, sum := range total {
 		if sum > 0 {
-			bok.shares[cus] = evenPart*bok.even + (1-evenPart)*min(own[cus]/sum, 1)
+			bok.shares[cus] = evenPart*bok.even + (1-evenPart)*factor*own[cus]/sum
 		}
 	}
 }
@@ -81,7 +109,8 @@
 	if share == 0 {
 		share = 1
 	}
-	rate, burst := cus.Quota.Rate*share, max(cus.Quota.Burst*share, cost)
+	rate := cus.Quota.Rate * (1 + slackPart*bok.Overshoot) * share
+	burst := max((cus.Quota.Burst*(1+slackPart*bok.Overshoot)+slackPart*bok.Slack)*share, cost)
 	buc := bok.buckets[cus.Name]
 	if buc == nil {
 		buc = &bucket{level: burst, at: now, useAt: now}
@@ -118,10 +147,10 @@
 }
 
 // Demand returns the demand of each customer in units a second.
-func (bok *Book) Demand(now time.Time) map[wick.Customer]float64 {
+func (bok *Book) Demand(now time.Time) Demand {
 	bok.mu.Lock()
 	defer bok.mu.Unlock()
-	out := make(map[wick.Customer]float64, len(bok.buckets))
+	out := make(Demand, len(bok.buckets))
 	for cus, buc := range bok.buckets {
 		out[cus] = buc.decayed(now)
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -17,9 +17,6 @@
 
 var log = logrus.WithField("component", "roster")
 
-// aliveFor is how long an entry counts as alive after its record changed.
-const aliveFor = 5 * time.Second
-
 // A Record is what one entry says of itself.
 type Record struct {
 	ID          wick.EntryID     `json:"id"`
@@ -130,14 +127,14 @@
 	return ros.sto.Put(ctx, ros.key, data, obj.Revision) //nolint:wrapcheck // wick.Store's errors are ours
 }
 
-// Alive returns the records that changed lately. With frozen, while the store
-// can't be read, all records count.
-func (ros *Roster) Alive(now time.Time, frozen bool) []Record {
+// Alive returns the records that changed within a time. With frozen, while the
+// store can't be read, all records count.
+func (ros *Roster) Alive(now time.Time, within time.Duration, frozen bool) []Record {
 	ros.mu.Lock()
 	defer ros.mu.Unlock()
 	out := make([]Record, 0, len(ros.records))
 	for _, sen := range ros.records {
-		if frozen || now.Sub(sen.at) < aliveFor {
+		if frozen || now.Sub(sen.at) < within {
 			out = append(out, sen.rec)
 		}
 	}
@@ -146,7 +143,7 @@
 
 // All returns all records, also those of entries that have ended.
 func (ros *Roster) All() []Record {
-	return ros.Alive(time.Time{}, true)
+	return ros.Alive(time.Time{}, 0, true)
 }
 
 // Stale returns the keys and revisions of records that have not changed for a
