--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -161,6 +161,7 @@
 	if edg.cfg.Duties != nil {
 		grp.Go(func() error { edg.leases.Run(control); return nil })
 		grp.Go(func() error { edg.usageLoop(control); return nil })
+		grp.Go(func() error { edg.sweepLoop(control); return nil })
 	}
 	served := make(chan error, 1)
 	go func() { served <- edg.relay.Serve() }()
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -22,8 +22,9 @@
 	// storeTimeout bounds one write of the entry's record.
 	storeTimeout = 2 * time.Second
 	// staleRecord is the age at which the record of an entry that has ended is
-	// removed.
+	// removed. Windows that it counted are reported by then.
 	staleRecord = 40 * time.Second
+	sweepEvery  = 10 * time.Second
 )
 
 // publishLoop writes the entry's record.
@@ -92,6 +93,21 @@
 	}
 }
 
+// sweepLoop removes the records of entries that have ended, while this entry
+// holds the control duty.
+func (edg *Edge) sweepLoop(ctx context.Context) {
+	for retry.Sleep(ctx, sweepEvery) {
+		if _, ok := edg.control(time.Now()); !ok {
+			continue
+		}
+		for key, rev := range edg.roster.Stale(time.Now(), staleRecord) {
+			if err := edg.cfg.Store.Delete(ctx, key, rev); err != nil {
+				log.WithError(err).WithField("record", key.Name).Debug("edge: old record not removed")
+			}
+		}
+	}
+}
+
 // control returns the fencing number if this entry may make the calls of the
 // control duty: it holds the lease and the holder before has been silent for
 // the pause between holders.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -80,6 +80,9 @@
 			rev, err = fol.list(ctx)
 			listed = err == nil
 		}
+		if err != nil && ctx.Err() != nil {
+			return
+		}
 		fol.note(err)
 		if err == nil {
 			failures = 0
@@ -88,9 +91,6 @@
 			}
 			continue
 		}
-		if ctx.Err() != nil {
-			return
-		}
 		log.WithError(err).WithField("kind", fol.Kind).Debug("feed: read failed")
 		retry.Sleep(ctx, retry.Backoff(failures, backoffBase, backoffLimit))
 		failures++
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,124 @@
+package feed
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// A scriptStore answers lists and watches from scripts.
+type scriptStore struct {
+	wick.Store
+	mu      sync.Mutex
+	calls   []string
+	lists   []error
+	watches []watchStep
+}
+
+type watchStep struct {
+	objs []wick.Object
+	err  error
+}
+
+func (sst *scriptStore) List(context.Context, wick.Kind) ([]wick.Object, wick.Revision, error) {
+	sst.mu.Lock()
+	defer sst.mu.Unlock()
+	sst.calls = append(sst.calls, "list")
+	var err error
+	if len(sst.lists) > 0 {
+		err, sst.lists = sst.lists[0], sst.lists[1:]
+	}
+	return []wick.Object{{Key: wick.ObjectKey{Name: "listed"}}}, 5, err
+}
+
+func (sst *scriptStore) Watch(ctx context.Context, _ wick.Kind, _ wick.Revision) ([]wick.Object, wick.Revision, error) {
+	sst.mu.Lock()
+	sst.calls = append(sst.calls, "watch")
+	if len(sst.watches) > 0 {
+		step := sst.watches[0]
+		sst.watches = sst.watches[1:]
+		sst.mu.Unlock()
+		return step.objs, 6, step.err
+	}
+	sst.mu.Unlock()
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+type recorder struct{ got []string }
+
+func (rec *recorder) Replace(objs []wick.Object) { rec.got = append(rec.got, "all "+objs[0].Key.Name) }
+func (rec *recorder) Change(obj wick.Object)     { rec.got = append(rec.got, obj.Key.Name) }
+
+func follow(t *testing.T, sst *scriptStore, pause time.Duration) (fol *Follower, got, calls string) {
+	t.Helper()
+	rec := &recorder{}
+	fol = &Follower{Store: sst, Kind: "kind", Handler: rec, Pause: pause}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { fol.Run(ctx); close(done) }()
+	time.Sleep(20 * time.Second)
+	synctest.Wait()
+	cancel()
+	<-done
+	return fol, strings.Join(rec.got, ","), strings.Join(sst.calls, ",")
+}
+
+func assertText(t *testing.T, what, got, want string) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: %q, want %q", what, got, want)
+	}
+}
+
+// TestFollower guards against changes that are missed after an outage or after
+// the store has dropped its history, and against calls without pause.
+func TestFollower(t *testing.T) {
+	change := watchStep{objs: []wick.Object{{Key: wick.ObjectKey{Name: "one"}}}}
+	for _, tst := range []struct {
+		name, got, calls string
+		sst              *scriptStore
+	}{
+		{"changes", "all listed,one", "list,watch,watch", &scriptStore{watches: []watchStep{change}}},
+		{
+			"history gone", "all listed,all listed", "list,watch,list,watch",
+			&scriptStore{watches: []watchStep{{err: wick.ErrHistoryGone}}},
+		},
+		{
+			"outage of a watch", "all listed,one", "list,watch,watch,watch,watch",
+			&scriptStore{watches: []watchStep{{err: wick.ErrUnavailable}, {err: wick.ErrBusy}, change}},
+		},
+		{"outage at the start", "all listed", "list,list,list,watch", &scriptStore{lists: []error{wick.ErrUnavailable, wick.ErrUnavailable}}},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fol, got, calls := follow(t, tst.sst, 0)
+				assertText(t, "handled", got, tst.got)
+				assertText(t, "calls", calls, tst.calls)
+				if !fol.FailingSince().IsZero() {
+					t.Error("the store counts as lost although it answers")
+				}
+				if strings.HasPrefix(tst.name, "outage") == fol.RecoveredAt().IsZero() {
+					t.Errorf("recovered at %v", fol.RecoveredAt())
+				}
+			})
+		})
+	}
+	t.Run("pause", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			sst := &scriptStore{}
+			for range 1000 {
+				sst.watches = append(sst.watches, change)
+			}
+			follow(t, sst, time.Second)
+			if num := len(sst.calls); num < 18 || num > 22 {
+				t.Errorf("%d calls in 20 s with a pause of 1 s", num)
+			}
+		})
+	})
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -87,6 +87,6 @@
 	jb.headReply(kept.rep)
 	jb.rct.Response.SetBody(kept.body)
 	jb.note("answered", logrus.Fields{
-		"status": kept.rep.Status, "sends": jb.trl.sends, "late": time.Since(jb.arrived) > jb.mat.Route.Target,
+		fieldStatus: kept.rep.Status, fieldSends: jb.trl.sends, "late": time.Since(jb.arrived) > jb.mat.Route.Target,
 	})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -144,8 +144,7 @@
 	hdr := copyHeader(rct)
 	jb := &job{srv: srv, rct: rct, header: hdr, ask: srv.cfg.Dialect.ReadAsk(hdr), arrived: now}
 	if rfl, ok := jb.admit(now); !ok {
-		rfl.write(rct)
-		jb.note("refused", logrus.Fields{"reason": rfl.reason, "status": rfl.status})
+		jb.answerSelf("refused", rfl)
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, jb.until.Add(timeoutSlack))
@@ -209,10 +208,21 @@
 	if jb.mat.Customer != nil {
 		jb.srv.cfg.Quotas.Refund(jb.mat.Customer, jb.cost())
 	}
+	jb.answerSelf("refused", rfl)
+}
+
+// answerSelf gives the caller an answer of the relay's own.
+func (jb *job) answerSelf(what string, rfl refusal) {
 	rfl.write(jb.rct)
-	jb.note("refused", logrus.Fields{"reason": rfl.reason, "status": rfl.status})
+	jb.note(what, logrus.Fields{"reason": rfl.reason, fieldStatus: rfl.status, fieldSends: jb.trl.sends})
 }
 
+// Names of log fields.
+const (
+	fieldStatus = "status"
+	fieldSends  = "sends"
+)
+
 // began counts the request once as begun.
 func (jb *job) began(at time.Time) {
 	if jb.counted || jb.mat.Customer == nil {
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,374 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/plan"
+	"github.com/wagtailwick/wagtailwick/internal/pool"
+	"github.com/wagtailwick/wagtailwick/internal/quota"
+	"github.com/wagtailwick/wagtailwick/internal/retry"
+	"github.com/wagtailwick/wagtailwick/internal/wire"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// A testDialect has short header names of its own.
+type testDialect struct{}
+
+func (testDialect) ReadAsk(hdr http.Header) wick.Ask {
+	ask := wick.Ask{ID: wick.RequestID(hdr.Get("X-Id")), Key: wick.CallerKey(hdr.Get("X-Key")), LastEvent: hdr.Get("X-Last")}
+	if text := hdr.Get("X-Deadline"); text != "" {
+		ask.Deadline, _ = time.ParseDuration(text)
+	}
+	return ask
+}
+
+func (testDialect) WriteDispatch(hdr http.Header, dsp wick.Dispatch) {
+	hdr.Del("X-Key")
+	hdr.Set("X-Customer", string(dsp.Customer))
+	if dsp.LastEvent != "" {
+		hdr.Set("X-Last", dsp.LastEvent)
+	}
+}
+
+func (testDialect) ReadReply(_ int, hdr http.Header) wick.ReplyNote {
+	return wick.ReplyNote{
+		Request: wick.RequestID(hdr.Get("X-Id")), NotExecuted: hdr.Get("X-Refused") != "", Genuine: hdr.Get("X-Seal") != "",
+	}
+}
+
+func (testDialect) CleanReply(http.Header) {}
+
+type countMeter struct {
+	mu  sync.Mutex
+	num int
+}
+
+func (cnt *countMeter) Began(wick.Customer, time.Time) {
+	cnt.mu.Lock()
+	defer cnt.mu.Unlock()
+	cnt.num++
+}
+
+// A site is a relay before endpoints that run a script.
+type site struct {
+	*testing.T
+	addr string
+	srv  *Server
+	pool *pool.Pool
+	// seen counts the requests that reached each endpoint.
+	mu    sync.Mutex
+	seen  map[wick.VMID]int
+	order []wick.VMID
+	meter countMeter
+}
+
+// A script answers one request on a raw connection. Num counts the requests
+// over all endpoints from 0.
+type script func(req *http.Request, con net.Conn, num int)
+
+func newSite(t *testing.T, endpoints int, run script) *site {
+	t.Helper()
+	sit := &site{T: t, pool: pool.New("a"), seen: make(map[wick.VMID]int)}
+	for idx := range endpoints {
+		sit.endpoint(wick.VMID(fmt.Sprintf("e%d", idx)), run)
+	}
+	var plans plan.Current
+	plans.Adopt(wick.Plan{Version: 1, Routes: []wick.RoutePlan{
+		{Name: "book", Host: "h", PathPrefix: "/book/", Kind: wick.RouteOnce, MaxAttempts: 1, Timeout: time.Second},
+		{Name: "look", Host: "h", PathPrefix: "/look/", Kind: wick.RouteIdempotent, MaxAttempts: 2, Timeout: time.Second},
+		{Name: "gen", Host: "h", PathPrefix: "/gen/", Kind: wick.RouteStream, MaxAttempts: 2, Timeout: time.Second, Resumable: true},
+		{Name: "say", Host: "h", PathPrefix: "/say/", Kind: wick.RouteStream, MaxAttempts: 1, Timeout: time.Second},
+	}, Customers: []wick.CustomerPlan{{Name: "c", Keys: []wick.CallerKey{"k"}}}})
+	for idx := range plans.Load().Plan.Routes {
+		plans.Load().Plan.Routes[idx].Splits = []wick.Split{{Service: "s", Weight: 1}}
+	}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sit.addr = lis.Addr().String()
+	sit.srv = New(Config{
+		Listener: lis, MaxConnections: 100, Dialect: testDialect{}, Plans: &plans, Pool: sit.pool,
+		Quotas: &quota.Book{}, Budget: &retry.Budget{}, Client: &wire.Client{}, Meter: &sit.meter,
+		PlanConfirmed: func() bool { return true },
+	})
+	go func() { _ = sit.srv.Serve() }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_ = sit.srv.Shutdown(ctx)
+	})
+	return sit
+}
+
+// endpoint starts one endpoint and adds it to the pool.
+func (sit *site) endpoint(vid wick.VMID, run script) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		sit.Fatal(err)
+	}
+	sit.Cleanup(func() { lis.Close() })
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go sit.talk(vid, con, run)
+		}
+	}()
+	sit.pool.Set(wick.Backend{ID: vid, Service: "s", Zone: "a", Address: lis.Addr().String(), Slots: 4}, time.Now())
+}
+
+func (sit *site) talk(vid wick.VMID, con net.Conn, run script) {
+	defer con.Close()
+	req, err := http.ReadRequest(bufio.NewReader(con))
+	if err != nil {
+		return
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	req.Body = io.NopCloser(strings.NewReader(string(body)))
+	sit.mu.Lock()
+	num := len(sit.order)
+	sit.seen[vid]++
+	sit.order = append(sit.order, vid)
+	sit.mu.Unlock()
+	run(req, con, num)
+}
+
+// ask sends a request and returns the status and body, and the error of
+// reading the body.
+func (sit *site) ask(path string, hdr ...string) (int, string, error) {
+	sit.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+sit.addr+path, strings.NewReader("order"))
+	if err != nil {
+		sit.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("X-Id", "r1")
+	req.Header.Set("X-Key", "k")
+	for idx := 0; idx+1 < len(hdr); idx += 2 {
+		req.Header.Set(hdr[idx], hdr[idx+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		sit.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(body), err
+}
+
+func reply(con net.Conn, req *http.Request, status int, body string) {
+	fmt.Fprintf(con, "HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", status, req.Header.Get("X-Id"), len(body), body)
+}
+
+func (sit *site) assert(gotStatus, wantStatus int, gotBody, wantBody string, wantSends int) {
+	sit.Helper()
+	if gotStatus != wantStatus {
+		sit.Errorf("status %d, want %d", gotStatus, wantStatus)
+	}
+	if !strings.Contains(gotBody, wantBody) {
+		sit.Errorf("body %q, want %q in it", gotBody, wantBody)
+	}
+	sit.mu.Lock()
+	defer sit.mu.Unlock()
+	if len(sit.order) != wantSends {
+		sit.Errorf("%d sends %v, want %d", len(sit.order), sit.order, wantSends)
+	}
+}
+
+// TestCall guards against bookings that run twice and lookups that are given
+// up although another endpoint answers.
+func TestCall(t *testing.T) {
+	reset := func(_ *http.Request, con net.Conn, _ int) { con.Close() }
+	for _, tst := range []struct {
+		name, path string
+		run        script
+		status     int
+		body       string
+		sends      int
+	}{
+		{"whole answer", "/book/1", func(req *http.Request, con net.Conn, _ int) { reply(con, req, 200, "done") }, 200, "done", 1},
+		{"booking without answer", "/book/1", reset, 502, executedUnknown, 1},
+		{"lookup without answer", "/look/1", reset, 502, executedUnknown, 2},
+		{"lookup answered by the second", "/look/1", func(req *http.Request, con net.Conn, num int) {
+			if num > 0 {
+				reply(con, req, 200, "found")
+			}
+		}, 200, "found", 2},
+		{"booking refused as not executed", "/book/1", func(req *http.Request, con net.Conn, num int) {
+			if num > 0 {
+				reply(con, req, 200, "done")
+				return
+			}
+			fmt.Fprint(con, "HTTP/1.1 503 X\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n")
+		}, 200, "done", 2},
+		{"booking fails", "/book/1", func(req *http.Request, con net.Conn, _ int) { reply(con, req, 500, "broken") }, 500, "broken", 1},
+		{"answer of another request", "/book/1", func(_ *http.Request, con net.Conn, _ int) {
+			fmt.Fprint(con, "HTTP/1.1 200 X\r\nX-Id: other\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nno")
+		}, 502, executedUnknown, 1},
+		{"answer without signature", "/book/1", func(_ *http.Request, con net.Conn, _ int) {
+			fmt.Fprint(con, "HTTP/1.1 200 X\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nno")
+		}, 502, executedUnknown, 1},
+		{"short answer", "/book/1", func(_ *http.Request, con net.Conn, _ int) {
+			fmt.Fprint(con, "HTTP/1.1 200 X\r\nX-Id: r1\r\nX-Seal: s\r\nContent-Length: 20\r\n\r\nno")
+		}, 502, executedUnknown, 1},
+		{"answer that ends with its connection", "/book/1", func(_ *http.Request, con net.Conn, _ int) {
+			fmt.Fprint(con, "HTTP/1.1 200 X\r\nX-Id: r1\r\nX-Seal: s\r\n\r\nall of it")
+		}, 200, "all of it", 1},
+		{"no answer in time", "/book/1", func(_ *http.Request, _ net.Conn, _ int) { time.Sleep(2 * time.Second) }, 504, executedUnknown, 1},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			sit := newSite(t, 3, tst.run)
+			status, body, err := sit.ask(tst.path)
+			if err != nil {
+				t.Error(err)
+			}
+			sit.assert(status, tst.status, body, tst.body, tst.sends)
+		})
+	}
+}
+
+// TestForwarding guards against requests that reach an endpoint changed, or
+// with the caller's secret.
+func TestForwarding(t *testing.T) {
+	got := make(chan string, 1)
+	sit := newSite(t, 1, func(req *http.Request, con net.Conn, _ int) {
+		body, _ := io.ReadAll(req.Body)
+		got <- fmt.Sprintf("%s %s %s key=%q customer=%q %s", req.Method, req.RequestURI, req.Host,
+			req.Header.Get("X-Key"), req.Header.Get("X-Customer"), body)
+		reply(con, req, 200, "ok")
+	})
+	const target = "/book/a%2Fb//c/../d?x=%20y&z"
+	if status, body, _ := sit.ask(target); status != 200 {
+		t.Fatalf("%d %s", status, body)
+	}
+	want := "POST " + target + ` h key="" customer="c" order`
+	if text := <-got; text != want {
+		t.Errorf("endpoint got %s\nwant %s", text, want)
+	}
+}
+
+func begin(con net.Conn, events ...string) {
+	fmt.Fprint(con, "HTTP/1.1 200 X\r\nX-Id: r1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, evt := range events {
+		fmt.Fprintf(con, "%x\r\n%s\r\n", len(evt), evt)
+	}
+}
+
+func end(con net.Conn) { fmt.Fprint(con, "0\r\n\r\n") }
+
+// TestStream guards against events that are lost, doubled or cut after the
+// loss of an endpoint, and against cut streams that look complete.
+func TestStream(t *testing.T) {
+	t.Run("resumed", func(t *testing.T) {
+		sit := newSite(t, 2, func(req *http.Request, con net.Conn, num int) {
+			if num == 0 {
+				begin(con, "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\nid: 3\nda")
+				return
+			}
+			if last := req.Header.Get("X-Last"); last != "2" {
+				t.Errorf("resumed after %q, want 2", last)
+			}
+			begin(con, "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n")
+			end(con)
+		})
+		status, body, err := sit.ask("/gen/1")
+		if err != nil {
+			t.Error(err)
+		}
+		sit.assert(status, 200, body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", 2)
+		if strings.Count(body, "id: 2") != 1 {
+			t.Errorf("event 2 comes twice: %q", body)
+		}
+	})
+	t.Run("not resumable", func(t *testing.T) {
+		sit := newSite(t, 2, func(_ *http.Request, con net.Conn, _ int) { begin(con, "id: 1\ndata: a\n\n") })
+		status, body, err := sit.ask("/say/1")
+		if err == nil {
+			t.Error("a stream that was cut off looks complete")
+		}
+		sit.assert(status, 200, body, "id: 1", 1)
+	})
+	t.Run("lost before the first event", func(t *testing.T) {
+		sit := newSite(t, 2, func(_ *http.Request, con net.Conn, _ int) { begin(con) })
+		status, body, _ := sit.ask("/say/1")
+		sit.assert(status, 502, body, executedUnknown, 1)
+	})
+	t.Run("counted once", func(t *testing.T) {
+		sit := newSite(t, 1, func(_ *http.Request, con net.Conn, _ int) {
+			begin(con, "id: 1\n\n", "id: 2\n\n")
+			end(con)
+		})
+		sit.ask("/gen/1")
+		if sit.meter.num != 1 {
+			t.Errorf("counted %d times, want 1", sit.meter.num)
+		}
+	})
+}
+
+// TestCallerLeaves guards against endpoints that go on working for callers who
+// have left.
+func TestCallerLeaves(t *testing.T) {
+	closed := make(chan struct{})
+	sit := newSite(t, 1, func(_ *http.Request, con net.Conn, _ int) {
+		begin(con, "id: 1\n\n")
+		if _, err := con.Read(make([]byte, 1)); err != nil {
+			close(closed)
+		}
+	})
+	con, err := net.Dial("tcp", sit.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(con, "GET /gen/1 HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Key: k\r\n\r\n")
+	if _, err := con.Read(make([]byte, 10)); err != nil {
+		t.Fatal(err)
+	}
+	con.Close()
+	select {
+	case <-closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the endpoint still works 500 ms after the caller left")
+	}
+}
+
+// TestAdmission guards against requests that pass without a route or key, or
+// while the entry drains.
+func TestAdmission(t *testing.T) {
+	ok := func(req *http.Request, con net.Conn, _ int) { reply(con, req, 200, "ok") }
+	for _, tst := range []struct {
+		name, path, key string
+		drain           bool
+		status          int
+		after           bool
+	}{
+		{"no route", "/other/", "k", false, 404, false},
+		{"no key", "/book/1", "", false, 401, false},
+		{"draining", "/book/1", "k", true, 503, true},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			sit := newSite(t, 1, ok)
+			if tst.drain {
+				sit.srv.Drain()
+			}
+			status, body, _ := sit.ask(tst.path, "X-Key", tst.key)
+			sit.assert(status, tst.status, body, executedNo, 0)
+		})
+	}
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -145,10 +145,7 @@
 }
 
 // fail answers that the request may have run.
-func (jb *job) fail(rfl refusal) {
-	rfl.write(jb.rct)
-	jb.note("failed", logrus.Fields{"reason": rfl.reason, "status": rfl.status, "sends": jb.trl.sends})
-}
+func (jb *job) fail(rfl refusal) { jb.answerSelf("failed", rfl) }
 
 // headReply copies the endpoint's status and headers to the caller.
 func (jb *job) headReply(rep *wire.Reply) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -139,7 +139,7 @@
 	case pmp.out == nil:
 		pmp.jb.conclude(act, kept)
 	case act == actDeliver && !pmp.jb.trl.failed:
-		pmp.jb.note("answered", logrus.Fields{"status": 200, "events": pmp.events, "sends": pmp.jb.trl.sends})
+		pmp.jb.note("answered", logrus.Fields{fieldStatus: 200, "events": pmp.events, fieldSends: pmp.jb.trl.sends})
 	default:
 		pmp.abort(act.String())
 	}
--- a/internal/relay/trail.go
+++ b/internal/relay/trail.go
@@ -72,6 +72,7 @@
 		return actTimeout
 	case endFailure:
 		trl.failed = true
+	case endRefused, endUnsent, endLost:
 	}
 	if trl.mayRepeat(edg) && budget() {
 		return actAgain
--- /dev/null
+++ b/internal/usage/usage_test.go
@@ -0,0 +1,106 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/fake"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const window = 5 * time.Second
+
+// A sink records reports and may lose answers.
+type sink struct {
+	wick.Duties
+	reports []wick.UsageReport
+	// lose makes the next call return an error after it took effect.
+	lose bool
+}
+
+func (snk *sink) ReportUsage(_ context.Context, _ wick.Fence, rep wick.UsageReport) error {
+	snk.reports = append(snk.reports, rep)
+	if snk.lose {
+		snk.lose = false
+		return wick.ErrUnavailable
+	}
+	return nil
+}
+
+func newReporter(sto wick.Store, snk *sink, count *int) *Reporter {
+	return &Reporter{
+		Store: sto, Duties: snk, Window: window, Late: 10 * time.Second,
+		Sum: func(uint64) map[wick.Customer]int { return map[wick.Customer]int{"c": *count} },
+	}
+}
+
+// assertOnce checks that no window was reported with two counts.
+func assertOnce(t *testing.T, snk *sink) {
+	t.Helper()
+	seen := make(map[uint64]int)
+	for _, rep := range snk.reports {
+		if old, ok := seen[rep.Window]; ok && old != rep.Counts["c"] {
+			t.Errorf("window %d was reported with %d and %d", rep.Window, old, rep.Counts["c"])
+		}
+		seen[rep.Window] = rep.Counts["c"]
+	}
+}
+
+// TestReporter guards against two reports of one window with different counts,
+// and against windows without a report.
+func TestReporter(t *testing.T) {
+	base := time.UnixMilli(1000 * window.Milliseconds())
+	steps := func(rpt *Reporter, fence wick.Fence, from, to time.Duration, count *int) {
+		for at := from; at < to; at += 250 * time.Millisecond {
+			*count++
+			if err := rpt.Step(t.Context(), fence, base.Add(at)); err != nil && !errors.Is(err, wick.ErrUnavailable) && !errors.Is(err, wick.ErrConflict) {
+				t.Error(err)
+			}
+		}
+	}
+	t.Run("each window once", func(t *testing.T) {
+		snk, count := &sink{}, 0
+		steps(newReporter(&fake.Store{}, snk, &count), 1, 0, time.Minute, &count)
+		assertOnce(t, snk)
+		// Windows 998 and 999 are not late at the start; the one that ends
+		// at 55 s is settled at 58 s.
+		if num := len(snk.reports); num != 13 {
+			t.Errorf("%d reports in a minute, want 13", num)
+		}
+	})
+	t.Run("answer lost", func(t *testing.T) {
+		snk, count := &sink{lose: true}, 0
+		steps(newReporter(&fake.Store{}, snk, &count), 1, 0, 20*time.Second, &count)
+		assertOnce(t, snk)
+	})
+	t.Run("holder changes after the note", func(t *testing.T) {
+		sto, snk, count := &fake.Store{}, &sink{lose: true}, 0
+		steps(newReporter(sto, snk, &count), 1, 0, 250*time.Millisecond, &count)
+		steps(newReporter(sto, snk, &count), 2, 250*time.Millisecond, 20*time.Second, &count)
+		assertOnce(t, snk)
+	})
+	t.Run("old holder wakes", func(t *testing.T) {
+		sto, snk, count := &fake.Store{}, &sink{}, 0
+		old := newReporter(sto, snk, &count)
+		steps(old, 1, 0, time.Second, &count)
+		steps(newReporter(sto, snk, &count), 2, time.Second, 14*time.Second, &count)
+		steps(old, 1, 14*time.Second, 15*time.Second, &count)
+		assertOnce(t, snk)
+	})
+}
+
+// TestTally guards against counts in the wrong window and counts without end.
+func TestTally(t *testing.T) {
+	tal := &Tally{Window: window}
+	for num := range 100 {
+		at := EndOf(uint64(num), window)
+		tal.Began("c", at.Add(-time.Millisecond))
+		tal.Began("c", at)
+	}
+	counts := tal.Counts()
+	if len(counts) > keptWindows+2 || counts[99]["c"] != 2 {
+		t.Errorf("%d windows are kept, window 99 has %d", len(counts), counts[99]["c"])
+	}
+}
