scale: hold reclaimable endpoints over an on-demand base

Reclaimable endpoints cost about a fifth. Change: the holder of the control duty orders a base of on-demand endpoints and reclaimable ones beyond it, sized by the work that all entries publish.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -110,6 +110,7 @@
 	relay    *relay.Server
 	ready    *readyServer
 	admin    admin.Server
+	found    foundBook
 	beat     uint64
 }
 
@@ -162,6 +163,7 @@
 		grp.Go(func() error { edg.leases.Run(control); return nil })
 		grp.Go(func() error { edg.usageLoop(control); return nil })
 		grp.Go(func() error { edg.sweepLoop(control); return nil })
+		grp.Go(func() error { edg.scaleLoop(control); return nil })
 	}
 	served := make(chan error, 1)
 	go func() { served <- edg.relay.Serve() }()
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -43,6 +43,7 @@
 	return edg.roster.Publish(ctx, roster.Record{ //nolint:wrapcheck // our own package
 		ID: edg.cfg.ID, Incarnation: edg.cfg.Incarnation, Zone: edg.cfg.Zone, Beat: edg.beat, Leaving: leaving,
 		Demand: edg.quotas.Demand(time.Now()), Began: edg.tally.Counts(),
+		Work: edg.pool.Work(time.Now()), Found: edg.found.get(),
 	})
 }
 
@@ -108,15 +109,20 @@
 	}
 }
 
+// firstFence is the fencing number of the first holder of a duty.
+const firstFence wick.Fence = 1
+
 // control returns the fencing number if this entry may make the calls of the
 // control duty: it holds the lease and the holder before has been silent for
 // the pause between holders.
 func (edg *Edge) control(now time.Time) (wick.Fence, bool) {
 	since, ok := edg.leases.Since(DutyControl)
-	if !ok || now.Sub(since) < edg.cfg.Bounds.HandoverPause {
+	fence, held := edg.leases.Holds(DutyControl)
+	if !ok || !held {
 		return 0, false
 	}
-	return edg.leases.Holds(DutyControl)
+	// The first holder ever follows nobody.
+	return fence, fence == firstFence || now.Sub(since) >= edg.cfg.Bounds.HandoverPause
 }
 
 // began sums the counts of a window over all entries.
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -45,6 +45,8 @@
 	// Parts and Input describe the prompt of a model request.
 	Parts []wick.PromptPart
 	Input wick.Tokens
+	// Output bounds the generated tokens.
+	Output wick.Tokens
 	// Exclude lists endpoints that the request was sent to before.
 	Exclude []wick.VMID
 	Now     time.Time
@@ -84,9 +86,10 @@
 	tic := &Ticket{Backend: end.bke, Leaving: end.leaving, grp: grp, end: end}
 	end.inFlight++
 	if que.Model {
-		tic.prefill = max(que.Input-end.cached(que.Parts), 0)
+		tic.prefill = grp.missing(end, que, grp.homesOf(que))
 		end.prefill += tic.prefill
 		end.remember(que.Parts, que.Now)
+		grp.work.add(workOf(tic.prefill, que.Output), que.Now)
 	}
 	return tic, nil
 }
@@ -133,6 +136,11 @@
 		cost += queuedMillis * float64(end.report.Queued)
 	}
 	cost += runningMillis*float64(running) + float64(end.prefill)/prefillRate
+	return cost + float64(grp.missing(end, que, homes))/prefillRate
+}
+
+// missing estimates the prompt tokens that an endpoint would have to read.
+func (grp *group) missing(end *endpoint, que Query, homes [2]wick.VMID) wick.Tokens {
 	missing := max(que.Input-end.cached(que.Parts), 0)
 	shared := sharedTokens(que.Parts)
 	if missing >= shared {
@@ -143,7 +151,7 @@
 			missing -= wick.Tokens(secondCredit * float64(shared))
 		}
 	}
-	return cost + float64(missing)/prefillRate
+	return missing
 }
 
 // sharedTokens returns the tokens of all parts but the request's own.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -37,6 +37,7 @@
 	eps map[wick.VMID]*endpoint
 	// homes caches the order of endpoints by prompt part.
 	homes map[homeKey]uint64
+	work  meter
 }
 
 // Set adds or updates an endpoint.
@@ -163,6 +164,22 @@
 	return out
 }
 
+// Work returns the endpoints' time that this entry's requests take at each
+// service, in seconds a second.
+func (pl *Pool) Work(now time.Time) map[wick.Service]float64 {
+	pl.mu.RLock()
+	defer pl.mu.RUnlock()
+	out := make(map[wick.Service]float64, len(pl.groups))
+	for svc, grp := range pl.groups {
+		grp.mu.Lock()
+		if grp.work.sum > 0 {
+			out[svc] = grp.work.rate(now)
+		}
+		grp.mu.Unlock()
+	}
+	return out
+}
+
 func (grp *group) summary(svc wick.Service) map[wick.Zone]Summary {
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -35,7 +35,7 @@
 func (jb *job) pick() (*pool.Ticket, error) {
 	que := pool.Query{
 		Service: jb.service, Model: len(jb.ask.Parts) > 0, Parts: jb.ask.Parts, Input: jb.ask.InputTokens,
-		Exclude: jb.tried, Now: time.Now(),
+		Output: jb.ask.OutputTokens, Exclude: jb.tried, Now: time.Now(),
 	}
 	tic, err := jb.srv.cfg.Pool.Pick(que)
 	if err == nil {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -29,8 +29,12 @@
 	Demand map[wick.Customer]float64 `json:"demand,omitempty"`
 	// Began counts the requests that began to run, by window and customer.
 	Began map[uint64]map[wick.Customer]int `json:"began,omitempty"`
-	// Load of each service's endpoints in each zone, as this entry sends it.
-	Load map[wick.Service]map[wick.Zone]float64 `json:"load,omitempty"`
+	// Found is, on the holder of the control duty, the number of endpoints of
+	// each service that the first holder found.
+	Found map[wick.Service]int `json:"found,omitempty"`
+	// Work is the endpoints' time that this entry's requests take, in seconds
+	// a second.
+	Work map[wick.Service]float64 `json:"work,omitempty"`
 }
 
 // A seen is a record with the time at which it last changed here.
--- /dev/null
+++ b/internal/scale/scale.go
@@ -0,0 +1,251 @@
+// Package scale decides how many endpoints of a service each availability zone
+// should hold, and how many of them reclaimable. Reclaimable endpoints cost a
+// fraction of the others but are taken away a zone at a time, so a base of
+// on-demand endpoints stays. It does no I/O.
+package scale
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	// targetUse is the part of an endpoint's time that its work may take. The
+	// waiting time before a prompt is read grows steeply above it.
+	targetUse = 0.28
+	// highestUse is the use above which on-demand endpoints replace reclaimable
+	// ones that can't be had.
+	highestUse = 0.55
+	// baseShare of the endpoints are on-demand.
+	baseShare = 0.34
+	// spareShare of further endpoints are held, reclaimable only, for the loss
+	// of a zone.
+	spareShare = 0.25
+	// floorShare of the endpoints that were found at the start are always held.
+	floorShare = 0.7
+	// settleTime passes before the first order, so that all endpoints have
+	// registered.
+	settleTime = 3 * time.Second
+	// shrinkAfter is how long the need must be lower before endpoints are
+	// given up.
+	shrinkAfter = 12 * time.Second
+	// repeatAfter passes before an order that has had no effect is repeated, on
+	// top of the time that endpoints take to start.
+	repeatAfter = 2 * time.Second
+	// refusedPause passes before an order is tried again where nothing was to
+	// be had.
+	refusedPause = 2500 * time.Millisecond
+)
+
+// A Count is the number of endpoints in a zone that take requests.
+type Count struct {
+	OnDemand, Spot int
+}
+
+// A State is what is known of a service.
+type State struct {
+	Plan wick.ScalingPlan
+	// Live counts the endpoints by zone. Every zone of the plan's prices may
+	// be missing.
+	Live map[wick.Zone]Count
+	// Work is the endpoints' time that requests take, in seconds a second; it
+	// is negative if unknown.
+	Work float64
+	// Found is the number of endpoints that the first holder of the duty
+	// found, 0 if unknown.
+	Found int
+	Now   time.Time
+}
+
+// A slot names one number that can be ordered.
+type slot struct {
+	zone wick.Zone
+	spot bool
+}
+
+// An order is the last order of a slot.
+type order struct {
+	count int
+	at    time.Time
+	// refusedAt is when the platform had nothing to give, zero otherwise.
+	refusedAt time.Time
+}
+
+// A Planner decides for one service. Its zero value is ready to use; one
+// goroutine uses it.
+type Planner struct {
+	orders map[slot]order
+	// found is State.Found, or else the most endpoints seen in settleTime.
+	found int
+	since time.Time
+	// need is the number of endpoints aimed at, and lowerSince since when the
+	// load has asked for fewer.
+	need       int
+	lowerSince time.Time
+}
+
+// Found returns the number of endpoints that were found at the start, 0 if it
+// is not settled.
+func (plr *Planner) Found() int {
+	if plr.need == 0 {
+		return 0
+	}
+	return plr.found
+}
+
+// Plan returns the orders that are due.
+func (plr *Planner) Plan(svc wick.Service, sta State) []wick.ScaleOrder {
+	if plr.orders == nil {
+		plr.orders = make(map[slot]order)
+	}
+	zones := byPrice(sta.Plan)
+	if len(zones) == 0 || !plr.settled(sta) {
+		return nil
+	}
+	plr.setNeed(sta, len(zones))
+	want := plr.want(sta, zones)
+	var out []wick.ScaleOrder
+	for _, slt := range slots(zones) {
+		if plr.due(slt, want[slt], sta) {
+			plr.orders[slt] = order{count: want[slt], at: sta.Now}
+			out = append(out, wick.ScaleOrder{Service: svc, Zone: slt.zone, Count: want[slt], Reclaimable: slt.spot})
+		}
+	}
+	return out
+}
+
+// settled reports whether the number of endpoints at the start is known.
+func (plr *Planner) settled(sta State) bool {
+	if plr.since.IsZero() {
+		plr.since = sta.Now
+	}
+	if sta.Found > 0 {
+		plr.found = sta.Found
+		return true
+	}
+	onDemand, spot := sta.total()
+	if plr.need == 0 {
+		plr.found = max(plr.found, onDemand+spot)
+	}
+	return sta.Now.Sub(plr.since) >= settleTime
+}
+
+// Refused notes that the platform had nothing to give for an order.
+func (plr *Planner) Refused(ord wick.ScaleOrder, now time.Time) {
+	slt := slot{ord.Zone, ord.Reclaimable}
+	plr.orders[slt] = order{count: ord.Count, at: now, refusedAt: now}
+}
+
+// Failed notes that an order may not have reached the platform.
+func (plr *Planner) Failed(ord wick.ScaleOrder) {
+	delete(plr.orders, slot{ord.Zone, ord.Reclaimable})
+}
+
+// byPrice returns the zones of a plan, the cheapest first.
+func byPrice(pln wick.ScalingPlan) []wick.Zone {
+	zones := make([]wick.Zone, 0, len(pln.ZonePrices))
+	for zone := range pln.ZonePrices {
+		zones = append(zones, zone)
+	}
+	sort.Slice(zones, func(idx, jdx int) bool {
+		one, two := pln.ZonePrices[zones[idx]], pln.ZonePrices[zones[jdx]]
+		return one < two || one == two && zones[idx] < zones[jdx]
+	})
+	return zones
+}
+
+func slots(zones []wick.Zone) []slot {
+	out := make([]slot, 0, 2*len(zones))
+	for _, zone := range zones {
+		out = append(out, slot{zone, true}, slot{zone, false})
+	}
+	return out
+}
+
+// total returns the live endpoints of both kinds.
+func (sta *State) total() (onDemand, spot int) {
+	for _, cnt := range sta.Live {
+		onDemand += cnt.OnDemand
+		spot += cnt.Spot
+	}
+	return onDemand, spot
+}
+
+// setNeed follows the load: up at once, down after a time.
+func (plr *Planner) setNeed(sta State, zones int) {
+	floor := int(math.Ceil(floorShare * float64(plr.found)))
+	lowest := max(sta.Plan.Min*zones, floor, 1)
+	highest := max(sta.Plan.Max, 1) * zones
+	need := int(math.Ceil(sta.Work / targetUse))
+	if sta.Work < 0 {
+		need = max(plr.need, plr.found)
+	}
+	need = min(max(need, lowest), highest)
+	switch {
+	case plr.need == 0 || need >= plr.need:
+		plr.need, plr.lowerSince = need, time.Time{}
+	case plr.lowerSince.IsZero():
+		plr.lowerSince = sta.Now
+	case sta.Now.Sub(plr.lowerSince) >= shrinkAfter:
+		// One step at a time: every endpoint that goes takes its cache along.
+		plr.need, plr.lowerSince = plr.need-1, sta.Now
+	}
+}
+
+// want returns the number for every slot.
+func (plr *Planner) want(sta State, zones []wick.Zone) map[slot]int {
+	onDemand, spot := sta.total()
+	base := max(int(math.Ceil(baseShare*float64(plr.need))), 1)
+	spots := plr.need - base + int(math.Ceil(spareShare*float64(plr.need)))
+	if sta.Plan.SpotPrice <= 0 || sta.Plan.SpotPrice >= 1 {
+		base, spots = plr.need, 0
+	}
+	// On-demand endpoints go only once others serve in their place.
+	kept := max(base, min(onDemand, plr.need-spot))
+	if work := sta.Work; work > 0 {
+		kept = max(kept, int(math.Ceil(work/highestUse))-spot)
+	}
+	want := make(map[slot]int)
+	spread(want, zones, kept, false, sta)
+	spread(want, zones, spots, true, sta)
+	return want
+}
+
+// spread deals a number of endpoints to zones, the cheapest first.
+func spread(want map[slot]int, zones []wick.Zone, num int, spot bool, sta State) {
+	for num > 0 {
+		dealt := false
+		for _, zone := range zones {
+			both := want[slot{zone, false}] + want[slot{zone, true}]
+			if num > 0 && both < sta.Plan.Max {
+				want[slot{zone, spot}]++
+				num--
+				dealt = true
+			}
+		}
+		if !dealt {
+			return
+		}
+	}
+}
+
+// due reports whether an order is to be sent.
+func (plr *Planner) due(slt slot, want int, sta State) bool {
+	cnt := sta.Live[slt.zone]
+	live := cnt.OnDemand
+	if slt.spot {
+		live = cnt.Spot
+	}
+	old, ok := plr.orders[slt]
+	switch {
+	case ok && sta.Now.Sub(old.refusedAt) < refusedPause:
+		return false
+	case !ok || old.count != want:
+		return live != want
+	default:
+		return live < want && sta.Now.Sub(old.at) > sta.Plan.BootTime+repeatAfter
+	}
+}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,177 @@
+package scale
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+var start = time.Unix(1000, 0)
+
+var testPlan = wick.ScalingPlan{
+	Min: 1, Max: 6, BootTime: 4 * time.Second, SpotPrice: 0.2,
+	ZonePrices: map[wick.Zone]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9},
+}
+
+// A cloud is a fleet that carries out orders after the boot time.
+type cloud struct {
+	t    *testing.T
+	plr  Planner
+	live map[wick.Zone]Count
+	due  []due
+	// dry is set while no reclaimable endpoint is to be had.
+	dry    bool
+	orders int
+	found  int
+}
+
+type due struct {
+	ord wick.ScaleOrder
+	at  time.Time
+}
+
+func newCloud(t *testing.T, perZone int) *cloud {
+	t.Helper()
+	cld := &cloud{t: t, live: make(map[wick.Zone]Count)}
+	for zone := range testPlan.ZonePrices {
+		cld.live[zone] = Count{OnDemand: perZone}
+	}
+	return cld
+}
+
+// run lets time pass with a load, in steps of half a second.
+func (cld *cloud) run(from, length time.Duration, work float64) {
+	for at := from; at < from+length; at += 500 * time.Millisecond {
+		now := start.Add(at)
+		cld.arrive(now)
+		for _, ord := range cld.plr.Plan("s", State{Plan: testPlan, Live: cld.live, Work: work, Found: cld.found, Now: now}) {
+			cld.orders++
+			if ord.Count > testPlan.Max {
+				cld.t.Errorf("order %+v is above the bound", ord)
+			}
+			if ord.Reclaimable && cld.dry && ord.Count > cld.live[ord.Zone].Spot {
+				cld.plr.Refused(ord, now)
+				continue
+			}
+			cld.accept(ord, now)
+		}
+	}
+}
+
+func (cld *cloud) accept(ord wick.ScaleOrder, now time.Time) {
+	cnt := cld.live[ord.Zone]
+	if ord.Reclaimable {
+		cnt.Spot = min(cnt.Spot, ord.Count)
+	} else {
+		cnt.OnDemand = min(cnt.OnDemand, ord.Count)
+	}
+	cld.live[ord.Zone] = cnt
+	cld.due = append(cld.due, due{ord, now.Add(testPlan.BootTime)})
+}
+
+func (cld *cloud) arrive(now time.Time) {
+	var rest []due
+	for _, item := range cld.due {
+		if now.Before(item.at) {
+			rest = append(rest, item)
+			continue
+		}
+		cnt := cld.live[item.ord.Zone]
+		if item.ord.Reclaimable {
+			cnt.Spot = max(cnt.Spot, item.ord.Count)
+		} else {
+			cnt.OnDemand = max(cnt.OnDemand, item.ord.Count)
+		}
+		cld.live[item.ord.Zone] = cnt
+	}
+	cld.due = rest
+}
+
+func (cld *cloud) total() (onDemand, spot int) {
+	sta := State{Live: cld.live}
+	return sta.total()
+}
+
+func (cld *cloud) assertBetween(what string, got, least, most int) {
+	cld.t.Helper()
+	if got < least || got > most {
+		cld.t.Errorf("%s: %d, want %d to %d", what, got, least, most)
+	}
+}
+
+// TestReplacement guards against a fleet that has too few endpoints while
+// reclaimable ones take the place of others.
+func TestReplacement(t *testing.T) {
+	cld := newCloud(t, 3)
+	for step := range 20 {
+		cld.run(time.Duration(step)*time.Second, time.Second, -1)
+		onDemand, spot := cld.total()
+		cld.assertBetween("endpoints during the replacement", onDemand+spot, 12, 17)
+	}
+	onDemand, spot := cld.total()
+	cld.assertBetween("on-demand endpoints", onDemand, 4, 6)
+	cld.assertBetween("reclaimable endpoints", spot, 8, 12)
+	cld.assertBetween("orders", cld.orders, 4, 16)
+}
+
+// TestReclaim answers the pattern in which the reclaimable endpoints of zones
+// are taken away one after the other and none are to be had for a time.
+func TestReclaim(t *testing.T) {
+	cld := newCloud(t, 3)
+	cld.run(0, 20*time.Second, 2)
+	cld.dry = true
+	for _, zone := range []wick.Zone{"a", "b", "c"} {
+		cnt := cld.live[zone]
+		cnt.Spot = 0
+		cld.live[zone] = cnt
+	}
+	cld.run(20*time.Second, 10*time.Second, 4)
+	onDemand, spot := cld.total()
+	cld.assertBetween("endpoints while none are to be had", onDemand+spot, 7, 24)
+	cld.assertBetween("orders while none are to be had", cld.orders, 1, 45)
+	cld.dry = false
+	cld.run(30*time.Second, 12*time.Second, 4)
+	_, spot = cld.total()
+	cld.assertBetween("reclaimable endpoints afterwards", spot, 10, 20)
+}
+
+// TestLoad guards against a fleet that does not follow the load, or that gives
+// up endpoints in a short lull.
+func TestLoad(t *testing.T) {
+	cld := newCloud(t, 3)
+	cld.run(0, 20*time.Second, 2)
+	cld.run(20*time.Second, 10*time.Second, 5)
+	onDemand, spot := cld.total()
+	cld.assertBetween("endpoints under load", onDemand+spot, 18, 24)
+	cld.run(30*time.Second, 8*time.Second, 0.1)
+	again, spots := cld.total()
+	cld.assertBetween("endpoints after a lull", again+spots, onDemand+spot, onDemand+spot)
+	cld.run(38*time.Second, 300*time.Second, 0.1)
+	onDemand, spot = cld.total()
+	cld.assertBetween("endpoints of a quiet site", onDemand+spot, 9, 13)
+}
+
+// TestNewHolder guards against a holder that takes a fleet in trouble for the
+// fleet that is wanted.
+func TestNewHolder(t *testing.T) {
+	cld := newCloud(t, 1)
+	cld.found = 12
+	cld.run(0, 15*time.Second, -1)
+	onDemand, spot := cld.total()
+	cld.assertBetween("endpoints", onDemand+spot, 12, 17)
+}
+
+// TestLateRegistration guards against orders from a list that is not complete.
+func TestLateRegistration(t *testing.T) {
+	cld := newCloud(t, 0)
+	cld.run(0, time.Second, -1)
+	for zone := range testPlan.ZonePrices {
+		cld.live[zone] = Count{OnDemand: 3}
+	}
+	cld.run(time.Second, time.Second, -1)
+	cld.assertBetween("orders before all have registered", cld.orders, 0, 0)
+	cld.run(2*time.Second, 15*time.Second, -1)
+	onDemand, spot := cld.total()
+	cld.assertBetween("endpoints", onDemand+spot, 12, 17)
+}
