quota: a pot for each customer, kept by one entry and asked over QUIC

Ruled out: debt in each entry's bucket (with 30 entries the debts alone exceed the slack). Change: a part of each quota is dealt to the entries, the rest lies in a pot that one entry keeps, chosen by rendezvous over the records in the store; the entries share an authority for mutual TLS through the store.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -8,6 +8,7 @@
 	"crypto/ed25519"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/base64"
@@ -69,6 +70,29 @@
 	return &Authority{cert: cert, key: key, PEM: encode("CERTIFICATE", der)}, nil
 }
 
+// Key returns the authority's private key in PEM, so that entries without
+// settings of their own can share the authority.
+func (aut *Authority) Key() (string, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(aut.key)
+	if err != nil {
+		return "", eris.Wrap(err, "certs: encode key")
+	}
+	return encode("PRIVATE KEY", der), nil
+}
+
+// ParseAuthority reads what PEM and Key return, or fails with wick.ErrInvalid.
+func ParseAuthority(certPEM, keyPEM string) (*Authority, error) {
+	pair, err := tls.X509KeyPair([]byte(certPEM), []byte(keyPEM))
+	if err != nil {
+		return nil, eris.Wrapf(wick.ErrInvalid, "certs: authority: %v", err)
+	}
+	key, ok := pair.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok || !pair.Leaf.IsCA {
+		return nil, eris.Wrap(wick.ErrInvalid, "certs: not an authority")
+	}
+	return &Authority{cert: pair.Leaf, key: key, PEM: certPEM}, nil
+}
+
 // Issue makes the certificate of an entry. Its common name is the entry id.
 func (aut *Authority) Issue(eid wick.EntryID, now time.Time) (Pair, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,6 +17,7 @@
 	"github.com/wagtailwick/wagtailwick/internal/admin"
 	"github.com/wagtailwick/wagtailwick/internal/feed"
 	"github.com/wagtailwick/wagtailwick/internal/lease"
+	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/internal/plan"
 	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/internal/quota"
@@ -66,6 +68,8 @@
 	// QuotaOvershoot is the share by which all entries together may exceed a
 	// customer's quota, QuotaSlack the units beyond that.
 	QuotaOvershoot, QuotaSlack float64
+	// QuotaWindow is the span over which the quota is judged.
+	QuotaWindow time.Duration
 	// UsageWindow is the length of a usage window, UsageLate the time after
 	// its end by which it must be reported.
 	UsageWindow, UsageLate time.Duration
@@ -88,9 +92,9 @@
 	Duties      wick.Duties
 	Kinds       Kinds
 	Bounds      Bounds
-	// Callers, Ready and Admin are "host:port". Admin may be "".
-	Callers, Ready, Admin string
-	MaxConnections        int
+	// Callers, Ready, Admin and Peer are "host:port". Admin and Peer may be "".
+	Callers, Ready, Admin, Peer string
+	MaxConnections              int
 }
 
 // An Edge is one entry.
@@ -102,7 +106,8 @@
 	members  *feed.Follower
 	pool     *pool.Pool
 	roster   *roster.Roster
-	quotas   quota.Book
+	quotas   quotas
+	peers    atomic.Pointer[peer.Transport]
 	budget   retry.Budget
 	tally    usage.Tally
 	client   wire.Client
@@ -118,7 +123,8 @@
 func New(cfg Config) *Edge {
 	edg := &Edge{cfg: cfg, pool: pool.New(cfg.Zone), roster: roster.New(cfg.Store, cfg.ID)}
 	edg.budget = retry.Budget{Share: retryMargin * cfg.Bounds.RetryRatio, Reserve: edg.retryReserve(cfg.Bounds.Entries)}
-	edg.quotas = quota.Book{Overshoot: cfg.Bounds.QuotaOvershoot, Slack: cfg.Bounds.QuotaSlack}
+	trm := quota.Terms{Overshoot: cfg.Bounds.QuotaOvershoot, Slack: cfg.Bounds.QuotaSlack, Window: cfg.Bounds.QuotaWindow}
+	edg.quotas = quotas{edg: edg, book: quota.Book{Terms: trm}, pot: quota.Pot{Terms: trm}}
 	edg.tally.Window = cfg.Bounds.UsageWindow
 	edg.client = wire.Client{
 		DialTimeout: endpointDial, ConnTimeout: endpointDial, IdleTimeout: endpointIdle, Meter: "endpoints",
@@ -153,7 +159,7 @@
 	defer stop()
 	var grp errgroup.Group
 	for _, loop := range []func(context.Context){
-		edg.config.Run, edg.backends.Run, edg.members.Run, edg.publishLoop, edg.shareLoop,
+		edg.config.Run, edg.backends.Run, edg.members.Run, edg.publishLoop, edg.shareLoop, edg.peerLoop,
 	} {
 		grp.Go(func() error { loop(work); return nil })
 	}
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -6,7 +6,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/wagtailwick/wagtailwick/internal/quota"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/internal/roster"
 	"github.com/wagtailwick/wagtailwick/internal/usage"
@@ -16,9 +15,6 @@
 const (
 	shareEvery = 500 * time.Millisecond
 	usageEvery = 250 * time.Millisecond
-	// quotaMemory is how long an entry whose record no longer changes keeps its
-	// share of the quotas: it may be cut off and still serve.
-	quotaMemory = 12 * time.Second
 	// storeTimeout bounds one write of the entry's record.
 	storeTimeout = 2 * time.Second
 	// staleRecord is the age at which the record of an entry that has ended is
@@ -40,9 +36,14 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	edg.beat++
+	peerAddr := ""
+	if edg.peers.Load() != nil {
+		peerAddr = edg.cfg.Peer
+	}
 	return edg.roster.Publish(ctx, roster.Record{ //nolint:wrapcheck // our own package
-		ID: edg.cfg.ID, Incarnation: edg.cfg.Incarnation, Zone: edg.cfg.Zone, Beat: edg.beat, Leaving: leaving,
-		Demand: edg.quotas.Demand(time.Now()), Began: edg.tally.Counts(),
+		ID: edg.cfg.ID, Incarnation: edg.cfg.Incarnation, Zone: edg.cfg.Zone, Peer: peerAddr,
+		Beat: edg.beat, Leaving: leaving,
+		Demand: edg.quotas.book.Demand(time.Now()), Began: edg.tally.Counts(),
 		Work: edg.pool.Work(time.Now()), Found: edg.found.get(),
 	})
 }
@@ -50,32 +51,13 @@
 // shareLoop shares quotas and the retry budget with the other entries.
 func (edg *Edge) shareLoop(ctx context.Context) {
 	for {
-		edg.share(time.Now())
+		edg.quotas.share(time.Now())
 		if !retry.Sleep(ctx, shareEvery) {
 			return
 		}
 	}
 }
 
-func (edg *Edge) share(now time.Time) {
-	since := edg.members.FailingSince()
-	recs := edg.roster.Alive(now, quotaMemory, !since.IsZero())
-	var own quota.Demand
-	others := make([]quota.Demand, 0, max(len(recs), edg.cfg.Bounds.Entries))
-	for _, rec := range recs {
-		if rec.ID == edg.cfg.ID {
-			own = rec.Demand
-			continue
-		}
-		others = append(others, rec.Demand)
-	}
-	for len(recs) == 0 && len(others) < edg.cfg.Bounds.Entries-1 {
-		others = append(others, nil)
-	}
-	cutOff := !since.IsZero() && now.Sub(since) > quotaMemory
-	edg.quotas.SetShares(own, others, cutOff)
-}
-
 // usageLoop reports usage while this entry holds the control duty.
 func (edg *Edge) usageLoop(ctx context.Context) {
 	rpt := &usage.Reporter{
--- /dev/null
+++ b/internal/edge/quota.go
@@ -0,0 +1,148 @@
+package edge
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/wagtailwick/wagtailwick/internal/peer"
+	"github.com/wagtailwick/wagtailwick/internal/place"
+	"github.com/wagtailwick/wagtailwick/internal/quota"
+	"github.com/wagtailwick/wagtailwick/internal/roster"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	// quotaMemory is how long an entry whose record no longer changes keeps its
+	// share of the quotas: it may be cut off and still serve.
+	quotaMemory = 12 * time.Second
+	// askTimeout bounds the question to the keeper of a pot.
+	askTimeout = 100 * time.Millisecond
+)
+
+// A quotaAsk asks the keeper of a customer's pot for units.
+type quotaAsk struct {
+	Customer wick.Customer `cbor:"1,keyasint"`
+	Cost     float64       `cbor:"2,keyasint"`
+}
+
+// A quotaGrant is the answer.
+type quotaGrant struct {
+	Granted bool `cbor:"1,keyasint"`
+	// AfterMillis is when the units would be there.
+	AfterMillis int64 `cbor:"2,keyasint"`
+}
+
+// quotas spends the customers' quotas: first this entry's part, then the pot.
+type quotas struct {
+	edg  *Edge
+	book quota.Book
+	pot  quota.Pot
+	// keepers are the entries that may keep pots.
+	keepers atomic.Pointer[[]wick.Member]
+}
+
+// Take spends cost units for a request.
+func (quo *quotas) Take(ctx context.Context, cus *wick.CustomerPlan, cost float64, now time.Time) (bool, time.Duration) {
+	ok, after := quo.book.Take(cus, cost, now)
+	if ok {
+		return true, 0
+	}
+	grant, err := quo.ask(ctx, cus, cost, now)
+	if err != nil {
+		metrics.GetOrRegisterCounter("edge.potUnreached", nil).Inc(1)
+		log.WithError(err).WithField("customer", cus.Name).Debug("edge: pot not reached")
+		return false, after
+	}
+	return grant.Granted, min(after, time.Duration(grant.AfterMillis)*time.Millisecond)
+}
+
+// Refund gives units back that a request did not use.
+func (quo *quotas) Refund(cus *wick.CustomerPlan, cost float64) { quo.book.Refund(cus, cost) }
+
+// ask asks the keeper of a customer's pot, which may be this entry.
+func (quo *quotas) ask(ctx context.Context, cus *wick.CustomerPlan, cost float64, now time.Time) (quotaGrant, error) {
+	var mems []wick.Member
+	if ptr := quo.keepers.Load(); ptr != nil {
+		mems = *ptr
+	}
+	keeper, ok := place.First(string(cus.Name), mems)
+	if !ok || keeper.ID == quo.edg.cfg.ID {
+		granted, after := quo.pot.Take(cus, cost, now)
+		return quotaGrant{Granted: granted, AfterMillis: after.Milliseconds()}, nil
+	}
+	trn := quo.edg.peers.Load()
+	if trn == nil {
+		return quotaGrant{}, wick.ErrUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var grant quotaGrant
+	err := trn.Call(ctx, keeper, wick.MsgQuota, quotaAsk{Customer: cus.Name, Cost: cost}, &grant)
+	return grant, err //nolint:wrapcheck // logged by the caller
+}
+
+// answerQuota answers another entry's question.
+func (edg *Edge) answerQuota(_ context.Context, _ wick.EntryID, body []byte) (any, error) {
+	var ask quotaAsk
+	if err := peer.Decode(body, &ask); err != nil {
+		return nil, err //nolint:wrapcheck // our own package
+	}
+	tbl := edg.plans.Load()
+	if tbl == nil {
+		return nil, wick.ErrUnavailable
+	}
+	cus := tbl.CustomerNamed(ask.Customer)
+	if cus == nil {
+		return nil, wick.ErrNotFound
+	}
+	granted, after := edg.quotas.pot.Take(cus, ask.Cost, time.Now())
+	return quotaGrant{Granted: granted, AfterMillis: after.Milliseconds()}, nil
+}
+
+// share deals the quotas anew from the entries' records.
+func (quo *quotas) share(now time.Time) {
+	since := quo.edg.members.FailingSince()
+	recs := quo.edg.roster.Alive(now, quotaMemory, !since.IsZero())
+	var own quota.Demand
+	others := make([]quota.Demand, 0, max(len(recs), quo.edg.cfg.Bounds.Entries))
+	for _, rec := range recs {
+		if rec.ID == quo.edg.cfg.ID {
+			own = rec.Demand
+			continue
+		}
+		others = append(others, rec.Demand)
+	}
+	for len(recs) == 0 && len(others) < quo.edg.cfg.Bounds.Entries-1 {
+		others = append(others, nil)
+	}
+	cutOff := !since.IsZero() && now.Sub(since) > quotaMemory
+	quo.book.SetShares(own, others, cutOff)
+	quo.settlePots(recs, len(others)+1, cutOff, now)
+}
+
+// settlePots chooses the keepers of the pots.
+func (quo *quotas) settlePots(recs []roster.Record, entries int, cutOff bool, now time.Time) {
+	mems := make([]wick.Member, 0, len(recs))
+	for idx := range recs {
+		if !recs[idx].Leaving && recs[idx].Peer != "" {
+			mems = append(mems, recs[idx].Member())
+		}
+	}
+	quo.keepers.Store(&mems)
+	tbl := quo.edg.plans.Load()
+	if tbl == nil {
+		return
+	}
+	var mine []wick.Customer
+	for idx := range tbl.Plan.Customers {
+		cus := tbl.Plan.Customers[idx].Name
+		// An entry that is cut off may have been replaced as a keeper.
+		if keeper, ok := place.First(string(cus), mems); ok && keeper.ID == quo.edg.cfg.ID && !cutOff {
+			mine = append(mine, cus)
+		}
+	}
+	quo.pot.Keep(mine, entries, now)
+}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -79,6 +79,16 @@
 // Customer returns the customer of a key, or nil.
 func (tbl *Table) Customer(key wick.CallerKey) *wick.CustomerPlan { return tbl.customers[key] }
 
+// CustomerNamed returns a customer by name, or nil.
+func (tbl *Table) CustomerNamed(name wick.Customer) *wick.CustomerPlan {
+	for idx := range tbl.Plan.Customers {
+		if tbl.Plan.Customers[idx].Name == name {
+			return &tbl.Plan.Customers[idx]
+		}
+	}
+	return nil
+}
+
 // Choose draws a service of the route by weight.
 func Choose(rpl *wick.RoutePlan) wick.Service {
 	if len(rpl.Splits) == 1 {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,6 +1,7 @@
-// Package quota bounds what customers use over all entries. Each entry spends
-// its share of a customer's quota from a token bucket; shares follow the use
-// that the entries report. It does no I/O.
+// Package quota bounds what customers use over all entries. A part of each
+// quota is dealt to the entries, following the use that they report; the rest
+// lies in a pot that one entry keeps for all, and that the others ask when their
+// part is used up. Both are token buckets. It does no I/O.
 package quota
 
 import (
@@ -11,48 +12,110 @@
 )
 
 const (
-	// evenPart of each quota is split evenly over the entries, so that an
-	// entry whose use begins has something to spend. The rest follows use.
+	// mostDealt of each quota is dealt to the entries, and at most entryPart to
+	// each: a part that holds no whole request is of no use to an entry.
+	mostDealt = 0.4
+	entryPart = 0.08
+	// evenPart of what is dealt goes to all entries alike, so that an entry
+	// whose use begins has something to spend. The rest follows use.
 	evenPart = 0.5
-	// useWindow smooths the use that an entry reports.
-	useWindow = 3 * time.Second
-)
-
-const (
 	// slackPart is the part of the agreed overshoot and slack that is used.
 	// The rest covers entries whose views of the demand differ.
-	slackPart = 0.5
-	// cutOffPart is left of an entry's share once the other entries may have
+	slackPart = 0.6
+	// cutOffPart is left of an entry's part once the other entries may have
 	// given it away.
 	cutOffPart = 0.5
+	// useWindow smooths the use that an entry reports.
+	useWindow = 3 * time.Second
 )
 
-// A Book holds the buckets of one entry. Its zero value is ready to use.
-type Book struct {
-	// Overshoot is the share by which a quota may be exceeded, and Slack the
-	// units beyond that, over all entries. They are set before the first call.
+// Terms are what operators agree on for all quotas.
+type Terms struct {
+	// Overshoot is the share by which a quota may be exceeded over Window,
+	// Slack the units beyond that.
 	Overshoot, Slack float64
+	Window           time.Duration
+}
 
-	mu      sync.Mutex
-	buckets map[wick.Customer]*bucket
-	// shares is the part of each customer's quota that this entry may spend.
-	// A customer without a share gets even.
-	shares map[wick.Customer]float64
-	even   float64
+// burst returns the units that may be used at once.
+func (trm Terms) burst(quo wick.Quota) float64 {
+	over := trm.Overshoot*(quo.Rate*trm.Window.Seconds()+quo.Burst) + trm.Slack
+	return quo.Burst + slackPart*over
+}
+
+// dealt returns the part of each quota that is dealt to a number of entries. It
+// falls as they grow in number, and the pot grows.
+func dealt(entries int) float64 {
+	num := float64(max(entries, 1))
+	return min(mostDealt, entryPart*num, mostDealt*fewEntries/num)
 }
 
-// A bucket is one customer's part on this entry, in the quota's units.
+// fewEntries is the number of entries up to which mostDealt is dealt.
+const fewEntries = 6
+
+// Cost returns the units that a request takes from a quota.
+func Cost(quo wick.Quota, ask wick.Ask) float64 {
+	switch {
+	case !quo.ByTokens:
+		return 1
+	case ask.InputTokens+ask.OutputTokens > 0:
+		return float64(ask.InputTokens + ask.OutputTokens)
+	default:
+		return quo.PlainTokens
+	}
+}
+
+// A bucket is a token bucket in the quota's units.
 type bucket struct {
 	level float64
 	at    time.Time
-	// use is the smoothed demand in units a second, refused requests included.
-	use   float64
-	useAt time.Time
+}
+
+// take spends cost if the bucket, refilled at rate up to burst, holds it.
+// Otherwise it returns the time until it does.
+func (buc *bucket) take(cost, rate, burst float64, now time.Time) (bool, time.Duration) {
+	buc.level = min(buc.level+rate*max(now.Sub(buc.at).Seconds(), 0), burst)
+	buc.at = now
+	if buc.level < cost {
+		if rate <= 0 {
+			return false, time.Second
+		}
+		return false, time.Duration((cost - buc.level) / rate * float64(time.Second))
+	}
+	buc.level -= cost
+	return true, 0
 }
 
 // A Demand is what one entry asks for each customer, in units a second.
 type Demand map[wick.Customer]float64
 
+// A Book holds the buckets of one entry for the dealt parts.
+type Book struct {
+	// Terms are set before the first call.
+	Terms Terms
+
+	mu      sync.Mutex
+	buckets map[wick.Customer]*bucket
+	use     map[wick.Customer]*use
+	// shares is the part of the dealt quota that this entry may spend. A
+	// customer without a share gets even.
+	shares map[wick.Customer]float64
+	even   float64
+	// dealt is the part of the quotas that is dealt to all entries.
+	dealt float64
+}
+
+// A use is the smoothed demand of a customer, refused requests included.
+type use struct {
+	rate float64
+	at   time.Time
+}
+
+func (use *use) decayed(now time.Time) float64 {
+	left := 1 - now.Sub(use.at).Seconds()/(2*useWindow.Seconds())
+	return use.rate * max(left, 0)
+}
+
 // SetShares sets the entry's share of each quota from the demand that the
 // entries have published. Own must be what the others read of this entry, not
 // newer: otherwise the shares of a growing demand add up to more than 1. With
@@ -65,6 +128,7 @@
 		factor = cutOffPart
 	}
 	bok.even = factor / float64(len(others)+1)
+	bok.dealt = dealt(len(others) + 1)
 	total := make(Demand)
 	for _, dem := range append(others, own) {
 		for cus, val := range dem {
@@ -79,51 +143,30 @@
 	}
 }
 
-// Cost returns the units that a request takes from a quota.
-func Cost(quo wick.Quota, ask wick.Ask) float64 {
-	switch {
-	case !quo.ByTokens:
-		return 1
-	case ask.InputTokens+ask.OutputTokens > 0:
-		return float64(ask.InputTokens + ask.OutputTokens)
-	default:
-		return quo.PlainTokens
-	}
-}
-
-// Take spends cost units. It returns false and the time after which the
-// request would fit if the entry's share is used up.
+// Take spends cost units of the entry's part. It returns false and the time
+// after which the request would fit if the part is used up.
 func (bok *Book) Take(cus *wick.CustomerPlan, cost float64, now time.Time) (ok bool, after time.Duration) {
 	if cus.Quota.Rate <= 0 {
 		return true, 0
 	}
 	bok.mu.Lock()
 	defer bok.mu.Unlock()
-	if bok.buckets == nil {
-		bok.buckets = make(map[wick.Customer]*bucket)
-	}
+	bok.demand(cus.Name, cost, now)
 	share, known := bok.shares[cus.Name]
 	if !known {
 		share = bok.even
 	}
-	if share == 0 {
-		share = 1
-	}
-	rate := cus.Quota.Rate * (1 + slackPart*bok.Overshoot) * share
-	burst := max((cus.Quota.Burst*(1+slackPart*bok.Overshoot)+slackPart*bok.Slack)*share, cost)
+	share *= bok.dealt
+	burst := bok.Terms.burst(cus.Quota) * share
 	buc := bok.buckets[cus.Name]
 	if buc == nil {
-		buc = &bucket{level: burst, at: now, useAt: now}
+		buc = &bucket{level: burst, at: now}
+		if bok.buckets == nil {
+			bok.buckets = make(map[wick.Customer]*bucket)
+		}
 		bok.buckets[cus.Name] = buc
 	}
-	buc.demand(cost, now)
-	buc.level = min(buc.level+rate*now.Sub(buc.at).Seconds(), burst)
-	buc.at = now
-	if buc.level < cost {
-		return false, time.Duration((cost - buc.level) / rate * float64(time.Second))
-	}
-	buc.level -= cost
-	return true, 0
+	return buc.take(cost, cus.Quota.Rate*share, burst, now)
 }
 
 // Refund gives back what a request took that did not run.
@@ -136,23 +179,26 @@
 }
 
 // demand adds to the smoothed use.
-func (buc *bucket) demand(cost float64, now time.Time) {
-	buc.use = buc.decayed(now) + cost/useWindow.Seconds()
-	buc.useAt = now
-}
-
-func (buc *bucket) decayed(now time.Time) float64 {
-	left := 1 - now.Sub(buc.useAt).Seconds()/(2*useWindow.Seconds())
-	return buc.use * max(left, 0)
+func (bok *Book) demand(cus wick.Customer, cost float64, now time.Time) {
+	if bok.use == nil {
+		bok.use = make(map[wick.Customer]*use)
+	}
+	one := bok.use[cus]
+	if one == nil {
+		one = &use{}
+		bok.use[cus] = one
+	}
+	one.rate = one.decayed(now) + cost/useWindow.Seconds()
+	one.at = now
 }
 
 // Demand returns the demand of each customer in units a second.
 func (bok *Book) Demand(now time.Time) Demand {
 	bok.mu.Lock()
 	defer bok.mu.Unlock()
-	out := make(Demand, len(bok.buckets))
-	for cus, buc := range bok.buckets {
-		out[cus] = buc.decayed(now)
+	out := make(Demand, len(bok.use))
+	for cus, one := range bok.use {
+		out[cus] = one.decayed(now)
 	}
 	return out
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,6 +48,15 @@
 	Began(cus wick.Customer, at time.Time)
 }
 
+// Quotas spend the customers' quotas.
+type Quotas interface {
+	// Take spends cost units, or returns false and the time after which they
+	// would be there.
+	Take(ctx context.Context, cus *wick.CustomerPlan, cost float64, now time.Time) (ok bool, after time.Duration)
+	// Refund gives back what a request took that did not run.
+	Refund(cus *wick.CustomerPlan, cost float64)
+}
+
 // A Config wires a Server. All fields must be set.
 type Config struct {
 	Listener net.Listener
@@ -56,7 +65,7 @@
 	Dialect        wick.Dialect
 	Plans          *plan.Current
 	Pool           *pool.Pool
-	Quotas         *quota.Book
+	Quotas         Quotas
 	Budget         *retry.Budget
 	Client         *wire.Client
 	Meter          Meter
@@ -143,7 +152,7 @@
 	}
 	hdr := copyHeader(rct)
 	jb := &job{srv: srv, rct: rct, header: hdr, ask: srv.cfg.Dialect.ReadAsk(hdr), arrived: now}
-	if rfl, ok := jb.admit(now); !ok {
+	if rfl, ok := jb.admit(ctx, now); !ok {
 		jb.answerSelf("refused", rfl)
 		return
 	}
@@ -158,7 +167,7 @@
 
 // admit finds the route and customer and takes the quota. It returns a refusal
 // and false if the request is not taken.
-func (jb *job) admit(now time.Time) (refusal, bool) {
+func (jb *job) admit(ctx context.Context, now time.Time) (refusal, bool) {
 	cfg := &jb.srv.cfg
 	path, _, _ := strings.Cut(string(jb.rct.Request.Header.RequestURI()), "?")
 	mat, err := cfg.Plans.Find(string(jb.rct.Request.Header.Host()), path, jb.ask.Key)
@@ -180,7 +189,7 @@
 		return refusalDraining, false
 	}
 	if mat.Customer != nil {
-		if ok, after := cfg.Quotas.Take(mat.Customer, jb.cost(), now); !ok {
+		if ok, after := cfg.Quotas.Take(ctx, mat.Customer, jb.cost(), now); !ok {
 			return refusalQuota.in(after), false
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -22,6 +22,9 @@
 	ID          wick.EntryID     `json:"id"`
 	Incarnation wick.Incarnation `json:"incarnation"`
 	Zone        wick.Zone        `json:"zone"`
+	// Peer is the address "host:port" for messages of other entries, "" if
+	// the entry takes none.
+	Peer string `json:"peer,omitempty"`
 	// Beat grows with every write of an incarnation.
 	Beat    uint64 `json:"beat"`
 	Leaving bool   `json:"leaving,omitempty"`
@@ -37,6 +40,11 @@
 	Work map[wick.Service]float64 `json:"work,omitempty"`
 }
 
+// Member returns the entry as a peer.
+func (rec *Record) Member() wick.Member {
+	return wick.Member{ID: rec.ID, Incarnation: rec.Incarnation, Zone: rec.Zone, Address: rec.Peer, State: wick.EntryServing}
+}
+
 // A seen is a record with the time at which it last changed here.
 type seen struct {
 	rec Record
--- a/pkg/wick/peers.go
+++ b/pkg/wick/peers.go
@@ -19,6 +19,7 @@
 	MsgStreamFetch MessageType = "streamFetch"
 	MsgStreamTake  MessageType = "streamTake"
 	MsgVMList      MessageType = "vmList"
+	MsgQuota       MessageType = "quota"
 )
 
 // MaxMessageBytes is the largest message between entries.
--- a/pkg/wick/store.go
+++ b/pkg/wick/store.go
@@ -16,6 +16,7 @@
 	KindFleet     Kind = "fleet"
 	KindMember    Kind = "member"
 	KindUsage     Kind = "usage"
+	KindAuthority Kind = "authority"
 )
 
 // An ObjectKey names one object of the platform.
