edge: move services to ordered versions with the judge of canary and move

Change: entries follow version orders, send a small share to the candidate, publish their evidence in their records, and each stops a bad version by itself; the holder of the control duty steps the move and records its state.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -90,6 +90,7 @@
 	Dialect     wick.Dialect
 	Catalog     wick.Catalog
 	Duties      wick.Duties
+	Orders      wick.VersionOrders
 	Kinds       Kinds
 	Bounds      Bounds
 	// Callers, Ready, Admin and Peer are "host:port". Admin and Peer may be "".
@@ -108,6 +109,9 @@
 	roster   *roster.Roster
 	quotas   quotas
 	peers    atomic.Pointer[peer.Transport]
+	rollouts *rollouts
+	orders   *feed.Follower
+	moves    *feed.Follower
 	budget   retry.Budget
 	tally    usage.Tally
 	client   wire.Client
@@ -134,6 +138,9 @@
 		Store: cfg.Store, Kind: cfg.Kinds.Backend, Handler: &backendHandler{edg: edg}, Pause: backendPause,
 	}
 	edg.members = &feed.Follower{Store: cfg.Store, Kind: wick.KindMember, Handler: edg.roster, Pause: memberPause}
+	edg.rollouts = newRollouts(edg)
+	edg.orders = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.VersionOrder, Handler: orderHandler{edg.rollouts}}
+	edg.moves = &feed.Follower{Store: cfg.Store, Kind: wick.KindMove, Handler: moveHandler{edg.rollouts}}
 	edg.leases = lease.NewKeeper(cfg.Store, cfg.ID, cfg.Incarnation,
 		func() []wick.Member { return nil },
 		func([]wick.Member) []wick.Duty { return []wick.Duty{DutyControl} },
@@ -160,6 +167,7 @@
 	var grp errgroup.Group
 	for _, loop := range []func(context.Context){
 		edg.config.Run, edg.backends.Run, edg.members.Run, edg.publishLoop, edg.shareLoop, edg.peerLoop,
+		edg.orders.Run, edg.moves.Run, edg.rollouts.loop,
 	} {
 		grp.Go(func() error { loop(work); return nil })
 	}
@@ -196,7 +204,7 @@
 	}
 	edg.relay = relay.New(relay.Config{
 		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
-		Pool: edg.pool, Quotas: &edg.quotas, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
+		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
 		PlanConfirmed: edg.planConfirmed,
 	})
 	edg.ready, err = newReadyServer(ctx, edg.cfg.Ready)
--- a/internal/move/move.go
+++ b/internal/move/move.go
@@ -67,6 +67,8 @@
 	StepAt time.Time `json:"stepAt"`
 	// WatchUntil is the end of the watch period; zero before it.
 	WatchUntil time.Time `json:"watchUntil,omitzero"`
+	// Deadline is that of the move.
+	Deadline time.Time `json:"deadline,omitzero"`
 	// Reason tells operators why the state is as it is.
 	Reason   string       `json:"reason"`
 	Evidence string       `json:"evidence,omitempty"`
@@ -101,13 +103,24 @@
 	Evidence         string
 	// PerSecond is the service's requests per second over all entries.
 	PerSecond float64
+	// MinStep replaces the least time per step of the ramp, and ProveFor is the
+	// least time of the proof. Zero is the default and no least time.
+	MinStep, ProveFor time.Duration
+}
+
+// minStep returns the least time per step of the ramp.
+func (inp *Input) minStep() time.Duration {
+	if inp.MinStep > 0 {
+		return inp.MinStep
+	}
+	return minStep
 }
 
 // New returns the record of a move that has not begun.
 func New(mid wick.MoveID, mov bundle.Move, now time.Time) Record {
 	return Record{
 		Move: mid, Service: mov.Service, From: mov.From, To: mov.To, State: StatePending,
-		Since: now, StepAt: now, Reason: "waits for endpoints of the new version",
+		Since: now, StepAt: now, Deadline: mov.Deadline, Reason: "waits for endpoints of the new version",
 	}
 }
 
@@ -165,7 +178,7 @@
 // stepTime returns the time between two steps.
 func stepTime(inp *Input, rec *Record) time.Duration {
 	left := inp.Move.Deadline.Sub(inp.Now)
-	return min(max(left/time.Duration(steps(rec.Share)+1), minStep), maxStep)
+	return min(max(left/time.Duration(steps(rec.Share)+1), inp.minStep()), maxStep)
 }
 
 // unmet returns why the deadline can't be met, or "".
@@ -174,10 +187,10 @@
 	if share == 0 {
 		share = proofShare(inp, inp.Now)
 	}
-	need := time.Duration(steps(share)) * minStep
+	need := time.Duration(steps(share)) * inp.minStep()
 	if rec.State == StateRamping {
 		// The step in progress has begun already.
-		need -= min(inp.Now.Sub(rec.StepAt), minStep)
+		need -= min(inp.Now.Sub(rec.StepAt), inp.minStep())
 	}
 	if left := inp.Move.Deadline.Sub(inp.Now); left < need {
 		return fmt.Sprintf("deadline can't be met: the ramp from share %.3f needs %s, %s left", share, need, max(left, 0).Round(time.Second))
@@ -221,7 +234,7 @@
 	switch {
 	case rec.State == StatePending && inp.Ready:
 		return fire(rec, inp.Now, trigReady, proofShare(inp, inp.Now), "collects evidence")
-	case rec.State == StateProving && inp.Proved:
+	case rec.State == StateProving && inp.Proved && inp.Now.Sub(rec.Since) >= inp.ProveFor:
 		return fire(rec, inp.Now, trigProved, rec.Share, "proved, share grows")
 	case rec.State == StateRamping && inp.Now.Sub(rec.StepAt) >= stepTime(inp, rec) && inp.Level < suspicion(inp):
 		rec.Share = min(rec.Share*rampFactor, 1)
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -47,11 +47,21 @@
 	Input wick.Tokens
 	// Output bounds the generated tokens.
 	Output wick.Tokens
+	// Only and Except restrict the versions of endpoints unless they are "".
+	Only, Except wick.ModelVersion
 	// Exclude lists endpoints that the request was sent to before.
 	Exclude []wick.VMID
 	Now     time.Time
 }
 
+// allows reports whether an endpoint may be chosen for the query.
+func (que *Query) allows(end *endpoint) bool {
+	if que.Only != "" && end.bke.Version != que.Only || que.Except != "" && end.bke.Version == que.Except {
+		return false
+	}
+	return !slices.Contains(que.Exclude, end.bke.ID)
+}
+
 // A homeKey names a prompt part and an endpoint.
 type homeKey struct {
 	part string
@@ -63,6 +73,8 @@
 	Backend wick.Backend
 	// Leaving is closed when the endpoint leaves.
 	Leaving <-chan struct{}
+	// Band is the load of the endpoint when it was chosen.
+	Band wick.LoadBand
 
 	grp     *group
 	end     *endpoint
@@ -84,6 +96,7 @@
 		return nil, eris.Wrapf(wick.ErrNotFound, "pool: no endpoint of %s is left", que.Service)
 	}
 	tic := &Ticket{Backend: end.bke, Leaving: end.leaving, grp: grp, end: end}
+	tic.Band = bandOf(end)
 	end.inFlight++
 	if que.Model {
 		tic.prefill = grp.missing(end, que, grp.homesOf(que))
@@ -99,7 +112,7 @@
 func (grp *group) best(que Query, zone wick.Zone) *endpoint {
 	top := standsOut
 	for _, end := range grp.eps {
-		if !slices.Contains(que.Exclude, end.bke.ID) {
+		if que.allows(end) {
 			top = max(top, end.standing(que.Now))
 		}
 	}
@@ -110,7 +123,7 @@
 	var least float64
 	homes := grp.homesOf(que)
 	for _, end := range grp.eps {
-		if end.standing(que.Now) != top || slices.Contains(que.Exclude, end.bke.ID) {
+		if end.standing(que.Now) != top || !que.allows(end) {
 			continue
 		}
 		cost := grp.cost(end, que, homes)
@@ -173,7 +186,7 @@
 	part := que.Parts[len(que.Parts)-2].ID
 	var tops [2]uint64
 	for vid, end := range grp.eps {
-		if end.bke.Leaving {
+		if end.bke.Leaving || que.Except != "" && end.bke.Version == que.Except {
 			continue
 		}
 		wgt := grp.weight(homeKey{part, vid})
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -140,6 +140,22 @@
 	return pl.groups[svc]
 }
 
+// HasVersion reports whether an endpoint of a version takes requests.
+func (pl *Pool) HasVersion(svc wick.Service, ver wick.ModelVersion) bool {
+	grp := pl.group(svc)
+	if grp == nil {
+		return false
+	}
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	for _, end := range grp.eps {
+		if end.bke.Version == ver && !end.bke.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // A Summary counts the endpoints of a service in a zone.
 type Summary struct {
 	Service wick.Service `json:"service"`
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -43,3 +43,22 @@
 
 // rate returns the work in seconds a second.
 func (mtr *meter) rate(now time.Time) float64 { return mtr.decayed(now) / workWindow.Seconds() }
+
+const (
+	midLoad  = 0.5
+	highLoad = 0.9
+)
+
+// bandOf classes the load of an endpoint as this entry sees it.
+func bandOf(end *endpoint) wick.LoadBand {
+	slots := float64(max(end.bke.Slots, 1))
+	load := float64(max(end.inFlight, end.report.Running)) / slots
+	switch {
+	case load < midLoad:
+		return wick.BandLow
+	case load < highLoad:
+		return wick.BandMid
+	default:
+		return wick.BandHigh
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,6 +57,22 @@
 	Refund(cus *wick.CustomerPlan, cost float64)
 }
 
+// A Choice restricts the endpoints of one send to versions.
+type Choice struct {
+	// Only and Except are versions, or "".
+	Only, Except wick.ModelVersion
+	// Fallback allows the versions that Only leaves out, except Except, when
+	// no endpoint is left.
+	Fallback bool
+	// Done must be called once with the outcome unless it is nil.
+	Done func(smp wick.VersionSample)
+}
+
+// Versions choose the version of each send.
+type Versions interface {
+	Choose(svc wick.Service, route wick.RouteName, now time.Time) Choice
+}
+
 // A Config wires a Server. All fields must be set.
 type Config struct {
 	Listener net.Listener
@@ -66,6 +82,7 @@
 	Plans          *plan.Current
 	Pool           *pool.Pool
 	Quotas         Quotas
+	Versions       Versions
 	Budget         *retry.Budget
 	Client         *wire.Client
 	Meter          Meter
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -57,6 +57,10 @@
 	cnt.num++
 }
 
+type allVersions struct{}
+
+func (allVersions) Choose(wick.Service, wick.RouteName, time.Time) Choice { return Choice{} }
+
 type noQuotas struct{}
 
 func (noQuotas) Take(context.Context, *wick.CustomerPlan, float64, time.Time) (bool, time.Duration) {
@@ -104,7 +108,7 @@
 	sit.addr = lis.Addr().String()
 	sit.srv = New(Config{
 		Listener: lis, MaxConnections: 100, Dialect: testDialect{}, Plans: &plans, Pool: sit.pool,
-		Quotas: noQuotas{}, Budget: &retry.Budget{}, Client: &wire.Client{}, Meter: &sit.meter,
+		Quotas: noQuotas{}, Versions: allVersions{}, Budget: &retry.Budget{}, Client: &wire.Client{}, Meter: &sit.meter,
 		PlanConfirmed: func() bool { return true },
 	})
 	go func() { _ = sit.srv.Serve() }()
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -25,29 +25,48 @@
 
 // A send is one try at one endpoint.
 type send struct {
-	tic  *pool.Ticket
+	jb   *job
+	tgt  *target
 	at   time.Time
 	rep  *wire.Reply
 	note wick.ReplyNote
+	// first is when the first event came, zero before.
+	first time.Time
+}
+
+// A target is the endpoint chosen for one send.
+type target struct {
+	*pool.Ticket
+	choice Choice
 }
 
 // pick chooses the next endpoint.
-func (jb *job) pick() (*pool.Ticket, error) {
+func (jb *job) pick() (*target, error) {
+	now := time.Now()
+	choice := jb.srv.cfg.Versions.Choose(jb.service, jb.mat.Route.Name, now)
 	que := pool.Query{
 		Service: jb.service, Model: len(jb.ask.Parts) > 0, Parts: jb.ask.Parts, Input: jb.ask.InputTokens,
-		Output: jb.ask.OutputTokens, Exclude: jb.tried, Now: time.Now(),
+		Output: jb.ask.OutputTokens, Only: choice.Only, Except: choice.Except, Exclude: jb.tried, Now: now,
 	}
 	tic, err := jb.srv.cfg.Pool.Pick(que)
-	if err == nil {
-		jb.tried = append(jb.tried, tic.Backend.ID)
+	if err != nil && choice.Fallback {
+		que.Only = ""
+		tic, err = jb.srv.cfg.Pool.Pick(que)
 	}
-	return tic, err //nolint:wrapcheck // our own package
+	if err != nil {
+		if choice.Done != nil {
+			choice.Done(wick.VersionSample{Excused: true, At: now})
+		}
+		return nil, err //nolint:wrapcheck // our own package
+	}
+	jb.tried = append(jb.tried, tic.Backend.ID)
+	return &target{Ticket: tic, choice: choice}, nil
 }
 
 // open sends the request to the endpoint of tic and reads the reply's headers.
 // The ending is meaningful only if the reply is nil or bad.
-func (jb *job) open(ctx context.Context, tic *pool.Ticket, last string) (*send, ending) {
-	snd := &send{tic: tic, at: time.Now()}
+func (jb *job) open(ctx context.Context, tic *target, last string) (*send, ending) {
+	snd := &send{jb: jb, tgt: tic, at: time.Now()}
 	hdr := jb.header.Clone()
 	dsp := wick.Dispatch{
 		Endpoint: tic.Backend.ID, Deadline: jb.until.Sub(snd.at), Rank: jb.mat.Rank(), LastEvent: last,
@@ -101,9 +120,38 @@
 	if snd.rep != nil {
 		snd.rep.Close()
 	}
-	snd.tic.Done(fateOf(edg), time.Now())
+	now := time.Now()
+	snd.tgt.Done(fateOf(edg), now)
+	if snd.tgt.choice.Done != nil {
+		snd.tgt.choice.Done(snd.sample(edg, now))
+	}
+}
+
+// sample tells what the send says of the endpoint's version.
+func (snd *send) sample(edg ending, now time.Time) wick.VersionSample {
+	smp := wick.VersionSample{
+		VM: snd.tgt.Backend.ID, Zone: snd.tgt.Backend.Zone, Band: snd.tgt.Band, At: now,
+		Excused: edg == endUnsent || edg == endRefused,
+	}
+	if !snd.first.IsZero() {
+		smp.Out.FirstToken = snd.first.Sub(snd.at)
+	} else {
+		smp.Out.FirstToken = now.Sub(snd.at)
+	}
+	smp.Out.Late = smp.Out.FirstToken > snd.jb.mat.Route.Target
+	smp.Out.Cancelled = edg == endGone
+	switch edg {
+	case endFailure, endTimeout:
+		smp.Out.Err = errFailedAnswer
+	case endLost:
+		smp.Out.Err = wick.ErrUnknownOutcome
+	default:
+	}
+	return smp
 }
 
+var errFailedAnswer = errors.New("relay: the endpoint failed")
+
 func fateOf(edg ending) pool.Fate {
 	switch edg {
 	case endAnswer:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -91,8 +91,11 @@
 	if evt.id != "" && pmp.last != "" && !isAfter(evt.id, pmp.last) {
 		return true
 	}
-	if pmp.events == 0 || pmp.out == nil {
-		snd.tic.Began()
+	if snd.first.IsZero() {
+		snd.first = time.Now()
+		snd.tgt.Began()
+	}
+	if pmp.out == nil {
 		pmp.jb.began(time.Now())
 	}
 	if pmp.out == nil {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/canary"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -35,6 +36,8 @@
 	// Found is, on the holder of the control duty, the number of endpoints of
 	// each service that the first holder found.
 	Found map[wick.Service]int `json:"found,omitempty"`
+	// Evidence counts the outcomes of versions that are being moved to.
+	Evidence []canary.Evidence `json:"evidence,omitempty"`
 	// Work is the endpoints' time that this entry's requests take, in seconds
 	// a second.
 	Work map[wick.Service]float64 `json:"work,omitempty"`
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -68,6 +68,22 @@
 	VersionOrder(obj Object) (VersionOrder, error)
 }
 
+// A VersionOrderState tells operators what has become of an order.
+type VersionOrderState string
+
+// States of a version order.
+const (
+	OrderRunning VersionOrderState = "running"
+	OrderDone    VersionOrderState = "done"
+	OrderUndone  VersionOrderState = "undone"
+)
+
+// VersionOrders records the states of version orders. Errors are those of
+// Store. A repeat has no effect.
+type VersionOrders interface {
+	SetState(ctx context.Context, ord VersionOrder, state VersionOrderState) error
+}
+
 // A UsageReport counts the requests of each customer that began to run in one
 // window of time.
 type UsageReport struct {
--- a/pkg/wick/plan.go
+++ b/pkg/wick/plan.go
@@ -150,6 +150,9 @@
 	Target  ModelVersion
 	// Within is the time that the move may take.
 	Within time.Duration
-	// Ended is set once the move is recorded as done or undone.
-	Ended bool
+	// State is "" until one is recorded.
+	State VersionOrderState
 }
+
+// Ended reports whether the move is recorded as done or undone.
+func (vor *VersionOrder) Ended() bool { return vor.State == OrderDone || vor.State == OrderUndone }
