edge, move: versions within the requests that a bad one may get

Ruled out: a longer proof at a small share (30 answers take 24 s at 0.05). Change: a proved version waits at 0.02 until so late that all traffic up to the deadline stays within the allowed number; the proof takes at most 0.6 of it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -70,6 +70,9 @@
 	QuotaOvershoot, QuotaSlack float64
 	// QuotaWindow is the span over which the quota is judged.
 	QuotaWindow time.Duration
+	// CandidateShare of a service's requests and CandidateSlack more may reach
+	// a bad version during an order.
+	CandidateShare, CandidateSlack float64
 	// UsageWindow is the length of a usage window, UsageLate the time after
 	// its end by which it must be reported.
 	UsageWindow, UsageLate time.Duration
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -44,7 +44,7 @@
 		ID: edg.cfg.ID, Incarnation: edg.cfg.Incarnation, Zone: edg.cfg.Zone, Peer: peerAddr,
 		Beat: edg.beat, Leaving: leaving,
 		Demand: edg.quotas.book.Demand(time.Now()), Began: edg.tally.Counts(),
-		Work: edg.pool.Work(time.Now()), Found: edg.found.get(), Evidence: edg.rollouts.evidence(),
+		Work: edg.pool.Work(time.Now()), Requests: edg.pool.Requests(time.Now()), Found: edg.found.get(), Evidence: edg.rollouts.evidence(),
 	})
 }
 
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -18,16 +18,24 @@
 
 const (
 	rolloutEvery = 250 * time.Millisecond
-	// candidateShare bounds the share of a version before its proof.
-	candidateShare wick.Share = 0.05
+	// proofPart of the requests that may reach a bad version is spent on the
+	// proof; the rest is for a version that turns bad later.
+	proofPart = 0.35
+	// proofMost of them ends a proof that has not succeeded.
+	proofMost = 0.6
+	// jumpPart of them is spent by the end: the move to all traffic comes so
+	// late that even a version whose badness never showed stays within it.
+	jumpPart = 0.6
+	// mostProof bounds the share of a version before its proof.
+	mostProof wick.Share = 0.4
 	// proveShare of the time of an order is spent on the proof at least, since
 	// some versions turn bad only after a while.
 	proveShare = 0.35
-	// stepShare of the time of an order is the least time of a step of the
-	// ramp.
-	stepShare = 0.07
-	// watchTime lets the requests at the old version end before it is stopped.
-	watchTime = 1500 * time.Millisecond
+	// doneMargin is left of the time of an order when the move is recorded.
+	doneMargin = 800 * time.Millisecond
+	// longestOverlap bounds the time from the move of all traffic to the end of
+	// the old version's endpoints.
+	longestOverlap = 3 * time.Second
 )
 
 // rollouts moves services to the versions that operators order. Every entry
@@ -202,6 +210,14 @@
 	return out
 }
 
+// moving reports whether a service is being moved.
+func (rls *rollouts) moving(svc wick.Service) bool {
+	rls.mu.Lock()
+	defer rls.mu.Unlock()
+	rol := rls.orders[svc]
+	return rol != nil && !rol.ord.Ended()
+}
+
 // step judges one move and, on the holder, decides how it goes on.
 func (rls *rollouts) step(ctx context.Context, rol rollout, now time.Time) {
 	ver := rls.jdg.Verdict(rol.ord.Service, now)
@@ -214,14 +230,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	perSecond := rls.perSecond(rol.ord.Service, now)
 	mov := bundle.Move{
 		Name: string(rol.id()), Service: rol.ord.Service, To: rol.ord.Target, Deadline: rol.seen.Add(rol.ord.Within),
-		MaxShareBeforeProof: candidateShare, WatchMillis: wick.Millis(watchTime.Milliseconds()),
+		MaxShareBeforeProof: rls.proofShare(rol.ord, perSecond),
 	}
 	start := move.New(rol.id(), mov, now)
 	rec, err := rls.kep.Update(ctx, start, fence, func(rec move.Record) (move.Record, bool) {
 		mov.Deadline = rec.Deadline
-		next, changed := move.Step(rec, rls.input(&rol, mov, ver, now))
+		next, changed := move.Step(rec, rls.input(&rol, mov, ver, perSecond, now))
 		return next, changed || rec.WriteID == ""
 	})
 	if err != nil {
@@ -231,14 +248,54 @@
 	rls.report(ctx, &rol, rec)
 }
 
+// perSecond returns a service's requests a second over all entries.
+func (rls *rollouts) perSecond(svc wick.Service, now time.Time) float64 {
+	sum := rls.edg.pool.Requests(now)[svc]
+	for _, rec := range rls.edg.roster.Alive(now, workMemory, false) {
+		if rec.ID != rls.edg.cfg.ID {
+			sum += rec.Requests[svc]
+		}
+	}
+	return sum
+}
+
+// proofShare returns the largest share during the proof: what may reach a bad
+// version, spread over the time of the proof.
+func (rls *rollouts) proofShare(ord wick.VersionOrder, perSecond float64) wick.Share {
+	requests := perSecond * ord.Within.Seconds()
+	if requests <= 0 {
+		return wick.Share(rls.edg.cfg.Bounds.CandidateShare)
+	}
+	return min(wick.Share(proofPart*rls.allowed(ord, perSecond)/(requests*proveShare)), mostProof)
+}
+
 // input collects what a step decides by.
-func (rls *rollouts) input(rol *rollout, mov bundle.Move, ver canary.Verdict, now time.Time) move.Input {
+func (rls *rollouts) input(rol *rollout, mov bundle.Move, ver canary.Verdict, perSecond float64, now time.Time) move.Input {
+	end := mov.Deadline.Add(-doneMargin)
+	mov.WatchMillis = wick.Millis(max(end.Sub(now), 0).Milliseconds())
 	return move.Input{
 		Now: now, Move: mov, Ready: rls.edg.pool.HasVersion(rol.ord.Service, rol.ord.Target),
-		Stop: ver.Reason, Proved: ver.Proved, Level: ver.Level, StopLevel: canary.StopLevel,
-		ProveFor: time.Duration(proveShare * float64(rol.ord.Within)),
-		MinStep:  time.Duration(stepShare * float64(rol.ord.Within)),
+		Stop: ver.Reason, Proved: ver.Proved, Level: ver.Level, StopLevel: canary.StopLevel, PerSecond: perSecond,
+		ProveFor:  time.Duration(proveShare * float64(rol.ord.Within)),
+		JumpAt:    end.Add(-rls.overlap(rol.ord, ver.Totals.Candidate, perSecond)),
+		Exhausted: float64(ver.Totals.Candidate) > proofMost*rls.allowed(rol.ord, perSecond),
+	}
+}
+
+// allowed returns how many requests may reach a bad version during an order.
+func (rls *rollouts) allowed(ord wick.VersionOrder, perSecond float64) float64 {
+	bnd := &rls.edg.cfg.Bounds
+	return bnd.CandidateShare*perSecond*ord.Within.Seconds() + bnd.CandidateSlack
+}
+
+// overlap returns how long before the end of its order all traffic may go to a
+// version, after some requests have gone there for the proof.
+func (rls *rollouts) overlap(ord wick.VersionOrder, spent uint64, perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return longestOverlap
 	}
+	left := jumpPart*rls.allowed(ord, perSecond) - float64(spent)
+	return min(max(time.Duration(left/perSecond*float64(time.Second)), 0), longestOverlap)
 }
 
 // states are what operators are told of a move.
--- a/internal/edge/scale.go
+++ b/internal/edge/scale.go
@@ -69,7 +69,8 @@
 	tbl := sca.edg.plans.Load()
 	for idx := range tbl.Plan.Services {
 		svc := &tbl.Plan.Services[idx]
-		if svc.Scaling == nil {
+		// During a move, endpoints of both versions are there by design.
+		if svc.Scaling == nil || sca.edg.rollouts.moving(svc.Name) {
 			continue
 		}
 		plr := sca.planners[svc.Name]
--- a/internal/move/move.go
+++ b/internal/move/move.go
@@ -49,6 +49,8 @@
 	// some reserve; the least share follows from it.
 	wantedProof = 80
 	minShare    = 0.005
+	// waitShare is the share of a proved version that waits for Input.JumpAt.
+	waitShare = 0.02
 	// provePart of the time to the deadline is for the proof.
 	provePart = 0.4
 )
@@ -106,6 +108,12 @@
 	// MinStep replaces the least time per step of the ramp, and ProveFor is the
 	// least time of the proof. Zero is the default and no least time.
 	MinStep, ProveFor time.Duration
+	// JumpAt replaces the ramp by one step to all traffic at a time, unless it
+	// is zero. It is for orders that bound the requests at an unproven version
+	// up to their deadline.
+	JumpAt time.Time
+	// Exhausted is set once no more requests may be spent on the proof.
+	Exhausted bool
 }
 
 // minStep returns the least time per step of the ramp.
@@ -183,6 +191,16 @@
 
 // unmet returns why the deadline can't be met, or "".
 func unmet(inp *Input, rec *Record) string {
+	if !inp.JumpAt.IsZero() {
+		unproved := rec.State != StateRamping
+		switch {
+		case unproved && inp.Now.After(inp.JumpAt):
+			return "not proved in time"
+		case unproved && inp.Exhausted && !inp.Proved:
+			return "not proved within the requests that an unproved version may get"
+		}
+		return ""
+	}
 	share := rec.Share
 	if share == 0 {
 		share = proofShare(inp, inp.Now)
@@ -235,21 +253,41 @@
 	case rec.State == StatePending && inp.Ready:
 		return fire(rec, inp.Now, trigReady, proofShare(inp, inp.Now), "collects evidence")
 	case rec.State == StateProving && inp.Proved && inp.Now.Sub(rec.Since) >= inp.ProveFor:
-		return fire(rec, inp.Now, trigProved, rec.Share, "proved, share grows")
-	case rec.State == StateRamping && inp.Now.Sub(rec.StepAt) >= stepTime(inp, rec) && inp.Level < suspicion(inp):
-		rec.Share = min(rec.Share*rampFactor, 1)
-		rec.StepAt = inp.Now
-		rec.Reason = fmt.Sprintf("share %.3f", rec.Share)
-		if rec.Share >= 1 {
-			rec.WatchUntil = inp.Now.Add(inp.Move.WatchMillis.Duration())
-			fire(rec, inp.Now, trigFull, 1, "all traffic moved, watched until "+rec.WatchUntil.UTC().Format(time.RFC3339))
+		share := rec.Share
+		if !inp.JumpAt.IsZero() {
+			share = min(share, waitShare)
 		}
-		return true
+		return fire(rec, inp.Now, trigProved, share, "proved, share grows")
+	case rec.State == StateRamping:
+		return rec.ramp(inp)
 	default:
 		return false
 	}
 }
 
+// ramp raises the share if it is time.
+func (rec *Record) ramp(inp *Input) bool {
+	share, at := min(rec.Share*rampFactor, 1), rec.StepAt.Add(stepTime(inp, rec))
+	if !inp.JumpAt.IsZero() {
+		share, at = 1, inp.JumpAt
+	}
+	if inp.Now.Before(at) || inp.Level >= suspicion(inp) {
+		return false
+	}
+	rec.Share, rec.StepAt = share, inp.Now
+	rec.Reason = fmt.Sprintf("share %.3f", rec.Share)
+	if rec.Share >= 1 {
+		rec.full(inp)
+	}
+	return true
+}
+
+// full begins the watch period with all traffic moved.
+func (rec *Record) full(inp *Input) {
+	rec.WatchUntil = inp.Now.Add(inp.Move.WatchMillis.Duration())
+	fire(rec, inp.Now, trigFull, 1, "all traffic moved, watched until "+rec.WatchUntil.UTC().Format(time.RFC3339))
+}
+
 // suspicion is the level of the test above which the ramp waits: a tenth of a
 // stop.
 func suspicion(inp *Input) float64 {
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -98,11 +98,12 @@
 	tic := &Ticket{Backend: end.bke, Leaving: end.leaving, grp: grp, end: end}
 	tic.Band = bandOf(end)
 	end.inFlight++
+	grp.requests.add(1, que.Now)
 	if que.Model {
 		tic.prefill = grp.missing(end, que, grp.homesOf(que))
 		end.prefill += tic.prefill
 		end.remember(que.Parts, que.Now)
-		grp.work.add(workOf(tic.prefill, que.Output), que.Now)
+		grp.work.add(workOf(tic.prefill, que.Output).Seconds(), que.Now)
 	}
 	return tic, nil
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -37,7 +37,8 @@
 	eps map[wick.VMID]*endpoint
 	// homes caches the order of endpoints by prompt part.
 	homes map[homeKey]uint64
-	work  meter
+	// work sums the endpoints' time, requests the sends.
+	work, requests meter
 }
 
 // Set adds or updates an endpoint.
@@ -183,13 +184,22 @@
 // Work returns the endpoints' time that this entry's requests take at each
 // service, in seconds a second.
 func (pl *Pool) Work(now time.Time) map[wick.Service]float64 {
+	return pl.rates(now, func(grp *group) *meter { return &grp.work })
+}
+
+// Requests returns this entry's sends a second to each service.
+func (pl *Pool) Requests(now time.Time) map[wick.Service]float64 {
+	return pl.rates(now, func(grp *group) *meter { return &grp.requests })
+}
+
+func (pl *Pool) rates(now time.Time, of func(grp *group) *meter) map[wick.Service]float64 {
 	pl.mu.RLock()
 	defer pl.mu.RUnlock()
 	out := make(map[wick.Service]float64, len(pl.groups))
 	for svc, grp := range pl.groups {
 		grp.mu.Lock()
-		if grp.work.sum > 0 {
-			out[svc] = grp.work.rate(now)
+		if mtr := of(grp); mtr.sum > 0 {
+			out[svc] = mtr.rate(now)
 		}
 		grp.mu.Unlock()
 	}
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -24,13 +24,13 @@
 
 // A meter is a rate that decays exponentially.
 type meter struct {
-	// sum is the decayed sum in seconds, as of at.
+	// sum is the decayed sum as of at.
 	sum float64
 	at  time.Time
 }
 
-func (mtr *meter) add(work time.Duration, now time.Time) {
-	mtr.sum = mtr.decayed(now) + work.Seconds()
+func (mtr *meter) add(val float64, now time.Time) {
+	mtr.sum = mtr.decayed(now) + val
 	mtr.at = now
 }
 
@@ -41,7 +41,7 @@
 	return mtr.sum * math.Exp(-now.Sub(mtr.at).Seconds()/workWindow.Seconds())
 }
 
-// rate returns the work in seconds a second.
+// rate returns the sum per second.
 func (mtr *meter) rate(now time.Time) float64 { return mtr.decayed(now) / workWindow.Seconds() }
 
 const (
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -41,6 +41,8 @@
 	// Work is the endpoints' time that this entry's requests take, in seconds
 	// a second.
 	Work map[wick.Service]float64 `json:"work,omitempty"`
+	// Requests are this entry's sends a second.
+	Requests map[wick.Service]float64 `json:"requests,omitempty"`
 }
 
 // Member returns the entry as a peer.
