relay, edge: move runs from leaving endpoints; notices between entries

Change: when an endpoint leaves under a running stream, the run is stopped, its memory copied and the stream goes on at another endpoint; entries tell each other who leaves, and read the registry less often the more they are.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -36,11 +36,15 @@
 
 const (
 	// backendPause batches the changes of endpoints, whose entries change with
-	// every heartbeat.
-	backendPause = 700 * time.Millisecond
-	// memberPause and publishEvery are the pace of the entries' records.
-	memberPause  = time.Second
-	publishEvery = time.Second
+	// every heartbeat. With many entries, which read at different times and
+	// tell each other who leaves, each reads less often.
+	backendPause        = 600 * time.Millisecond
+	longestBackendPause = 1200 * time.Millisecond
+	// memberPause is the pace of the entries' records.
+	memberPause        = time.Second
+	longestMemberPause = 2 * time.Second
+	// fewEntries is the number of entries up to which the shortest pauses hold.
+	fewEntries = 6
 	// planConfirmedFor is how long after the store's last answer the plan is
 	// taken to be the newest.
 	planConfirmedFor = 6 * time.Second
@@ -91,6 +95,7 @@
 	Zone        wick.Zone
 	Store       wick.Store
 	Dialect     wick.Dialect
+	Mover       wick.Mover
 	Catalog     wick.Catalog
 	Duties      wick.Duties
 	Orders      wick.VersionOrders
@@ -138,9 +143,10 @@
 	}
 	edg.config = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.Plan, Handler: &planHandler{edg}}
 	edg.backends = &feed.Follower{
-		Store: cfg.Store, Kind: cfg.Kinds.Backend, Handler: &backendHandler{edg: edg}, Pause: backendPause,
+		Store: cfg.Store, Kind: cfg.Kinds.Backend, Handler: &backendHandler{edg: edg},
+		Pause: func() time.Duration { return edg.pace(backendPause, longestBackendPause) },
 	}
-	edg.members = &feed.Follower{Store: cfg.Store, Kind: wick.KindMember, Handler: edg.roster, Pause: memberPause}
+	edg.members = &feed.Follower{Store: cfg.Store, Kind: wick.KindMember, Handler: edg.roster, Pause: edg.memberPause}
 	edg.rollouts = newRollouts(edg)
 	edg.orders = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.VersionOrder, Handler: orderHandler{edg.rollouts}}
 	edg.moves = &feed.Follower{Store: cfg.Store, Kind: wick.KindMove, Handler: moveHandler{edg.rollouts}}
@@ -151,6 +157,15 @@
 	return edg
 }
 
+// pace stretches a pause with the number of entries, up to a limit.
+func (edg *Edge) pace(pause, limit time.Duration) time.Duration {
+	num := len(edg.roster.Alive(time.Now(), quotaMemory, false))
+	return min(pause*time.Duration(max(num, fewEntries))/fewEntries, limit)
+}
+
+// memberPause is the pause between reads and writes of the entries' records.
+func (edg *Edge) memberPause() time.Duration { return edg.pace(memberPause, longestMemberPause) }
+
 // retryMargin keeps the entries' retries below the agreed bound, since windows
 // of the entries and of the bound do not coincide.
 const retryMargin = 0.8
@@ -207,7 +222,7 @@
 	}
 	edg.relay = relay.New(relay.Config{
 		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
-		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
+		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
 		PlanConfirmed: edg.planConfirmed,
 	})
 	edg.ready, err = newReadyServer(ctx, edg.cfg.Ready)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -36,12 +37,19 @@
 	log.WithFields(logrus.Fields{"plan": pln.Version, "routes": len(pln.Routes)}).Info("edge: plan adopted")
 }
 
+// Settled does nothing: there is one plan.
+func (hdl *planHandler) Settled() {}
+
 // outageMemory is how long after an outage of the store a missing entry is
 // ascribed to it.
 const outageMemory = 1500 * time.Millisecond
 
 // A backendHandler keeps the pool up to date.
-type backendHandler struct{ edg *Edge }
+type backendHandler struct {
+	edg *Edge
+	// news are endpoints that the other entries may not know to leave.
+	news []leavingEndpoint
+}
 
 // afterOutage reports whether entries may be missing because they lapsed while
 // the store was away.
@@ -77,12 +85,21 @@
 		hdl.edg.pool.Remove(wick.VMID(obj.Key.Name))
 		return
 	}
-	if bke.Leaving {
+	if bke.Leaving && hdl.edg.pool.Leave(bke.ID, bke.Born) {
+		hdl.news = append(hdl.news, leavingEndpoint{ID: bke.ID, Born: bke.Born})
 		log.WithFields(logrus.Fields{"endpoint": bke.ID, "revision": obj.Revision, "leavesIn": bke.LeavesIn.String()}).Info("edge: endpoint leaves")
 	}
 	hdl.edg.pool.Set(bke, now)
 }
 
+// Settled tells the other entries what was new in a batch of changes.
+func (hdl *backendHandler) Settled() {
+	if len(hdl.news) > 0 {
+		go hdl.edg.spreadLeaving(context.Background(), hdl.news)
+		hdl.news = nil
+	}
+}
+
 // decode reads an entry. An entry of another writer names no endpoint.
 func (hdl *backendHandler) decode(obj wick.Object) (wick.Backend, bool) {
 	bke, err := hdl.edg.cfg.Catalog.Backend(obj)
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -25,7 +25,7 @@
 
 // publishLoop writes the entry's record.
 func (edg *Edge) publishLoop(ctx context.Context) {
-	for retry.Sleep(ctx, publishEvery) {
+	for retry.Sleep(ctx, edg.memberPause()) {
 		if err := edg.publish(ctx, false); err != nil {
 			log.WithError(err).Debug("edge: record not written")
 		}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -75,6 +75,7 @@
 		return nil, eris.Wrap(err, "edge: peers")
 	}
 	trn.Handle(wick.MsgQuota, edg.answerQuota)
+	trn.Handle(wick.MsgLeaving, edg.takeLeaving)
 	return trn, nil
 }
 
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -98,6 +98,9 @@
 	hdl.rls.take(ord, time.Now())
 }
 
+// Settled does nothing: each order stands for itself.
+func (orderHandler) Settled() {}
+
 // take notes an order.
 func (rls *rollouts) take(ord wick.VersionOrder, now time.Time) {
 	rls.mu.Lock()
@@ -157,6 +160,9 @@
 	}
 }
 
+// Settled does nothing: each record stands for itself.
+func (moveHandler) Settled() {}
+
 // Choose restricts a send while a service is moved.
 func (rls *rollouts) Choose(svc wick.Service, route wick.RouteName, now time.Time) relay.Choice {
 	rls.mu.Lock()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -29,6 +29,8 @@
 	Replace(objs []wick.Object)
 	// Change takes one changed or deleted object.
 	Change(obj wick.Object)
+	// Settled is called after each list and after the changes of each watch.
+	Settled()
 }
 
 // A Follower keeps a Handler up to date. All fields but Pause must be set
@@ -37,9 +39,9 @@
 	Store   wick.Store
 	Kind    wick.Kind
 	Handler Handler
-	// Pause is the least time between two watches, so that kinds that change
-	// all the time are read in batches.
-	Pause time.Duration
+	// Pause returns the least time between two watches, so that kinds that
+	// change all the time are read in batches. There is none if it is nil.
+	Pause func() time.Duration
 
 	// answered is the time of the last answer in nanoseconds since 1970, and
 	// failing since when there has been none (0 if the last call succeeded).
@@ -86,7 +88,7 @@
 		fol.note(err)
 		if err == nil {
 			failures = 0
-			if !retry.Sleep(ctx, fol.Pause-time.Since(began)) {
+			if fol.Pause != nil && !retry.Sleep(ctx, fol.Pause()-time.Since(began)) {
 				return
 			}
 			continue
@@ -121,6 +123,7 @@
 	}
 	metrics.GetOrRegisterCounter("feed.lists", nil).Inc(1)
 	fol.Handler.Replace(objs)
+	fol.Handler.Settled()
 	return rev, nil
 }
 
@@ -132,5 +135,6 @@
 	for idx := range objs {
 		fol.Handler.Change(objs[idx])
 	}
+	fol.Handler.Settled()
 	return max(rev, next), nil
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -54,11 +54,12 @@
 
 func (rec *recorder) Replace(objs []wick.Object) { rec.got = append(rec.got, "all "+objs[0].Key.Name) }
 func (rec *recorder) Change(obj wick.Object)     { rec.got = append(rec.got, obj.Key.Name) }
+func (rec *recorder) Settled()                   {}
 
 func follow(t *testing.T, sst *scriptStore, pause time.Duration) (fol *Follower, got, calls string) {
 	t.Helper()
 	rec := &recorder{}
-	fol = &Follower{Store: sst, Kind: "kind", Handler: rec, Pause: pause}
+	fol = &Follower{Store: sst, Kind: "kind", Handler: rec, Pause: func() time.Duration { return pause }}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { fol.Run(ctx); close(done) }()
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -217,6 +217,22 @@
 	return wgt
 }
 
+// Again returns a second ticket for the same endpoint, for a run that goes on
+// there although the endpoint leaves.
+func (tic *Ticket) Again() *Ticket {
+	tic.grp.mu.Lock()
+	defer tic.grp.mu.Unlock()
+	tic.end.inFlight++
+	return &Ticket{Backend: tic.Backend, Leaving: make(chan struct{}), Band: tic.Band, grp: tic.grp, end: tic.end}
+}
+
+// LeavesAt returns when a leaving endpoint ends, the zero time if unknown.
+func (tic *Ticket) LeavesAt() time.Time {
+	tic.grp.mu.Lock()
+	defer tic.grp.mu.Unlock()
+	return tic.end.leavesAt
+}
+
 // Began notes that the request's answer has begun.
 func (tic *Ticket) Began() {
 	tic.grp.mu.Lock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -120,6 +120,26 @@
 	}
 }
 
+// Leave notes that a start of an endpoint takes no new requests, and reports
+// whether that is news.
+func (pl *Pool) Leave(vid wick.VMID, born int64) bool {
+	pl.mu.RLock()
+	grp := pl.where[vid]
+	pl.mu.RUnlock()
+	if grp == nil {
+		return false
+	}
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	end := grp.eps[vid]
+	if end == nil || end.bke.Born != born || end.bke.Leaving {
+		return false
+	}
+	end.bke.Leaving = true
+	end.notifyLeaving()
+	return true
+}
+
 // Report takes an endpoint's own account of its load.
 func (pl *Pool) Report(vid wick.VMID, rep Report) {
 	pl.mu.RLock()
@@ -240,6 +260,8 @@
 		grp.eps[bke.ID] = end
 		grp.homes = make(map[homeKey]uint64)
 	}
+	// A start of an endpoint that leaves never comes back.
+	bke.Leaving = bke.Leaving || end.bke.Leaving && end.bke.Born == bke.Born
 	end.bke = bke
 	end.missingUntil = time.Time{}
 	if bke.Leaving {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -29,7 +29,7 @@
 			jb.unpicked(kept, err)
 			return
 		}
-		snd, edg := jb.open(ctx, tic, jb.ask.LastEvent)
+		snd, edg := jb.open(ctx, tic, jb.ask.LastEvent, "")
 		var ans *answer
 		if edg == endAnswer || edg == endFailure {
 			ans, edg = jb.readWhole(ctx, snd, edg)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,6 +83,7 @@
 	Pool           *pool.Pool
 	Quotas         Quotas
 	Versions       Versions
+	Mover          wick.Mover
 	Budget         *retry.Budget
 	Client         *wire.Client
 	Meter          Meter
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,6 +24,9 @@
 
 func (testDialect) ReadAsk(hdr http.Header) wick.Ask {
 	ask := wick.Ask{ID: wick.RequestID(hdr.Get("X-Id")), Key: wick.CallerKey(hdr.Get("X-Key")), LastEvent: hdr.Get("X-Last")}
+	if hdr.Get("X-Model") != "" {
+		ask.Parts = []wick.PromptPart{{ID: "p", Tokens: 10}}
+	}
 	if text := hdr.Get("X-Deadline"); text != "" {
 		ask.Deadline, _ = time.ParseDuration(text)
 	}
@@ -33,6 +36,9 @@
 func (testDialect) WriteDispatch(hdr http.Header, dsp wick.Dispatch) {
 	hdr.Del("X-Key")
 	hdr.Set("X-Customer", string(dsp.Customer))
+	if dsp.Copy != "" {
+		hdr.Set("X-Copy", string(dsp.Copy))
+	}
 	if dsp.LastEvent != "" {
 		hdr.Set("X-Last", dsp.LastEvent)
 	}
@@ -57,6 +63,26 @@
 	cnt.num++
 }
 
+// A testMover moves runs by closing the source's connection.
+type testMover struct {
+	mu sync.Mutex
+	// stop closes the connection of the run.
+	stop  func()
+	moved bool
+	err   error
+	calls int
+}
+
+func (mvr *testMover) Move(context.Context, wick.Backend, wick.Backend, wick.RequestID) (wick.RunCopy, bool, error) {
+	mvr.mu.Lock()
+	defer mvr.mu.Unlock()
+	mvr.calls++
+	if mvr.err == nil {
+		mvr.stop()
+	}
+	return "copy", mvr.moved, mvr.err
+}
+
 type allVersions struct{}
 
 func (allVersions) Choose(wick.Service, wick.RouteName, time.Time) Choice { return Choice{} }
@@ -79,6 +105,7 @@
 	seen  map[wick.VMID]int
 	order []wick.VMID
 	meter countMeter
+	mover testMover
 }
 
 // A script answers one request on a raw connection. Num counts the requests
@@ -108,7 +135,7 @@
 	sit.addr = lis.Addr().String()
 	sit.srv = New(Config{
 		Listener: lis, MaxConnections: 100, Dialect: testDialect{}, Plans: &plans, Pool: sit.pool,
-		Quotas: noQuotas{}, Versions: allVersions{}, Budget: &retry.Budget{}, Client: &wire.Client{}, Meter: &sit.meter,
+		Quotas: noQuotas{}, Versions: allVersions{}, Mover: &sit.mover, Budget: &retry.Budget{}, Client: &wire.Client{}, Meter: &sit.meter,
 		PlanConfirmed: func() bool { return true },
 	})
 	go func() { _ = sit.srv.Serve() }()
@@ -136,7 +163,9 @@
 			go sit.talk(vid, con, run)
 		}
 	}()
-	sit.pool.Set(wick.Backend{ID: vid, Service: "s", Zone: "a", Address: lis.Addr().String(), Slots: 4}, time.Now())
+	sit.pool.Set(wick.Backend{
+		ID: vid, Service: "s", Zone: "a", Address: lis.Addr().String(), Slots: 4, Reclaimable: true,
+	}, time.Now())
 }
 
 func (sit *site) talk(vid wick.VMID, con net.Conn, run script) {
@@ -382,3 +411,57 @@
 		})
 	}
 }
+
+// TestHandoff answers the pattern in which a zone's endpoints are reclaimed
+// under running streams that can't be repeated: each goes on elsewhere, once.
+func TestHandoff(t *testing.T) {
+	for _, tst := range []struct {
+		name  string
+		moved bool
+		err   error
+		sends int
+		whole bool
+	}{
+		{"moved", true, nil, 2, true},
+		{"stopped, not moved", false, nil, 2, true},
+		{"not possible", false, wick.ErrNotFound, 1, true},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			var sit *site
+			sit = newSite(t, 2, func(req *http.Request, con net.Conn, num int) {
+				if num > 0 {
+					if req.Header.Get("X-Copy") != "copy" || req.Header.Get("X-Last") != "1" {
+						t.Errorf("goes on with copy %q after %q", req.Header.Get("X-Copy"), req.Header.Get("X-Last"))
+					}
+					begin(con, "id: 2\ndata: b\n\n")
+					end(con)
+					return
+				}
+				begin(con, "id: 1\ndata: a\n\n")
+				stopped := make(chan struct{})
+				sit.mover.mu.Lock()
+				sit.mover.stop = func() { close(stopped) }
+				sit.mover.mu.Unlock()
+				sit.mu.Lock()
+				sit.pool.Leave(sit.order[0], 0)
+				sit.mu.Unlock()
+				select {
+				case <-stopped:
+				case <-time.After(400 * time.Millisecond):
+					begun := "id: 2\ndata: b\n\n"
+					fmt.Fprintf(con, "%x\r\n%s\r\n", len(begun), begun)
+					end(con)
+				}
+			})
+			sit.mover.moved, sit.mover.err = tst.moved, tst.err
+			status, body, err := sit.ask("/say/1", "X-Model", "m")
+			if err != nil {
+				t.Error(err)
+			}
+			sit.assert(status, 200, body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", tst.sends)
+			if sit.mover.calls != 1 {
+				t.Errorf("%d moves, want 1", sit.mover.calls)
+			}
+		})
+	}
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -63,13 +63,34 @@
 	return &target{Ticket: tic, choice: choice}, nil
 }
 
+// pickBeside chooses an endpoint of the same version for a run that is moved.
+func (jb *job) pickBeside(old *target) (*target, error) {
+	tic, err := jb.srv.cfg.Pool.Pick(pool.Query{
+		Service: jb.service, Model: true, Parts: jb.ask.Parts, Input: 0, Output: jb.ask.OutputTokens,
+		Only: old.Backend.Version, Exclude: jb.tried, Now: time.Now(),
+	})
+	if err != nil {
+		return nil, err //nolint:wrapcheck // our own package
+	}
+	return &target{Ticket: tic}, nil
+}
+
+// drop gives a target back that nothing was sent to.
+func (tgt *target) drop() {
+	now := time.Now()
+	tgt.Done(pool.FateCancelled, now)
+	if tgt.choice.Done != nil {
+		tgt.choice.Done(wick.VersionSample{Excused: true, At: now})
+	}
+}
+
 // open sends the request to the endpoint of tic and reads the reply's headers.
 // The ending is meaningful only if the reply is nil or bad.
-func (jb *job) open(ctx context.Context, tic *target, last string) (*send, ending) {
+func (jb *job) open(ctx context.Context, tic *target, last string, cpy wick.RunCopy) (*send, ending) {
 	snd := &send{jb: jb, tgt: tic, at: time.Now()}
 	hdr := jb.header.Clone()
 	dsp := wick.Dispatch{
-		Endpoint: tic.Backend.ID, Deadline: jb.until.Sub(snd.at), Rank: jb.mat.Rank(), LastEvent: last,
+		Endpoint: tic.Backend.ID, Deadline: jb.until.Sub(snd.at), Rank: jb.mat.Rank(), LastEvent: last, Copy: cpy,
 	}
 	if jb.mat.Customer != nil {
 		dsp.Customer = jb.mat.Customer.Name
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
 // readBytes is the size of one read from an endpoint's stream.
@@ -24,6 +26,8 @@
 	// last is the id of the last event that the caller has.
 	last   string
 	events int
+	// kept is an endpoint's whole answer that reports a failure, or nil.
+	kept *answer
 	// failed is set when the caller can't be written to.
 	failed bool
 }
@@ -33,31 +37,64 @@
 // the whole answer, and after it, on resumable routes, for the rest.
 func (jb *job) stream(ctx context.Context) {
 	pmp := &pump{jb: jb, last: jb.ask.LastEvent}
-	var kept *answer
 	for {
-		tic, err := jb.pick()
+		tgt, err := jb.pick()
 		if err != nil {
-			pmp.unpicked(kept, err)
+			pmp.unpicked(pmp.kept, err)
 			return
 		}
-		snd, edg := jb.open(ctx, tic, pmp.last)
-		switch {
-		case edg == endAnswer && snd.rep.Status < 300:
-			edg = pmp.carry(ctx, snd)
-		case edg == endAnswer || edg == endFailure:
-			kept, edg = jb.readWhole(ctx, snd, edg)
-		}
-		snd.close(edg)
+		edg := pmp.run(ctx, tgt)
 		act := jb.trl.next(edg, jb.mayResend)
 		if act == actAgain {
 			jb.note("sent again", logrus.Fields{"after": edg.String(), "lastEvent": pmp.last})
 			continue
 		}
-		pmp.conclude(act, kept)
+		pmp.conclude(act, pmp.kept)
 		return
 	}
 }
 
+// run sends the request to an endpoint and follows its run to where it is
+// moved. A moved run counts as one send.
+func (pmp *pump) run(ctx context.Context, tgt *target) ending {
+	var cpy wick.RunCopy
+	for {
+		snd, edg := pmp.jb.open(ctx, tgt, pmp.last, cpy)
+		var hof *handoff
+		switch {
+		case edg == endAnswer && snd.rep.Status < http.StatusMultipleChoices:
+			edg, hof = pmp.follow(ctx, snd)
+		case edg == endAnswer || edg == endFailure:
+			pmp.kept, edg = pmp.jb.readWhole(ctx, snd, edg)
+		}
+		snd.close(edg)
+		if hof == nil || hof.tgt == nil {
+			return edg
+		}
+		tgt, cpy = hof.tgt, hof.cpy
+		pmp.jb.tried = append(pmp.jb.tried, tgt.Backend.ID)
+	}
+}
+
+// follow delivers the events of one reply, and moves the run when the endpoint
+// leaves.
+func (pmp *pump) follow(ctx context.Context, snd *send) (ending, *handoff) {
+	if len(pmp.jb.ask.Parts) == 0 {
+		return pmp.carry(ctx, snd), nil
+	}
+	watch, stop := context.WithCancel(ctx)
+	hof := pmp.jb.watchLeaving(watch, snd)
+	edg := pmp.carry(ctx, snd)
+	stop()
+	<-hof.done
+	if hof.tgt != nil && edg != endLost {
+		// The run ended before it was stopped, or the caller has gone.
+		hof.tgt.drop()
+		hof.tgt = nil
+	}
+	return edg, hof
+}
+
 // carry delivers the events of one reply.
 func (pmp *pump) carry(ctx context.Context, snd *send) ending {
 	var spl splitter
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -113,6 +113,9 @@
 	ros.records[obj.Key.Name] = seen{rec: rec, rev: obj.Revision, at: time.Now()}
 }
 
+// Settled does nothing: each record stands for itself.
+func (ros *Roster) Settled() {}
+
 // Publish writes the entry's own record.
 func (ros *Roster) Publish(ctx context.Context, rec Record) error {
 	data, err := json.Marshal(rec)
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -37,6 +37,21 @@
 	Rank     Rank
 	// LastEvent is the last event that the caller has, or "".
 	LastEvent string
+	// Copy is where the memory of the request's run lies, or "".
+	Copy RunCopy
+}
+
+// A RunCopy names the memory of a run that was moved to another endpoint.
+type RunCopy string
+
+// A Mover moves running requests between model endpoints.
+type Mover interface {
+	// Move stops the run of a request at an endpoint, which ends its stream
+	// without an end, and copies its memory to another. The run goes on where
+	// a request with the copy is sent: at the second endpoint, or at the first
+	// if moved is false. Errors wrap ErrNotFound (no such run) or
+	// ErrUnavailable, and the run may have been stopped then.
+	Move(ctx context.Context, from, to Backend, rid RequestID) (cpy RunCopy, moved bool, err error)
 }
 
 // A ReplyNote is what the headers of an endpoint's reply say.
