--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -465,3 +465,31 @@
 		})
 	}
 }
+
+// TestHandoffRefused guards against a run that begins anew after it was moved:
+// the endpoint that it was moved to refuses it, and part of it has run already.
+// Found by a hunt on lachance-bordures (rollout-good, seed 1020930725629).
+func TestHandoffRefused(t *testing.T) {
+	var sit *site
+	sit = newSite(t, 3, func(_ *http.Request, con net.Conn, num int) {
+		if num > 0 {
+			fmt.Fprint(con, "HTTP/1.1 503 X\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		begin(con, "id: 1\ndata: a\n\n")
+		stopped := make(chan struct{})
+		sit.mover.mu.Lock()
+		sit.mover.stop = func() { close(stopped) }
+		sit.mover.mu.Unlock()
+		sit.mu.Lock()
+		sit.pool.Leave(sit.order[0], 0)
+		sit.mu.Unlock()
+		<-stopped
+	})
+	sit.mover.moved = true
+	status, body, err := sit.ask("/say/1", "X-Model", "m")
+	if err == nil {
+		t.Error("a stream that was cut off looks complete")
+	}
+	sit.assert(status, 200, body, "id: 1", 2)
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -68,6 +68,10 @@
 			pmp.kept, edg = pmp.jb.readWhole(ctx, snd, edg)
 		}
 		snd.close(edg)
+		if cpy != "" && !edg.mayHaveRun() {
+			// Part of the run was made before it was moved.
+			edg = endLost
+		}
 		if hof == nil || hof.tgt == nil {
 			return edg
 		}
