logs, relay: a bounded log queue, causes in log lines, latency histograms

Cause: on-call engineers have only logs and metrics; a log that is not read must not hold up requests. Lines go through a bounded queue with a rate limit and are counted when dropped. Each send without a good reply, each refusal by quota and each request without an endpoint says its inputs and their age.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -248,6 +248,7 @@
 		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
 		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
 		PlanConfirmed: edg.planConfirmed,
+		RegistryAge:   func() time.Duration { return time.Since(edg.backends.Answered()) },
 	})
 	edg.ready, err = newReadyServer(ctx, edg.cfg.Ready)
 	if err != nil {
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,105 @@
+// Package logs writes log lines without ever holding up their writers: lines go
+// through a bounded queue, and those that do not fit or exceed the rate are
+// dropped and counted.
+package logs
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// queueLines bounds the lines that wait.
+	queueLines = 1024
+	// lineRate and lineBurst bound the lines per second.
+	lineRate  = 400
+	lineBurst = 800
+	// reportEvery is how often dropped lines are reported at most.
+	reportEvery = time.Second
+	closeWait   = 200 * time.Millisecond
+)
+
+// A Writer passes lines on to another writer. Use New.
+type Writer struct {
+	out   io.Writer
+	lim   *rate.Limiter
+	queue chan []byte
+	done  chan struct{}
+	once  sync.Once
+	// dropped counts lines since the last report.
+	dropped atomic.Int64
+}
+
+// New returns a Writer. Close ends it.
+func New(out io.Writer) *Writer {
+	wri := &Writer{
+		out: out, lim: rate.NewLimiter(lineRate, lineBurst), queue: make(chan []byte, queueLines), done: make(chan struct{}),
+	}
+	go wri.run()
+	return wri
+}
+
+// Write queues one line. It never fails and never waits.
+func (wri *Writer) Write(line []byte) (int, error) {
+	if !wri.lim.Allow() {
+		wri.drop()
+		return len(line), nil
+	}
+	select {
+	case wri.queue <- append([]byte(nil), line...):
+	default:
+		wri.drop()
+	}
+	return len(line), nil
+}
+
+func (wri *Writer) drop() {
+	wri.dropped.Add(1)
+	metrics.GetOrRegisterCounter("logs.dropped", nil).Inc(1)
+}
+
+// run writes queued lines until Close.
+func (wri *Writer) run() {
+	defer close(wri.done)
+	var reported time.Time
+	for line := range wri.queue {
+		if line == nil {
+			return
+		}
+		// Nobody could be told of a failure of the log itself.
+		_, _ = wri.out.Write(line)
+		if wri.dropped.Load() > 0 && time.Since(reported) > reportEvery {
+			reported = time.Now()
+			wri.report()
+		}
+	}
+}
+
+// report writes how many lines were dropped.
+func (wri *Writer) report() {
+	if num := wri.dropped.Swap(0); num > 0 {
+		_, _ = fmt.Fprintf(wri.out, "{\"level\":\"warning\",\"msg\":\"logs: lines dropped\",\"lines\":%d}\n", num)
+	}
+}
+
+// Close writes what is queued, for a short time at most.
+func (wri *Writer) Close() {
+	wri.once.Do(func() {
+		select {
+		case wri.queue <- nil:
+		case <-time.After(closeWait):
+			return
+		}
+		select {
+		case <-wri.done:
+			wri.report()
+		case <-time.After(closeWait):
+		}
+	})
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -73,7 +73,7 @@
 	case jb.trl.sends > 0:
 		jb.refuse(refusalRefused)
 	default:
-		log.WithError(err).Debug("relay: no endpoint")
+		jb.note("no endpoint", logrus.Fields{"error": err.Error(), "registryAgeMs": jb.srv.cfg.RegistryAge().Milliseconds()})
 		jb.refuse(refusalNoEndpoint)
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
@@ -90,6 +91,9 @@
 	// PlanConfirmed reports whether the plan was lately known to be the
 	// newest. Otherwise an unknown route or key may be new.
 	PlanConfirmed func() bool
+	// RegistryAge returns how long ago the list of endpoints was confirmed, for
+	// logs.
+	RegistryAge func() time.Duration
 }
 
 // A Server serves callers on one listener.
@@ -165,6 +169,7 @@
 	srv.active.Add(1)
 	defer srv.active.Add(-1)
 	now := time.Now()
+	metrics.GetOrRegisterGauge("relay.active", nil).Update(srv.active.Load())
 	if srv.closing.Load() {
 		rct.SetConnectionClose()
 	}
@@ -174,6 +179,7 @@
 		jb.answerSelf("refused", rfl)
 		return
 	}
+	defer func() { jb.measure(time.Since(now)) }()
 	ctx, cancel := context.WithDeadline(ctx, jb.until.Add(timeoutSlack))
 	defer cancel()
 	if jb.mat.Route.Kind == wick.RouteStream {
@@ -208,6 +214,7 @@
 	}
 	if mat.Customer != nil {
 		if ok, after := cfg.Quotas.Take(ctx, mat.Customer, jb.cost(), now); !ok {
+			jb.note("quota used up", logrus.Fields{"cost": jb.cost(), "after": after.String()})
 			return refusalQuota.in(after), false
 		}
 	}
@@ -259,12 +266,24 @@
 	jb.srv.cfg.Meter.Began(jb.mat.Customer.Name, at)
 }
 
+// measure adds the request to the histograms of its kind of route.
+func (jb *job) measure(took time.Duration) {
+	kind := "none"
+	if jb.mat.Route != nil {
+		kind = string(jb.mat.Route.Kind)
+	}
+	metrics.GetOrRegisterTimer("relay.request."+kind, nil).Update(took)
+}
+
 // note logs a decision on the request.
 func (jb *job) note(what string, fld logrus.Fields) {
 	fld["request"] = jb.ask.ID
 	fld["ms"] = time.Since(jb.arrived).Milliseconds()
 	if jb.mat.Route != nil {
-		fld["route"], fld["plan"] = jb.mat.Route.Name, jb.mat.Table.Plan.Version
+		fld["route"], fld["plan"], fld["service"] = jb.mat.Route.Name, jb.mat.Table.Plan.Version, jb.service
+	}
+	if jb.mat.Customer != nil {
+		fld["customer"] = jb.mat.Customer.Name
 	}
 	if len(jb.tried) > 0 {
 		fld["endpoints"] = jb.tried
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -136,7 +136,7 @@
 	sit.srv = New(Config{
 		Listener: lis, MaxConnections: 100, Dialect: testDialect{}, Plans: &plans, Pool: sit.pool,
 		Quotas: noQuotas{}, Versions: allVersions{}, Mover: &sit.mover, Budget: &retry.Budget{}, Client: &wire.Client{}, Meter: &sit.meter,
-		PlanConfirmed: func() bool { return true },
+		PlanConfirmed: func() bool { return true }, RegistryAge: func() time.Duration { return 0 },
 	})
 	go func() { _ = sit.srv.Serve() }()
 	t.Cleanup(func() {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -86,8 +86,8 @@
 
 // open sends the request to the endpoint of tic and reads the reply's headers.
 // The ending is meaningful only if the reply is nil or bad.
-func (jb *job) open(ctx context.Context, tic *target, last string, cpy wick.RunCopy) (*send, ending) {
-	snd := &send{jb: jb, tgt: tic, at: time.Now()}
+func (jb *job) open(ctx context.Context, tic *target, last string, cpy wick.RunCopy) (snd *send, edg ending) {
+	snd = &send{jb: jb, tgt: tic, at: time.Now()}
 	hdr := jb.header.Clone()
 	dsp := wick.Dispatch{
 		Endpoint: tic.Backend.ID, Deadline: jb.until.Sub(snd.at), Rank: jb.mat.Rank(), LastEvent: last, Copy: cpy,
@@ -103,10 +103,17 @@
 		Stall: jb.until.Sub(snd.at) + 2*timeoutSlack,
 	})
 	if err != nil {
-		return snd, jb.endOf(ctx, err)
+		edg = jb.endOf(ctx, err)
+		jb.noteEnd(tic, edg, err)
+		return snd, edg
 	}
 	snd.rep = rep
 	snd.note = jb.srv.cfg.Dialect.ReadReply(rep.Status, rep.Header)
+	defer func() {
+		if edg == endLost || edg == endRefused {
+			jb.noteBad(snd, edg)
+		}
+	}()
 	switch {
 	case snd.note.Request != "" && snd.note.Request != jb.ask.ID:
 		metrics.GetOrRegisterCounter("relay.strayReplies", nil).Inc(1)
@@ -122,6 +129,26 @@
 	}
 }
 
+// noteEnd logs a send that got no reply, with its cause.
+func (jb *job) noteEnd(tgt *target, edg ending, err error) {
+	if edg == endGone {
+		return
+	}
+	fld := logrus.Fields{"ending": edg.String(), "endpoint": tgt.Backend.ID, "address": tgt.Backend.Address}
+	if err != nil {
+		fld["error"] = err.Error()
+	}
+	jb.note("no reply", fld)
+}
+
+// noteBad logs a reply that is no answer to the request.
+func (jb *job) noteBad(snd *send, edg ending) {
+	jb.note("bad reply", logrus.Fields{
+		"ending": edg.String(), "endpoint": snd.tgt.Backend.ID, fieldStatus: snd.rep.Status,
+		"replyTo": snd.note.Request, "signed": snd.note.Genuine, "refused": snd.note.NotExecuted,
+	})
+}
+
 // endOf tells how a send without a complete reply ended.
 func (jb *job) endOf(ctx context.Context, err error) ending {
 	switch {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
@@ -134,6 +135,9 @@
 	}
 	if snd.first.IsZero() {
 		snd.first = time.Now()
+		if pmp.out == nil {
+			metrics.GetOrRegisterTimer("relay.firstEvent", nil).Update(snd.first.Sub(pmp.jb.arrived))
+		}
 		snd.tgt.Began()
 	}
 	if pmp.out == nil {
