edge, pool, scale: loads of endpoints, a larger fleet for the cold start

Change: one entry of each zone reads the loads of its endpoints and passes them on; until the load is known the fleet is a quarter larger; tokens to be read weigh twice, since the time is lost to those behind.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -102,11 +102,13 @@
 	Store       wick.Store
 	Dialect     wick.Dialect
 	Mover       wick.Mover
-	Catalog     wick.Catalog
-	Duties      wick.Duties
-	Orders      wick.VersionOrders
-	Kinds       Kinds
-	Bounds      Bounds
+	// Loads is nil if endpoints report no load.
+	Loads   wick.LoadReader
+	Catalog wick.Catalog
+	Duties  wick.Duties
+	Orders  wick.VersionOrders
+	Kinds   Kinds
+	Bounds  Bounds
 	// Callers, Ready, Admin and Peer are "host:port". Admin and Peer may be "".
 	Callers, Ready, Admin, Peer string
 	MaxConnections              int
@@ -209,7 +211,7 @@
 	var grp errgroup.Group
 	for _, loop := range []func(context.Context){
 		edg.config.Run, edg.backends.Run, edg.members.Run, edg.publishLoop, edg.shareLoop, edg.peerLoop,
-		edg.orders.Run, edg.moves.Run, edg.rollouts.loop,
+		edg.orders.Run, edg.moves.Run, edg.rollouts.loop, edg.reportLoop,
 	} {
 		grp.Go(func() error { loop(work); return nil })
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -77,6 +77,7 @@
 	trn.Handle(wick.MsgQuota, edg.answerQuota)
 	trn.Handle(wick.MsgLeaving, edg.takeLeaving)
 	trn.Handle(wick.MsgBundlePush, edg.takePlan)
+	trn.Handle(wick.MsgLoad, edg.takeLoads)
 	return trn, nil
 }
 
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -23,11 +23,8 @@
 // A Report is an endpoint's own account of its load.
 type Report struct {
 	// At is when the report was read.
-	At      time.Time
-	Running int
-	Queued  int
-	// UsedTokens of TotalTokens of memory are taken by running requests.
-	UsedTokens, TotalTokens wick.Tokens
+	At   time.Time
+	Load wick.BackendLoad
 }
 
 // An endpoint is the state of one endpoint. The group's lock guards it.
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -33,8 +33,11 @@
 	slotMillis = 100.0
 	// failureMillis is the cost of an endpoint that fails every request.
 	failureMillis = 2000.0
-	// reportAge is how old a report may be.
-	reportAge = 3 * time.Second
+	// missingWeight counts the reading of a prompt more than waiting: the time
+	// that one request spends on it is lost to those behind it.
+	missingWeight = 2.0
+	// reportAge is how old a report may be: queues change within a second.
+	reportAge = time.Second
 )
 
 // A Query asks for an endpoint.
@@ -144,13 +147,14 @@
 	if !que.Model {
 		return cost + slotMillis*float64(end.inFlight)/float64(max(end.bke.Slots, 1))
 	}
-	running := end.inFlight
+	running, wait := end.inFlight, float64(end.prefill)/prefillRate
 	if que.Now.Sub(end.report.At) < reportAge {
-		running = max(running, end.report.Running)
-		cost += queuedMillis * float64(end.report.Queued)
+		load := &end.report.Load
+		running = max(running, load.Running)
+		wait = max(wait, queuedMillis*float64(load.Waiting)+float64(load.NextTokens)/prefillRate)
 	}
-	cost += runningMillis*float64(running) + float64(end.prefill)/prefillRate
-	return cost + float64(grp.missing(end, que, homes))/prefillRate
+	cost += runningMillis*float64(running) + wait
+	return cost + missingWeight*float64(grp.missing(end, que, homes))/prefillRate
 }
 
 // missing estimates the prompt tokens that an endpoint would have to read.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -177,6 +177,40 @@
 	return false
 }
 
+// Load returns the last report of an endpoint.
+func (pl *Pool) Load(vid wick.VMID) (wick.BackendLoad, bool) {
+	pl.mu.RLock()
+	grp := pl.where[vid]
+	pl.mu.RUnlock()
+	if grp == nil {
+		return wick.BackendLoad{}, false
+	}
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	end := grp.eps[vid]
+	if end == nil || end.report.At.IsZero() {
+		return wick.BackendLoad{}, false
+	}
+	return end.report.Load, true
+}
+
+// Backends returns the endpoints of a service that take requests.
+func (pl *Pool) Backends(svc wick.Service) []wick.Backend {
+	grp := pl.group(svc)
+	if grp == nil {
+		return nil
+	}
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	out := make([]wick.Backend, 0, len(grp.eps))
+	for _, end := range grp.eps {
+		if !end.bke.Leaving {
+			out = append(out, end.bke)
+		}
+	}
+	return out
+}
+
 // A Summary counts the endpoints of a service in a zone.
 type Summary struct {
 	Service wick.Service `json:"service"`
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -218,3 +218,32 @@
 		})
 	}
 }
+
+// TestReports answers the pattern in which other entries have filled an
+// endpoint: the prompt's endpoint is left only when waiting there costs more
+// than reading the prompt elsewhere, and an old report counts for nothing.
+func TestReports(t *testing.T) {
+	parts := []wick.PromptPart{{ID: "plan", Tokens: 13000}, {ID: "own", Tokens: 3000}}
+	que := Query{Service: service, Model: true, Parts: parts, Input: 16000, Now: start}
+	for _, tst := range []struct {
+		name    string
+		waiting int
+		age     time.Duration
+		stays   bool
+	}{
+		{"short queue", 3, 0, true},
+		{"long queue", 40, 0, false},
+		{"old report", 40, 2 * time.Second, true},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			pl := newPool("a", "a", "a")
+			home := pick(t, pl, que)
+			home.Began()
+			home.Done(FateAnswered, start)
+			pl.Report(home.Backend.ID, Report{At: start.Add(-tst.age), Load: wick.BackendLoad{Running: 10, Waiting: tst.waiting}})
+			if got := pick(t, pl, que).Backend.ID == home.Backend.ID; got != tst.stays {
+				t.Errorf("stays at its endpoint: %v, want %v", got, tst.stays)
+			}
+		})
+	}
+}
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -52,7 +52,7 @@
 // bandOf classes the load of an endpoint as this entry sees it.
 func bandOf(end *endpoint) wick.LoadBand {
 	slots := float64(max(end.bke.Slots, 1))
-	load := float64(max(end.inFlight, end.report.Running)) / slots
+	load := float64(max(end.inFlight, end.report.Load.Running)) / slots
 	switch {
 	case load < midLoad:
 		return wick.BandLow
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -29,9 +29,16 @@
 	// settleTime passes before the first order, so that all endpoints have
 	// registered.
 	settleTime = 3 * time.Second
+	// coldShare of the endpoints that were found at the start are held until
+	// the load is known: no endpoint has read any prompt yet, and all of them
+	// have to be read at once.
+	coldShare = 1.25
 	// shrinkAfter is how long the need must be lower before endpoints are
-	// given up.
+	// given up, and shrinkEvery and shrinkPart how fast they go then: every
+	// endpoint that goes takes the prompts along that it keeps.
 	shrinkAfter = 12 * time.Second
+	shrinkEvery = 3 * time.Second
+	shrinkPart  = 0.08
 	// repeatAfter passes before an order that has had no effect is repeated, on
 	// top of the time that endpoints take to start.
 	repeatAfter = 2 * time.Second
@@ -81,10 +88,11 @@
 	// found is State.Found, or else the most endpoints seen in settleTime.
 	found int
 	since time.Time
-	// need is the number of endpoints aimed at, and lowerSince since when the
-	// load has asked for fewer.
+	// need is the number of endpoints aimed at, lowerSince since when the load
+	// has asked for fewer, and shrunk when it was last lowered.
 	need       int
 	lowerSince time.Time
+	shrunk     time.Time
 }
 
 // Found returns the number of endpoints that were found at the start, 0 if it
@@ -181,7 +189,7 @@
 	highest := max(sta.Plan.Max, 1) * zones
 	need := int(math.Ceil(sta.Work / targetUse))
 	if sta.Work < 0 {
-		need = max(plr.need, plr.found)
+		need = max(plr.need, int(coldShare*float64(plr.found)))
 	}
 	need = min(max(need, lowest), highest)
 	switch {
@@ -189,9 +197,9 @@
 		plr.need, plr.lowerSince = need, time.Time{}
 	case plr.lowerSince.IsZero():
 		plr.lowerSince = sta.Now
-	case sta.Now.Sub(plr.lowerSince) >= shrinkAfter:
-		// One step at a time: every endpoint that goes takes its cache along.
-		plr.need, plr.lowerSince = plr.need-1, sta.Now
+	case sta.Now.Sub(plr.lowerSince) >= shrinkAfter && sta.Now.Sub(plr.shrunk) >= shrinkEvery:
+		step := max(int(shrinkPart*float64(plr.need)), 1)
+		plr.need, plr.shrunk = max(plr.need-step, need), sta.Now
 	}
 }
 
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -54,6 +54,19 @@
 	Move(ctx context.Context, from, to Backend, rid RequestID) (cpy RunCopy, moved bool, err error)
 }
 
+// A BackendLoad is an endpoint's own account of its load. It lags behind.
+type BackendLoad struct {
+	// Running and Waiting count requests.
+	Running, Waiting int
+	// NextTokens is the prompt of the first waiting request.
+	NextTokens Tokens
+}
+
+// A LoadReader reads the load of model endpoints. Errors wrap ErrUnavailable.
+type LoadReader interface {
+	ReadLoad(ctx context.Context, bke Backend) (BackendLoad, error)
+}
+
 // A ReplyNote is what the headers of an endpoint's reply say.
 type ReplyNote struct {
 	// Request is the request that the reply belongs to, or "".
--- a/pkg/wick/peers.go
+++ b/pkg/wick/peers.go
@@ -20,6 +20,7 @@
 	MsgStreamTake  MessageType = "streamTake"
 	MsgVMList      MessageType = "vmList"
 	MsgQuota       MessageType = "quota"
+	MsgLoad        MessageType = "load"
 )
 
 // MaxMessageBytes is the largest message between entries.
