--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -54,7 +54,6 @@
 }
 
 func (testDialect) ReadReply(int, http.Header) wick.ReplyNote { return wick.ReplyNote{Genuine: true} }
-func (testDialect) CleanReply(http.Header)                    {}
 
 // testDuties record usage reports.
 type testDuties struct {
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -68,7 +68,7 @@
 	var grp errgroup.Group
 	grp.SetLimit(reportCalls)
 	for idx := range tbl.Plan.Services {
-		if tbl.Plan.Services[idx].Model == nil {
+		if !tbl.Plan.Services[idx].Model {
 			continue
 		}
 		for _, bke := range edg.pool.Backends(tbl.Plan.Services[idx].Name) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -50,8 +50,6 @@
 	}
 }
 
-func (testDialect) CleanReply(http.Header) {}
-
 type countMeter struct {
 	mu  sync.Mutex
 	num int
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -245,7 +245,6 @@
 
 // headReply copies the endpoint's status and headers to the caller.
 func (jb *job) headReply(rep *wire.Reply) {
-	jb.srv.cfg.Dialect.CleanReply(rep.Header)
 	dropHop(rep.Header, strings.Split(rep.Header.Get("Connection"), ","))
 	jb.rct.SetStatusCode(rep.Status)
 	for name, vals := range rep.Header {
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -84,8 +84,6 @@
 	// WriteDispatch turns the caller's headers into those for an endpoint.
 	WriteDispatch(hdr http.Header, dsp Dispatch)
 	ReadReply(status int, hdr http.Header) ReplyNote
-	// CleanReply removes what callers must not see.
-	CleanReply(hdr http.Header)
 }
 
 // A Catalog decodes the objects that operators and endpoints write to the
--- a/pkg/wick/plan.go
+++ b/pkg/wick/plan.go
@@ -33,7 +33,6 @@
 	Routes    []RoutePlan
 	Services  []ServicePlan
 	Customers []CustomerPlan
-	Limits    CallerLimits
 }
 
 // A RoutePlan sends the requests of a host and path prefix to services.
@@ -75,19 +74,11 @@
 type ServicePlan struct {
 	Name Service
 	// Model is set for services whose endpoints generate tokens.
-	Model *ModelPlan
+	Model bool
 	// Scaling is nil when the number of endpoints is not ours to change.
 	Scaling *ScalingPlan
 }
 
-// A ModelPlan describes the endpoints of a model service.
-type ModelPlan struct {
-	Slots int
-	// CacheTokens is the memory of one endpoint for running requests and
-	// cached prompts.
-	CacheTokens Tokens
-}
-
 // A ScalingPlan bounds the endpoints of a service in each zone.
 type ScalingPlan struct {
 	Min, Max int
@@ -120,11 +111,6 @@
 	PlainTokens float64
 }
 
-// CallerLimits bound what callers may send. Zero is no bound.
-type CallerLimits struct {
-	IdleTimeout time.Duration
-}
-
 // A Backend is one endpoint as the platform's registry lists it.
 type Backend struct {
 	ID      VMID
