edge, usage: a restarted entry keeps the counts it has published

Change: it reads its record first and takes the counts over. edge.TestRestart fails without it. What a process counts after its last record (1 s) is lost.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -233,6 +233,36 @@
 	sit.await("all requests of both entries are reported", func() bool { return sit.duties.total() >= requests+2 })
 }
 
+// TestRestart guards against counts that are lost because a restarted entry
+// writes over its record. Found in the recorded day inc-778b.
+func TestRestart(t *testing.T) {
+	sit := newSite(t, 1, wick.Quota{})
+	const requests = 10
+	for num := range requests {
+		if status, body := sit.ask(0, "/", fmt.Sprint("r", num)); status != http.StatusOK {
+			t.Fatalf("%d %s", status, body)
+		}
+	}
+	sit.await("the counts are published", func() bool {
+		rec, err := sit.edges[0].roster.Own(t.Context())
+		sum := 0
+		for _, counts := range rec.Began {
+			sum += counts["c"]
+		}
+		return err == nil && sum > requests
+	})
+	sit.stops[0]()
+	<-sit.ended[0]
+	sit.start(0, 1)
+	sit.await("the new process has the counts", func() bool {
+		sum := 0
+		for _, counts := range sit.edges[1].tally.Counts() {
+			sum += counts["c"]
+		}
+		return sum > requests
+	})
+}
+
 // TestPot guards against requests that are refused below a quota because they
 // are larger than one entry's part.
 func TestPot(t *testing.T) {
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,8 +24,29 @@
 	sweepEvery  = 10 * time.Second
 )
 
+// restore takes over what an earlier process of this entry has counted, before
+// its record is written over.
+func (edg *Edge) restore(ctx context.Context) {
+	for failures := 0; ctx.Err() == nil; failures++ {
+		rctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		rec, err := edg.roster.Own(rctx)
+		cancel()
+		if err == nil {
+			edg.tally.Restore(rec.Began)
+			log.WithFields(logrus.Fields{"incarnation": rec.Incarnation, "windows": len(rec.Began)}).Info("edge: counts restored")
+			return
+		}
+		if errors.Is(err, wick.ErrNotFound) || errors.Is(err, wick.ErrInvalid) {
+			return
+		}
+		log.WithError(err).Debug("edge: own record not read")
+		retry.Sleep(ctx, retry.Backoff(failures, shareEvery, storeTimeout))
+	}
+}
+
 // publishLoop writes the entry's record.
 func (edg *Edge) publishLoop(ctx context.Context) {
+	edg.restore(ctx)
 	for retry.Sleep(ctx, edg.memberPause()) {
 		if err := edg.publish(ctx, false); err != nil {
 			log.WithError(err).Debug("edge: record not written")
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -139,6 +139,23 @@
 	return nil
 }
 
+// Own reads the record that an earlier process of this entry has written. The
+// error wraps wick.ErrNotFound if there is none.
+func (ros *Roster) Own(ctx context.Context) (Record, error) {
+	obj, err := ros.sto.Get(ctx, ros.key)
+	if err != nil {
+		return Record{}, eris.Wrap(err, "roster: read")
+	}
+	var rec Record
+	if err := json.Unmarshal(obj.Data, &rec); err != nil {
+		return Record{}, eris.Wrapf(wick.ErrInvalid, "roster: own record: %v", err)
+	}
+	ros.mu.Lock()
+	defer ros.mu.Unlock()
+	ros.rev = obj.Revision
+	return rec, nil
+}
+
 func (ros *Roster) overwrite(ctx context.Context, data []byte) (wick.Revision, error) {
 	obj, err := ros.sto.Get(ctx, ros.key)
 	if err != nil && !errors.Is(err, wick.ErrNotFound) {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -51,6 +51,24 @@
 	tal.counts[num][cus]++
 }
 
+// Restore adds the counts that an earlier process of this entry has published.
+// It is called once.
+func (tal *Tally) Restore(old map[uint64]map[wick.Customer]int) {
+	tal.mu.Lock()
+	defer tal.mu.Unlock()
+	if tal.counts == nil {
+		tal.counts = make(map[uint64]map[wick.Customer]int)
+	}
+	for num, counts := range old {
+		if tal.counts[num] == nil {
+			tal.counts[num] = make(map[wick.Customer]int)
+		}
+		for cus, cnt := range counts {
+			tal.counts[num][cus] += cnt
+		}
+	}
+}
+
 // Counts returns a copy of the counts of the kept windows.
 func (tal *Tally) Counts() map[uint64]map[wick.Customer]int {
 	tal.mu.Lock()
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -104,3 +104,16 @@
 		t.Errorf("%d windows are kept, window 99 has %d", len(counts), counts[99]["c"])
 	}
 }
+
+// TestRestore guards against windows that are reported without the requests
+// that an entry had counted before it was killed.
+func TestRestore(t *testing.T) {
+	tal := &Tally{Window: window}
+	at := time.UnixMilli(5 * window.Milliseconds())
+	tal.Began("c", at)
+	tal.Restore(map[uint64]map[wick.Customer]int{5: {"c": 7, "d": 1}, 4: {"c": 3}})
+	counts := tal.Counts()
+	if counts[5]["c"] != 8 || counts[5]["d"] != 1 || counts[4]["c"] != 3 {
+		t.Errorf("counts %v", counts)
+	}
+}
