edge, quota: a draining entry's record stays so; plain names for shared quotas

Cause: the race detector found publish called by two goroutines while an entry drains (once in a run of all tests of edge, traced in the next three); behind it stood a fault: the publishing loop wrote a record without leaving over the one that said so, so that a draining entry could be taken for an owner of reserves. Change: one publish reads the state of draining; the counter is atomic. TestDrain checks the last record. Also renames: reserve, owner and allocated in place of words of our own. Ruled out: the tests themselves (the same fields are written by Run).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -136,7 +136,7 @@
 	ready    *readyServer
 	admin    admin.Server
 	found    foundBook
-	beat     uint64
+	beat     atomic.Uint64
 }
 
 // New returns an edge. Run must be called.
@@ -144,7 +144,7 @@
 	edg := &Edge{cfg: cfg, pool: pool.New(cfg.Zone), roster: roster.New(cfg.Store, cfg.ID)}
 	edg.budget = retry.Budget{Share: retryMargin * cfg.Bounds.RetryRatio, Reserve: edg.retryReserve(cfg.Bounds.Entries)}
 	trm := quota.Terms{Overshoot: cfg.Bounds.QuotaOvershoot, Slack: cfg.Bounds.QuotaSlack, Window: cfg.Bounds.QuotaWindow}
-	edg.quotas = quotas{edg: edg, book: quota.Book{Terms: trm}, pot: quota.Pot{Terms: trm}}
+	edg.quotas = quotas{edg: edg, book: quota.Book{Terms: trm}, reserve: quota.Reserve{Terms: trm}}
 	edg.tally.Window = cfg.Bounds.UsageWindow
 	edg.client = wire.Client{
 		DialTimeout: endpointDial, ConnTimeout: endpointDial, IdleTimeout: endpointIdle, Meter: "endpoints",
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -263,11 +263,11 @@
 	})
 }
 
-// TestPot guards against requests that are refused below a quota because they
+// TestReserve guards against requests that are refused below a quota because they
 // are larger than one entry's part.
-func TestPot(t *testing.T) {
+func TestReserve(t *testing.T) {
 	sit := newSite(t, 2, wick.Quota{Rate: 40, Burst: 40, ByTokens: true, PlainTokens: 16})
-	// One entry keeps the pot, and the other asks it.
+	// One entry keeps the reserve, and the other asks it.
 	sit.awaitAnswers()
 	refused := 0
 	for num := range 40 {
@@ -361,4 +361,8 @@
 	case <-time.After(4 * time.Second):
 		t.Error("the entry does not end within its grace period")
 	}
+	// A later record that says otherwise would give the entry reserves to own.
+	if rec, err := sit.edges[0].roster.Own(t.Context()); err != nil || !rec.Leaving {
+		t.Errorf("the entry's last record says leaving: %v (%v)", rec.Leaving, err)
+	}
 }
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -48,23 +48,22 @@
 func (edg *Edge) publishLoop(ctx context.Context) {
 	edg.restore(ctx)
 	for retry.Sleep(ctx, edg.memberPause()) {
-		if err := edg.publish(ctx, false); err != nil {
+		if err := edg.publish(ctx); err != nil {
 			log.WithError(err).Debug("edge: record not written")
 		}
 	}
 }
 
-func (edg *Edge) publish(ctx context.Context, leaving bool) error {
+func (edg *Edge) publish(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	edg.beat++
 	peerAddr := ""
 	if edg.peers.Load() != nil {
 		peerAddr = edg.cfg.Peer
 	}
 	return edg.roster.Publish(ctx, roster.Record{ //nolint:wrapcheck // our own package
 		ID: edg.cfg.ID, Incarnation: edg.cfg.Incarnation, Zone: edg.cfg.Zone, Peer: peerAddr,
-		Beat: edg.beat, Leaving: leaving,
+		Beat: edg.beat.Add(1), Leaving: edg.ready.draining.Load(),
 		Demand: edg.quotas.book.Demand(time.Now()), Began: edg.tally.Counts(),
 		Work: edg.pool.Work(time.Now()), Requests: edg.pool.Requests(time.Now()), Found: edg.found.get(), Evidence: edg.rollouts.evidence(),
 	})
@@ -171,7 +170,7 @@
 	log.WithField("active", edg.relay.Active()).Info("edge: draining")
 	ctx, cancel := context.WithTimeout(context.Background(), edg.cfg.Bounds.Grace-stopMargin)
 	defer cancel()
-	if err := edg.publish(ctx, true); err != nil {
+	if err := edg.publish(ctx); err != nil {
 		log.WithError(err).Warn("edge: last record not written")
 	}
 	for retry.Sleep(ctx, drainEvery) {
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -18,11 +18,11 @@
 	// quotaMemory is how long an entry whose record no longer changes keeps its
 	// share of the quotas: it may be cut off and still serve.
 	quotaMemory = 12 * time.Second
-	// askTimeout bounds the question to the keeper of a pot.
+	// askTimeout bounds the question to the owner of a reserve.
 	askTimeout = 100 * time.Millisecond
 )
 
-// A quotaAsk asks the keeper of a customer's pot for units.
+// A quotaAsk asks the owner of a customer's reserve for units.
 type quotaAsk struct {
 	Customer wick.Customer `cbor:"1,keyasint"`
 	Cost     float64       `cbor:"2,keyasint"`
@@ -35,13 +35,13 @@
 	AfterMillis int64 `cbor:"2,keyasint"`
 }
 
-// quotas spends the customers' quotas: first this entry's part, then the pot.
+// quotas spends the customers' quotas: first this entry's part, then the reserve.
 type quotas struct {
-	edg  *Edge
-	book quota.Book
-	pot  quota.Pot
-	// keepers are the entries that may keep pots.
-	keepers atomic.Pointer[[]wick.Member]
+	edg     *Edge
+	book    quota.Book
+	reserve quota.Reserve
+	// owners are the entries that may keep reserves.
+	owners atomic.Pointer[[]wick.Member]
 }
 
 // Take spends cost units for a request.
@@ -52,8 +52,8 @@
 	}
 	grant, err := quo.ask(ctx, cus, cost, now)
 	if err != nil {
-		metrics.GetOrRegisterCounter("edge.potUnreached", nil).Inc(1)
-		log.WithError(err).WithField("customer", cus.Name).Debug("edge: pot not reached")
+		metrics.GetOrRegisterCounter("edge.reserveUnreached", nil).Inc(1)
+		log.WithError(err).WithField("customer", cus.Name).Debug("edge: reserve not reached")
 		return false, after
 	}
 	return grant.Granted, min(after, time.Duration(grant.AfterMillis)*time.Millisecond)
@@ -62,15 +62,15 @@
 // Refund gives units back that a request did not use.
 func (quo *quotas) Refund(cus *wick.CustomerPlan, cost float64) { quo.book.Refund(cus, cost) }
 
-// ask asks the keeper of a customer's pot, which may be this entry.
+// ask asks the owner of a customer's reserve, which may be this entry.
 func (quo *quotas) ask(ctx context.Context, cus *wick.CustomerPlan, cost float64, now time.Time) (quotaGrant, error) {
 	var mems []wick.Member
-	if ptr := quo.keepers.Load(); ptr != nil {
+	if ptr := quo.owners.Load(); ptr != nil {
 		mems = *ptr
 	}
-	keeper, ok := place.First(string(cus.Name), mems)
-	if !ok || keeper.ID == quo.edg.cfg.ID {
-		granted, after := quo.pot.Take(cus, cost, now)
+	owner, ok := place.First(string(cus.Name), mems)
+	if !ok || owner.ID == quo.edg.cfg.ID {
+		granted, after := quo.reserve.Take(cus, cost, now)
 		return quotaGrant{Granted: granted, AfterMillis: after.Milliseconds()}, nil
 	}
 	trn := quo.edg.peers.Load()
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var grant quotaGrant
-	err := trn.Call(ctx, keeper, wick.MsgQuota, quotaAsk{Customer: cus.Name, Cost: cost}, &grant)
+	err := trn.Call(ctx, owner, wick.MsgQuota, quotaAsk{Customer: cus.Name, Cost: cost}, &grant)
 	return grant, err //nolint:wrapcheck // logged by the caller
 }
 
@@ -98,11 +98,11 @@
 	if cus == nil {
 		return nil, wick.ErrNotFound
 	}
-	granted, after := edg.quotas.pot.Take(cus, ask.Cost, time.Now())
+	granted, after := edg.quotas.reserve.Take(cus, ask.Cost, time.Now())
 	return quotaGrant{Granted: granted, AfterMillis: after.Milliseconds()}, nil
 }
 
-// share deals the quotas anew from the entries' records.
+// share allocates the quotas anew from the entries' records.
 func (quo *quotas) share(now time.Time) {
 	since := quo.edg.members.FailingSince()
 	recs := quo.edg.roster.Alive(now, quotaMemory, !since.IsZero())
@@ -120,18 +120,18 @@
 	}
 	cutOff := !since.IsZero() && now.Sub(since) > quotaMemory
 	quo.book.SetShares(own, others, cutOff)
-	quo.settlePots(recs, len(others)+1, cutOff, now)
+	quo.settleOwners(recs, len(others)+1, cutOff, now)
 }
 
-// settlePots chooses the keepers of the pots.
-func (quo *quotas) settlePots(recs []roster.Record, entries int, cutOff bool, now time.Time) {
+// settleOwners chooses the owners of the reserves.
+func (quo *quotas) settleOwners(recs []roster.Record, entries int, cutOff bool, now time.Time) {
 	mems := make([]wick.Member, 0, len(recs))
 	for idx := range recs {
 		if !recs[idx].Leaving && recs[idx].Peer != "" {
 			mems = append(mems, recs[idx].Member())
 		}
 	}
-	quo.keepers.Store(&mems)
+	quo.owners.Store(&mems)
 	tbl := quo.edg.plans.Load()
 	if tbl == nil {
 		return
@@ -139,10 +139,10 @@
 	var mine []wick.Customer
 	for idx := range tbl.Plan.Customers {
 		cus := tbl.Plan.Customers[idx].Name
-		// An entry that is cut off may have been replaced as a keeper.
-		if keeper, ok := place.First(string(cus), mems); ok && keeper.ID == quo.edg.cfg.ID && !cutOff {
+		// An entry that is cut off may have been replaced as an owner.
+		if owner, ok := place.First(string(cus), mems); ok && owner.ID == quo.edg.cfg.ID && !cutOff {
 			mine = append(mine, cus)
 		}
 	}
-	quo.pot.Keep(mine, entries, now)
+	quo.reserve.SetOwned(mine, entries, now)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,6 +1,6 @@
 // Package quota bounds what customers use over all entries. A part of each
-// quota is dealt to the entries, following the use that they report; the rest
-// lies in a pot that one entry keeps for all, and that the others ask when their
+// quota is allocated to the entries, following the use that they report; the rest
+// lies in a reserve that one entry keeps for all, and that the others ask when their
 // part is used up. Both are token buckets. It does no I/O.
 package quota
 
@@ -12,11 +12,11 @@
 )
 
 const (
-	// mostDealt of each quota is dealt to the entries, and at most entryPart to
+	// mostAllocated of each quota is allocated to the entries, and at most entryAllocation to
 	// each: a part that holds no whole request is of no use to an entry.
-	mostDealt = 0.4
-	entryPart = 0.08
-	// evenPart of what is dealt goes to all entries alike, so that an entry
+	mostAllocated   = 0.4
+	entryAllocation = 0.08
+	// evenPart of what is allocated goes to all entries alike, so that an entry
 	// whose use begins has something to spend. The rest follows use.
 	evenPart = 0.5
 	// slackPart is the part of the agreed overshoot and slack that is used.
@@ -43,14 +43,14 @@
 	return quo.Burst + slackPart*over
 }
 
-// dealt returns the part of each quota that is dealt to a number of entries. It
-// falls as they grow in number, and the pot grows.
-func dealt(entries int) float64 {
+// allocated returns the part of each quota that is allocated to a number of entries. It
+// falls as they grow in number, and the reserve grows.
+func allocated(entries int) float64 {
 	num := float64(max(entries, 1))
-	return min(mostDealt, entryPart*num, mostDealt*fewEntries/num)
+	return min(mostAllocated, entryAllocation*num, mostAllocated*fewEntries/num)
 }
 
-// fewEntries is the number of entries up to which mostDealt is dealt.
+// fewEntries is the number of entries up to which mostAllocated is allocated.
 const fewEntries = 6
 
 // Cost returns the units that a request takes from a quota.
@@ -89,7 +89,7 @@
 // A Demand is what one entry asks for each customer, in units a second.
 type Demand map[wick.Customer]float64
 
-// A Book holds the buckets of one entry for the dealt parts.
+// A Book holds the buckets of one entry for the allocated parts.
 type Book struct {
 	// Terms are set before the first call.
 	Terms Terms
@@ -97,12 +97,12 @@
 	mu      sync.Mutex
 	buckets map[wick.Customer]*bucket
 	use     map[wick.Customer]*use
-	// shares is the part of the dealt quota that this entry may spend. A
+	// shares is the part of the allocated quota that this entry may spend. A
 	// customer without a share gets even.
 	shares map[wick.Customer]float64
 	even   float64
-	// dealt is the part of the quotas that is dealt to all entries.
-	dealt float64
+	// allocated is the part of the quotas that is allocated to all entries.
+	allocated float64
 }
 
 // A use is the smoothed demand of a customer, refused requests included.
@@ -128,7 +128,7 @@
 		factor = cutOffPart
 	}
 	bok.even = factor / float64(len(others)+1)
-	bok.dealt = dealt(len(others) + 1)
+	bok.allocated = allocated(len(others) + 1)
 	total := make(Demand)
 	for _, dem := range append(others, own) {
 		for cus, val := range dem {
@@ -156,7 +156,7 @@
 	if !known {
 		share = bok.even
 	}
-	share *= bok.dealt
+	share *= bok.allocated
 	burst := bok.Terms.burst(cus.Quota) * share
 	buc := bok.buckets[cus.Name]
 	if buc == nil {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -36,29 +36,29 @@
 
 var testTerms = Terms{Overshoot: 0.1, Slack: 1500, Window: 8 * time.Second}
 
-// A site is a set of entries with one pot.
+// A site is a set of entries with one reserve.
 type site struct {
 	books []*Book
-	pot   Pot
+	rsv   Reserve
 }
 
 func newSite(entries int, now time.Time) *site {
-	sit := &site{pot: Pot{Terms: testTerms}}
+	sit := &site{rsv: Reserve{Terms: testTerms}}
 	for range entries {
 		bok := &Book{Terms: testTerms}
 		bok.SetShares(nil, make([]Demand, entries-1), false)
 		sit.books = append(sit.books, bok)
 	}
-	sit.pot.Keep([]wick.Customer{customer}, entries, now)
+	sit.rsv.SetOwned([]wick.Customer{customer}, entries, now)
 	return sit
 }
 
-// take spends at an entry, then from the pot.
+// take spends at an entry, then from the reserve.
 func (sit *site) take(entry int, cus *wick.CustomerPlan, cost float64, now time.Time) bool {
 	if ok, _ := sit.books[entry].Take(cus, cost, now); ok {
 		return true
 	}
-	ok, _ := sit.pot.Take(cus, cost, now)
+	ok, _ := sit.rsv.Take(cus, cost, now)
 	return ok
 }
 
@@ -134,27 +134,27 @@
 	}
 }
 
-// TestPotMoves guards against a new keeper that spends what the one before has
+// TestReserveMoves guards against a new owner that spends what the one before has
 // spent.
-func TestPotMoves(t *testing.T) {
+func TestReserveMoves(t *testing.T) {
 	now := time.Unix(1000, 0)
 	cus := plan(1000, 1000)
-	var pot Pot
-	if ok, after := pot.Take(cus, 1, now); ok || after != potMoving {
-		t.Errorf("an entry that keeps no pot: %v, %v", ok, after)
+	var rsv Reserve
+	if ok, after := rsv.Take(cus, 1, now); ok || after != reserveMoving {
+		t.Errorf("an entry that keeps no reserve: %v, %v", ok, after)
 	}
-	pot.Keep([]wick.Customer{customer}, 5, now)
-	if ok, _ := pot.Take(cus, 10, now); ok {
-		t.Error("a new keeper starts with a full pot")
+	rsv.SetOwned([]wick.Customer{customer}, 5, now)
+	if ok, _ := rsv.Take(cus, 10, now); ok {
+		t.Error("a new owner starts with a full reserve")
 	}
 	later := now.Add(time.Second)
-	pot.Keep([]wick.Customer{customer}, 5, later)
-	if ok, _ := pot.Take(cus, 10, later); !ok {
-		t.Error("the keeper loses what has flowed in")
+	rsv.SetOwned([]wick.Customer{customer}, 5, later)
+	if ok, _ := rsv.Take(cus, 10, later); !ok {
+		t.Error("the owner loses what has flowed in")
 	}
-	pot.Keep(nil, 5, later)
-	if ok, _ := pot.Take(cus, 1, later); ok {
-		t.Error("an entry spends from a pot that it no longer keeps")
+	rsv.SetOwned(nil, 5, later)
+	if ok, _ := rsv.Take(cus, 1, later); ok {
+		t.Error("an entry spends from a reserve that it no longer keeps")
 	}
 }
 
--- /dev/null
+++ b/internal/quota/reserve.go
@@ -0,0 +1,54 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// A Reserve holds the part of the quotas that is not allocated, for the customers whose
+// owner this entry is. Its zero value keeps none.
+type Reserve struct {
+	// Terms are set before the first call.
+	Terms Terms
+
+	mu      sync.Mutex
+	buckets map[wick.Customer]*bucket
+	// part of the quotas lies in the reserve.
+	part float64
+}
+
+// SetOwned sets the customers whose owner this entry is, and the number of entries
+// that the rest of the quotas is allocated to. A customer that is new
+// starts with an empty bucket, since the owner before may have spent it.
+func (rsv *Reserve) SetOwned(names []wick.Customer, entries int, now time.Time) {
+	rsv.mu.Lock()
+	defer rsv.mu.Unlock()
+	old := rsv.buckets
+	rsv.part = 1 - allocated(entries)
+	rsv.buckets = make(map[wick.Customer]*bucket, len(names))
+	for _, cus := range names {
+		if buc := old[cus]; buc != nil {
+			rsv.buckets[cus] = buc
+		} else {
+			rsv.buckets[cus] = &bucket{at: now}
+		}
+	}
+}
+
+// Take spends cost units. It returns false if this entry is not the customer's
+// owner or the reserve does not hold them, and the time after which it would.
+func (rsv *Reserve) Take(cus *wick.CustomerPlan, cost float64, now time.Time) (bool, time.Duration) {
+	rsv.mu.Lock()
+	defer rsv.mu.Unlock()
+	buc := rsv.buckets[cus.Name]
+	if buc == nil {
+		return false, reserveMoving
+	}
+	burst := max(rsv.Terms.burst(cus.Quota)*rsv.part, cost)
+	return buc.take(cost, cus.Quota.Rate*rsv.part, burst, now)
+}
+
+// reserveMoving is when a request may fit whose reserve is on its way to another owner.
+const reserveMoving = time.Second
