edge, retry: the retry reserve follows the number of entries

The reserve of each entry was a sixth of the agreed one, for the 6 entries that a start assumes, with 24 entries there: 504 retries at once, 160 agreed. Change: the reserve is set from the entries' records with the quotas. TestRetryReserve fails without it. Sites of 5 entries are not touched: a start assumes 5 there.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -263,6 +263,29 @@
 	})
 }
 
+// TestRetryReserve guards against a retry budget that grows with the entries:
+// each had the part of the few entries that a start assumes. Found by a hunt on
+// acep-casca-grown (deploy/days/grey.toml, seed 944762756930).
+func TestRetryReserve(t *testing.T) {
+	const agreed, entries = 160, 24
+	edg := New(Config{ID: "edge0", Store: &fake.Store{}, Bounds: Bounds{RetryRatio: 0.2, RetryReserve: agreed, Entries: 6}})
+	for num := range entries {
+		data, err := json.Marshal(map[string]any{"id": fmt.Sprint("edge", num)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		edg.roster.Change(wick.Object{Key: wick.ObjectKey{Name: fmt.Sprint("edge", num)}, Revision: 1, Data: data})
+	}
+	edg.quotas.share(time.Now())
+	taken := 0
+	for edg.budget.Take() {
+		taken++
+	}
+	if sum := taken * entries; sum > agreed {
+		t.Errorf("%d entries may make %d retries at once, %d are agreed", entries, sum, agreed)
+	}
+}
+
 // TestReserve guards against requests that are refused below a quota because they
 // are larger than one entry's part.
 func TestReserve(t *testing.T) {
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -120,6 +120,7 @@
 	}
 	cutOff := !since.IsZero() && now.Sub(since) > quotaMemory
 	quo.book.SetShares(own, others, cutOff)
+	quo.edg.budget.SetReserve(quo.edg.retryReserve(len(others) + 1))
 	quo.settleOwners(recs, len(others)+1, cutOff, now)
 }
 
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -46,6 +46,15 @@
 	return defaultReserve
 }
 
+// SetReserve changes the capacity, in retries; it must be positive. What was
+// spent stays spent.
+func (bud *Budget) SetReserve(num float64) {
+	bud.mu.Lock()
+	defer bud.mu.Unlock()
+	bud.Reserve = num
+	bud.spent = min(bud.spent, num)
+}
+
 // Success adds the share of one success to the bucket.
 func (bud *Budget) Success() {
 	metrics.GetOrRegisterCounter("retry.successes", nil).Inc(1)
