scale: endpoints are given up only once all had time to register

Ruled out: imbalance of the choice (requests per endpoint in the first 2 s: 3 to 17, all queues long); a settle time by stillness of the list (it was still for 1.5 s before it grew).

Now the planner orders only more, and only reclaimable endpoints, in the first 7 s. TestListedInSteps fails without the change (10 endpoints left of 16).

--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -26,9 +26,11 @@
 	spareShare = 0.25
 	// floorShare of the endpoints that were found at the start are always held.
 	floorShare = 0.7
-	// settleTime passes before the first order, so that all endpoints have
-	// registered.
-	settleTime = 3 * time.Second
+	// firstOrder passes before the first order, which only adds endpoints.
+	firstOrder = 3 * time.Second
+	// settleTime passes before endpoints may be given up: until then some may
+	// not have registered, and an order for fewer would end them.
+	settleTime = 7 * time.Second
 	// coldShare of the endpoints that were found at the start are held until
 	// the load is known: no endpoint has read any prompt yet, and all of them
 	// have to be read at once.
@@ -87,7 +89,9 @@
 	orders map[slot]order
 	// found is State.Found, or else the most endpoints seen in settleTime.
 	found int
-	since time.Time
+	// since is when the planner began; settled is set once found is final.
+	since   time.Time
+	settled bool
 	// need is the number of endpoints aimed at, lowerSince since when the load
 	// has asked for fewer, and shrunk when it was last lowered.
 	need       int
@@ -98,7 +102,7 @@
 // Found returns the number of endpoints that were found at the start, 0 if it
 // is not settled.
 func (plr *Planner) Found() int {
-	if plr.need == 0 {
+	if !plr.settled {
 		return 0
 	}
 	return plr.found
@@ -110,7 +114,8 @@
 		plr.orders = make(map[slot]order)
 	}
 	zones := byPrice(sta.Plan)
-	if len(zones) == 0 || !plr.settled(sta) {
+	plr.observe(sta)
+	if len(zones) == 0 || !plr.settled && sta.Now.Sub(plr.since) < firstOrder {
 		return nil
 	}
 	plr.setNeed(sta, len(zones))
@@ -125,20 +130,24 @@
 	return out
 }
 
-// settled reports whether the number of endpoints at the start is known.
-func (plr *Planner) settled(sta State) bool {
+// observe learns how many endpoints there were at the start. Reclaimable ones
+// count only until the first order, which is for such.
+func (plr *Planner) observe(sta State) {
 	if plr.since.IsZero() {
 		plr.since = sta.Now
 	}
 	if sta.Found > 0 {
-		plr.found = sta.Found
-		return true
+		plr.found, plr.settled = sta.Found, true
 	}
-	onDemand, spot := sta.total()
+	if plr.settled {
+		return
+	}
+	num, spot := sta.total()
 	if plr.need == 0 {
-		plr.found = max(plr.found, onDemand+spot)
+		num += spot
 	}
-	return sta.Now.Sub(plr.since) >= settleTime
+	plr.found = max(plr.found, num)
+	plr.settled = sta.Now.Sub(plr.since) >= settleTime
 }
 
 // Refused notes that the platform had nothing to give for an order.
@@ -222,19 +231,19 @@
 	return want
 }
 
-// spread deals a number of endpoints to zones, the cheapest first.
+// spread distributes a number of endpoints over zones, the cheapest first.
 func spread(want map[slot]int, zones []wick.Zone, num int, spot bool, sta State) {
 	for num > 0 {
-		dealt := false
+		placed := false
 		for _, zone := range zones {
 			both := want[slot{zone, false}] + want[slot{zone, true}]
 			if num > 0 && both < sta.Plan.Max {
 				want[slot{zone, spot}]++
 				num--
-				dealt = true
+				placed = true
 			}
 		}
-		if !dealt {
+		if !placed {
 			return
 		}
 	}
@@ -249,6 +258,8 @@
 	}
 	old, ok := plr.orders[slt]
 	switch {
+	case !plr.settled && (!slt.spot || want <= live):
+		return false
 	case ok && sta.Now.Sub(old.refusedAt) < refusedPause:
 		return false
 	case !ok || old.count != want:
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -177,3 +177,44 @@
 	onDemand, spot := cld.total()
 	cld.assertBetween("endpoints", onDemand+spot, 12, 19)
 }
+
+// TestListedInSteps answers the pattern in which a part of the endpoints
+// registers seconds after the entries have started, and after the list has not
+// changed for a while. Found on grown acep-casca, trouble-3: 52 of 140 were
+// listed, and the order for the others' places took them away.
+func TestListedInSteps(t *testing.T) {
+	const perZone, listed, lag = 4, 1, 4500 * time.Millisecond
+	cld := newCloud(t, listed)
+	for at := time.Duration(0); at < 12*time.Second; at += 500 * time.Millisecond {
+		if at == lag {
+			for zone, cnt := range cld.live {
+				cnt.OnDemand += perZone - listed
+				cld.live[zone] = cnt
+			}
+		}
+		before := cld.orders
+		cld.run(at, 500*time.Millisecond, -1)
+		if onDemand, _ := cld.total(); at < lag && onDemand < listed*len(testPlan.ZonePrices) {
+			t.Errorf("at %v: %d on-demand endpoints", at, onDemand)
+		}
+		if at < lag && cld.orders > before {
+			cld.assertOnlySpot(at)
+		}
+	}
+	onDemand, spot := cld.total()
+	cld.assertBetween("endpoints after the start", onDemand+spot, perZone*len(testPlan.ZonePrices), 4*testPlan.Max)
+	if found := cld.plr.Found(); found != perZone*len(testPlan.ZonePrices) {
+		t.Errorf("%d endpoints were found, want %d", found, perZone*len(testPlan.ZonePrices))
+	}
+}
+
+// assertOnlySpot asserts that no order was for on-demand endpoints: it would
+// take away those that have not registered.
+func (cld *cloud) assertOnlySpot(at time.Duration) {
+	cld.t.Helper()
+	for _, item := range cld.due {
+		if !item.ord.Reclaimable {
+			cld.t.Errorf("at %v: order %+v before all endpoints had registered", at, item.ord)
+		}
+	}
+}
