explain: from a failed request's id to its cause

Cause: the way from an id to its cause was a page to follow by hand, lines had times of whole seconds, a stream that broke off had no line with the error, and lines of answered requests competed with those of refusals.

- Messages, field names and reasons are constants in internal/logs, used by what writes and what reads them.
- New lines: answer broke off (endpoint, error), reserve not reached, no endpoint to move a run to; new counters relay.cutOff.<reason>.
Orders of endpoints name the work and the need that led to them.
- Answered requests, in time and from their first endpoint, are written up to 100 a second; the next line and logs.leftOut count the rest.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -37,6 +37,7 @@
 	demoCommand,
 	dumpCommand,
 	entryCommand,
+	explainCommand,
 	keysOperatorCommand,
 	keysPeersCommand,
 	keysSiteCommand,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/wagtailwick/wagtailwick/internal/admin"
 	"github.com/wagtailwick/wagtailwick/internal/feed"
 	"github.com/wagtailwick/wagtailwick/internal/lease"
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/internal/place"
 	"github.com/wagtailwick/wagtailwick/internal/plan"
@@ -225,7 +226,7 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- edg.relay.Serve() }()
-	log.WithFields(logrus.Fields{"id": edg.cfg.ID, "zone": edg.cfg.Zone, "incarnation": edg.cfg.Incarnation}).Info("edge: started")
+	log.WithFields(logrus.Fields{"id": edg.cfg.ID, "zone": edg.cfg.Zone, "incarnation": edg.cfg.Incarnation}).Info(logs.MsgStarted)
 	select {
 	case err := <-served:
 		return eris.Wrap(err, "edge: server ended")
@@ -235,7 +236,7 @@
 	edg.drain()
 	stop()
 	_ = grp.Wait() // the loops return no errors
-	log.Info("edge: stopped")
+	log.Info(logs.MsgStopped)
 	return nil
 }
 
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -35,7 +36,7 @@
 	}
 	hdl.edg.ready.notePlan()
 	go hdl.edg.spreadPlan(context.Background(), pln.Version)
-	log.WithFields(logrus.Fields{"plan": pln.Version, "routes": len(pln.Routes)}).Info("edge: plan adopted")
+	log.WithFields(logrus.Fields{"plan": pln.Version, "routes": len(pln.Routes)}).Info(logs.MsgPlan)
 }
 
 // Settled does nothing: there is one plan.
@@ -78,7 +79,7 @@
 	if obj.Deleted {
 		lapsed := hdl.afterOutage(now)
 		hdl.edg.pool.Drop(wick.VMID(obj.Key.Name), lapsed, now)
-		log.WithFields(logrus.Fields{"endpoint": obj.Key.Name, "revision": obj.Revision, "lapsed": lapsed}).Info("edge: endpoint gone")
+		log.WithFields(logrus.Fields{logs.FieldEndpoint: obj.Key.Name, "revision": obj.Revision, "lapsed": lapsed}).Info(logs.MsgGone)
 		return
 	}
 	bke, ok := hdl.decode(obj)
@@ -88,7 +89,7 @@
 	}
 	if bke.Leaving && hdl.edg.pool.Leave(bke.ID, bke.Born) {
 		hdl.news = append(hdl.news, leavingEndpoint{ID: bke.ID, Born: bke.Born})
-		log.WithFields(logrus.Fields{"endpoint": bke.ID, "revision": obj.Revision, "leavesIn": bke.LeavesIn.String()}).Info("edge: endpoint leaves")
+		log.WithFields(logrus.Fields{logs.FieldEndpoint: bke.ID, "revision": obj.Revision, "leavesIn": bke.LeavesIn.String()}).Info(logs.MsgLeaves)
 	}
 	hdl.edg.pool.Set(bke, now)
 }
@@ -106,7 +107,7 @@
 	bke, err := hdl.edg.cfg.Catalog.Backend(obj)
 	if err != nil {
 		metrics.GetOrRegisterCounter("edge.badEntries", nil).Inc(1)
-		log.WithError(err).WithField("endpoint", obj.Key.Name).Debug("edge: entry passed over")
+		log.WithError(err).WithField(logs.FieldEndpoint, obj.Key.Name).Debug("edge: entry passed over")
 		return wick.Backend{}, false
 	}
 	return bke, true
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/internal/roster"
 	"github.com/wagtailwick/wagtailwick/internal/usage"
@@ -167,7 +168,7 @@
 	began := time.Now()
 	edg.ready.noteDraining()
 	edg.relay.AskToLeave()
-	log.WithField("active", edg.relay.Active()).Info("edge: draining")
+	log.WithField("active", edg.relay.Active()).Info(logs.MsgDraining)
 	ctx, cancel := context.WithTimeout(context.Background(), edg.cfg.Bounds.Grace-stopMargin)
 	defer cancel()
 	if err := edg.publish(ctx); err != nil {
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -107,7 +108,7 @@
 	}
 	for _, end := range ntc.Endpoints {
 		if edg.pool.Leave(end.ID, end.Born) {
-			log.WithField("endpoint", end.ID).WithField("from", from).Info("edge: endpoint leaves, says another entry")
+			log.WithField(logs.FieldEndpoint, end.ID).WithField("from", from).Info(logs.MsgLeavesSaid)
 		}
 	}
 	return struct{}{}, nil
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/internal/place"
 	"github.com/wagtailwick/wagtailwick/internal/quota"
@@ -53,7 +54,7 @@
 	grant, err := quo.ask(ctx, cus, cost, now)
 	if err != nil {
 		metrics.GetOrRegisterCounter("edge.reserveUnreached", nil).Inc(1)
-		log.WithError(err).WithField("customer", cus.Name).Debug("edge: reserve not reached")
+		log.WithError(err).WithField(logs.FieldCustomer, cus.Name).Info(logs.MsgReserveMissed)
 		return false, after
 	}
 	return grant.Granted, min(after, time.Duration(grant.AfterMillis)*time.Millisecond)
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -9,6 +9,7 @@
 
 	"github.com/wagtailwick/wagtailwick/internal/canary"
 	"github.com/wagtailwick/wagtailwick/internal/invar"
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/move"
 	"github.com/wagtailwick/wagtailwick/internal/relay"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
@@ -231,7 +232,7 @@
 func (rls *rollouts) step(ctx context.Context, rol rollout, now time.Time) {
 	ver := rls.jdg.Verdict(rol.ord.Service, now)
 	for _, stp := range rls.jdg.TakeStops() {
-		log.WithFields(logrus.Fields{"service": stp.Service, "version": stp.Version, "reason": stp.Reason}).Warn("edge: version stopped here")
+		log.WithFields(logrus.Fields{"service": stp.Service, "version": stp.Version, "reason": stp.Reason}).Warn(logs.MsgVersionStopped)
 	}
 	fence, ok := rls.edg.control(now)
 	if !ok {
--- a/internal/edge/scale.go
+++ b/internal/edge/scale.go
@@ -78,8 +78,9 @@
 			plr = &scale.Planner{}
 			sca.planners[svc.Name] = plr
 		}
-		for _, ord := range plr.Plan(svc.Name, sca.state(svc)) {
-			sca.order(ctx, plr, ord)
+		sta := sca.state(svc)
+		for _, ord := range plr.Plan(svc.Name, sta) {
+			sca.order(ctx, plr, sta, ord)
 		}
 		if num := plr.Found(); num > 0 {
 			sca.edg.found.set(svc.Name, num)
@@ -88,7 +89,7 @@
 }
 
 // order sends one order.
-func (sca *scaler) order(ctx context.Context, plr *scale.Planner, ord wick.ScaleOrder) {
+func (sca *scaler) order(ctx context.Context, plr *scale.Planner, sta scale.State, ord wick.ScaleOrder) {
 	fence, ok := sca.edg.control(time.Now())
 	if !ok || fence != sca.fence {
 		plr.Failed(ord)
@@ -97,6 +98,7 @@
 	err := sca.edg.cfg.Duties.Scale(ctx, fence, ord)
 	ent := log.WithFields(logrus.Fields{
 		"service": ord.Service, "zone": ord.Zone, "count": ord.Count, "reclaimable": ord.Reclaimable, "fence": fence,
+		"live": sta.Live[ord.Zone], "need": plr.Need(), "found": sta.Found, "work": sta.Work,
 	})
 	switch {
 	case err == nil:
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -137,13 +138,13 @@
 		fol.answered.Store(now.UnixNano())
 		if since := fol.failing.Swap(0); since != 0 {
 			fol.recovered.Store(now.UnixNano())
-			log.WithFields(logrus.Fields{"kind": fol.Kind, "after": now.Sub(nanos(since)).String()}).Info("feed: store answers again")
+			log.WithFields(logrus.Fields{"kind": fol.Kind, "after": now.Sub(nanos(since)).String()}).Info(logs.MsgStoreBack)
 		}
 		return
 	}
 	metrics.GetOrRegisterCounter("feed.failures", nil).Inc(1)
 	if fol.failing.CompareAndSwap(0, now.UnixNano()) {
-		log.WithError(err).WithField("kind", fol.Kind).Warn("feed: store lost")
+		log.WithError(err).WithField("kind", fol.Kind).Warn(logs.MsgStoreLost)
 	}
 }
 
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -84,7 +84,8 @@
 // report writes how many lines were dropped.
 func (wri *Writer) report() {
 	if num := wri.dropped.Swap(0); num > 0 {
-		_, _ = fmt.Fprintf(wri.out, "{\"level\":\"warning\",\"msg\":\"logs: lines dropped\",\"lines\":%d}\n", num)
+		_, _ = fmt.Fprintf(wri.out, "{\"level\":\"warning\",\"time\":%q,\"msg\":%q,\"lines\":%d}\n",
+			time.Now().Format(TimeFormat), MsgLinesDropped, num)
 	}
 }
 
--- /dev/null
+++ b/internal/logs/names.go
@@ -0,0 +1,75 @@
+package logs
+
+// Messages of log lines that end a request or explain how it ended. The
+// program writes them and the command explain looks for them.
+const (
+	MsgAnswered  = "relay: answered"
+	MsgRefused   = "relay: refused"
+	MsgFailed    = "relay: failed"
+	MsgCutOff    = "relay: cut off"
+	MsgLeft      = "relay: caller left"
+	MsgSentAgain = "relay: sent again"
+	MsgNoReply   = "relay: no reply"
+	MsgBadReply  = "relay: bad reply"
+	MsgQuota     = "relay: quota used up"
+	MsgNoTarget  = "relay: no endpoint"
+	MsgBrokeOff  = "relay: answer broke off"
+	MsgRunMoved  = "relay: run moved"
+	MsgNoMove    = "relay: no endpoint to move a run to"
+
+	MsgStarted        = "edge: started"
+	MsgDraining       = "edge: draining"
+	MsgStopped        = "edge: stopped"
+	MsgPlan           = "edge: plan adopted"
+	MsgLeaves         = "edge: endpoint leaves"
+	MsgLeavesSaid     = "edge: endpoint leaves, says another entry"
+	MsgGone           = "edge: endpoint gone"
+	MsgReserveMissed  = "edge: reserve not reached"
+	MsgStoreLost      = "feed: store lost"
+	MsgStoreBack      = "feed: store answers again"
+	MsgLinesDropped   = "logs: lines dropped"
+	MsgVersionStopped = "edge: version stopped here"
+)
+
+// Values of FieldReason: why a request was refused, failed or cut off.
+const (
+	ReasonNoPlan           = "noPlan"
+	ReasonStalePlan        = "planMayBeOld"
+	ReasonNoRoute          = "noRoute"
+	ReasonNoCustomer       = "unknownKey"
+	ReasonDraining         = "draining"
+	ReasonQuota            = "quota"
+	ReasonNoEndpoint       = "noEndpoint"
+	ReasonEndpointsRefused = "endpointsRefused"
+	ReasonOutcomeUnknown   = "outcomeUnknown"
+	ReasonTimeout          = "timeout"
+	ReasonExpired          = "expired"
+	ReasonCallerLeft       = "callerLeft"
+)
+
+// Metrics that count requests by reason: the reason follows the prefix.
+const (
+	MetricRefused = "relay.refused."
+	MetricCutOff  = "relay.cutOff."
+)
+
+// Names of fields that the program writes and the command explain reads.
+const (
+	FieldRequest   = "request"
+	FieldReason    = "reason"
+	FieldEnding    = "ending"
+	FieldEndpoint  = "endpoint"
+	FieldEndpoints = "endpoints"
+	FieldCustomer  = "customer"
+	FieldService   = "service"
+	FieldStatus    = "status"
+	FieldSends     = "sends"
+	FieldError     = "error"
+	// FieldLeftOut counts the lines of the same kind that were left out since
+	// the last one.
+	FieldLeftOut = "leftOut"
+)
+
+// TimeFormat is the format of the time of a line, in milliseconds so that the
+// lines of several processes can be put in order.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/wire"
 )
 
@@ -43,7 +44,7 @@
 		}
 		act := jb.trl.next(edg, jb.mayResend)
 		if act == actAgain {
-			jb.note("sent again", logrus.Fields{"after": edg.String()})
+			jb.note(logs.MsgSentAgain, logrus.Fields{"after": edg.String()})
 			continue
 		}
 		jb.conclude(act, kept)
@@ -58,7 +59,9 @@
 func (jb *job) readWhole(ctx context.Context, snd *send, edg ending) (*answer, ending) {
 	body, err := snd.rep.ReadBody(maxReply)
 	if err != nil {
-		return nil, jb.endOf(ctx, err)
+		edg = jb.endOf(ctx, err)
+		jb.noteEnd(logs.MsgBrokeOff, snd.tgt, edg, err)
+		return nil, edg
 	}
 	return &answer{rep: snd.rep, body: body}, edg
 }
@@ -73,7 +76,7 @@
 	case jb.trl.sends > 0:
 		jb.refuse(refusalRefused)
 	default:
-		jb.note("no endpoint", logrus.Fields{"error": err.Error(), "registryAgeMs": jb.srv.cfg.RegistryAge().Milliseconds()})
+		jb.note(logs.MsgNoTarget, logrus.Fields{logs.FieldError: err.Error(), "registryAgeMs": jb.srv.cfg.RegistryAge().Milliseconds()})
 		jb.refuse(refusalNoEndpoint)
 	}
 }
@@ -86,7 +89,5 @@
 	}
 	jb.headReply(kept.rep)
 	jb.rct.Response.SetBody(kept.body)
-	jb.note("answered", logrus.Fields{
-		fieldStatus: kept.rep.Status, fieldSends: jb.trl.sends, "late": time.Since(jb.arrived) > jb.mat.Route.Target,
-	})
+	jb.noteAnswered(time.Since(jb.arrived) > jb.mat.Route.Target, logrus.Fields{logs.FieldStatus: kept.rep.Status})
 }
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -67,14 +68,14 @@
 	defer cancel()
 	tgt, err := jb.pickBeside(snd.tgt)
 	if err != nil {
-		log.WithError(err).WithField("request", jb.ask.ID).Debug("relay: no endpoint to move a run to")
+		jb.note(logs.MsgNoMove, logrus.Fields{logs.FieldEndpoint: snd.tgt.Backend.ID, logs.FieldError: err.Error()})
 		return
 	}
 	cpy, moved, err := jb.srv.cfg.Mover.Move(ctx, snd.tgt.Backend, tgt.Backend, jb.ask.ID)
 	metrics.GetOrRegisterCounter("relay.moves", nil).Inc(1)
 	log.WithError(err).WithFields(logrus.Fields{
-		"request": jb.ask.ID, "from": snd.tgt.Backend.ID, "to": tgt.Backend.ID, "moved": moved,
-	}).Info("relay: run moved")
+		logs.FieldRequest: jb.ask.ID, "from": snd.tgt.Backend.ID, "to": tgt.Backend.ID, "moved": moved,
+	}).Info(logs.MsgRunMoved)
 	switch {
 	case err == nil && moved:
 		hof.tgt, hof.cpy = tgt, cpy
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/wire"
 )
 
@@ -30,17 +31,17 @@
 
 // Refusals of the relay.
 var (
-	refusalNoPlan     = refusal{503, "noPlan", executedNo, 500 * time.Millisecond}
-	refusalStalePlan  = refusal{503, "planMayBeOld", executedNo, 500 * time.Millisecond}
-	refusalNoRoute    = refusal{404, "noRoute", executedNo, 0}
-	refusalNoCustomer = refusal{401, "unknownKey", executedNo, 0}
-	refusalDraining   = refusal{503, "draining", executedNo, 50 * time.Millisecond}
-	refusalQuota      = refusal{429, "quota", executedNo, 0}
-	refusalNoEndpoint = refusal{503, "noEndpoint", executedNo, 300 * time.Millisecond}
-	refusalRefused    = refusal{503, "endpointsRefused", executedNo, 200 * time.Millisecond}
-	refusalUnknown    = refusal{502, "outcomeUnknown", executedUnknown, 0}
-	refusalTimeout    = refusal{504, "timeout", executedUnknown, 0}
-	refusalExpired    = refusal{503, "expired", executedNo, 100 * time.Millisecond}
+	refusalNoPlan     = refusal{503, logs.ReasonNoPlan, executedNo, 500 * time.Millisecond}
+	refusalStalePlan  = refusal{503, logs.ReasonStalePlan, executedNo, 500 * time.Millisecond}
+	refusalNoRoute    = refusal{404, logs.ReasonNoRoute, executedNo, 0}
+	refusalNoCustomer = refusal{401, logs.ReasonNoCustomer, executedNo, 0}
+	refusalDraining   = refusal{503, logs.ReasonDraining, executedNo, 50 * time.Millisecond}
+	refusalQuota      = refusal{429, logs.ReasonQuota, executedNo, 0}
+	refusalNoEndpoint = refusal{503, logs.ReasonNoEndpoint, executedNo, 300 * time.Millisecond}
+	refusalRefused    = refusal{503, logs.ReasonEndpointsRefused, executedNo, 200 * time.Millisecond}
+	refusalUnknown    = refusal{502, logs.ReasonOutcomeUnknown, executedUnknown, 0}
+	refusalTimeout    = refusal{504, logs.ReasonTimeout, executedUnknown, 0}
+	refusalExpired    = refusal{503, logs.ReasonExpired, executedNo, 100 * time.Millisecond}
 )
 
 // in returns the refusal with another time to come back.
@@ -51,7 +52,7 @@
 
 // write answers with the refusal.
 func (rfl refusal) write(rct *app.RequestContext) {
-	metrics.GetOrRegisterCounter("relay.refused."+rfl.reason, nil).Inc(1)
+	metrics.GetOrRegisterCounter(logs.MetricRefused+rfl.reason, nil).Inc(1)
 	body, err := json.Marshal(wire.Problem{Type: "/problems/" + rfl.reason, Status: rfl.status, Executed: rfl.executed})
 	if err != nil {
 		log.WithError(err).Error("relay: refusal not encoded")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/plan"
 	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/internal/quota"
@@ -42,6 +43,9 @@
 	writeTimeout = 10 * time.Second
 	// defaultDeadline is for requests that name none on routes without one.
 	defaultDeadline = 30 * time.Second
+	// plainLines bounds the log lines a second of requests that were answered
+	// in time by the first endpoint.
+	plainLines = 100
 )
 
 // A Meter counts requests that began to run.
@@ -104,11 +108,14 @@
 	// are asked to use another connection.
 	draining, closing atomic.Bool
 	active            atomic.Int64
+	// plain bounds the lines of requests that were answered in time by the
+	// first endpoint.
+	plain *logs.Sampler
 }
 
 // New returns a server. Serve must be called.
 func New(cfg Config) *Server {
-	srv := &Server{cfg: cfg}
+	srv := &Server{cfg: cfg, plain: logs.NewSampler(plainLines)}
 	lis := &httpio.Listener{
 		Listener: cfg.Listener, Limit: int64(cfg.MaxConnections), ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, Refusal: func() []byte { return []byte(`{"executed":"no"}`) },
@@ -176,7 +183,7 @@
 	hdr := copyHeader(rct)
 	jb := &job{srv: srv, rct: rct, header: hdr, ask: srv.cfg.Dialect.ReadAsk(hdr), arrived: now}
 	if rfl, ok := jb.admit(ctx, now); !ok {
-		jb.answerSelf("refused", rfl)
+		jb.answerSelf(logs.MsgRefused, rfl)
 		return
 	}
 	defer func() { jb.measure(time.Since(now)) }()
@@ -214,7 +221,7 @@
 	}
 	if mat.Customer != nil {
 		if ok, after := cfg.Quotas.Take(ctx, mat.Customer, jb.cost(), now); !ok {
-			jb.note("quota used up", logrus.Fields{"cost": jb.cost(), "after": after.String()})
+			jb.note(logs.MsgQuota, logrus.Fields{"cost": jb.cost(), "after": after.String()})
 			return refusalQuota.in(after), false
 		}
 	}
@@ -242,21 +249,15 @@
 	if jb.mat.Customer != nil {
 		jb.srv.cfg.Quotas.Refund(jb.mat.Customer, jb.cost())
 	}
-	jb.answerSelf("refused", rfl)
+	jb.answerSelf(logs.MsgRefused, rfl)
 }
 
 // answerSelf gives the caller an answer of the relay's own.
-func (jb *job) answerSelf(what string, rfl refusal) {
+func (jb *job) answerSelf(msg string, rfl refusal) {
 	rfl.write(jb.rct)
-	jb.note(what, logrus.Fields{"reason": rfl.reason, fieldStatus: rfl.status, fieldSends: jb.trl.sends})
+	jb.note(msg, logrus.Fields{logs.FieldReason: rfl.reason, logs.FieldStatus: rfl.status, logs.FieldSends: jb.trl.sends})
 }
 
-// Names of log fields.
-const (
-	fieldStatus = "status"
-	fieldSends  = "sends"
-)
-
 // began counts the request once as begun.
 func (jb *job) began(at time.Time) {
 	if jb.counted || jb.mat.Customer == nil {
@@ -275,20 +276,36 @@
 	metrics.GetOrRegisterTimer("relay.request."+kind, nil).Update(took)
 }
 
+// noteAnswered logs an answer. Of those in time and from the first endpoint
+// only so many are logged.
+func (jb *job) noteAnswered(late bool, fld logrus.Fields) {
+	fld[logs.FieldSends], fld["late"] = jb.trl.sends, late
+	if jb.trl.sends <= 1 && !late && fld[logs.FieldStatus] == http.StatusOK {
+		ok, leftOut := jb.srv.plain.Allow(time.Now())
+		if !ok {
+			return
+		}
+		if leftOut > 0 {
+			fld[logs.FieldLeftOut] = leftOut
+		}
+	}
+	jb.note(logs.MsgAnswered, fld)
+}
+
 // note logs a decision on the request.
-func (jb *job) note(what string, fld logrus.Fields) {
-	fld["request"] = jb.ask.ID
+func (jb *job) note(msg string, fld logrus.Fields) {
+	fld[logs.FieldRequest] = jb.ask.ID
 	fld["ms"] = time.Since(jb.arrived).Milliseconds()
 	if jb.mat.Route != nil {
-		fld["route"], fld["plan"], fld["service"] = jb.mat.Route.Name, jb.mat.Table.Plan.Version, jb.service
+		fld["route"], fld["plan"], fld[logs.FieldService] = jb.mat.Route.Name, jb.mat.Table.Plan.Version, jb.service
 	}
 	if jb.mat.Customer != nil {
-		fld["customer"] = jb.mat.Customer.Name
+		fld[logs.FieldCustomer] = jb.mat.Customer.Name
 	}
 	if len(jb.tried) > 0 {
-		fld["endpoints"] = jb.tried
+		fld[logs.FieldEndpoints] = jb.tried
 	}
-	log.WithFields(fld).Info("relay: " + what)
+	log.WithFields(fld).Info(msg)
 }
 
 // hopHeaders concern one connection only (RFC 9110, 7.6.1), or are set anew.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/internal/wire"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
@@ -104,7 +105,7 @@
 	})
 	if err != nil {
 		edg = jb.endOf(ctx, err)
-		jb.noteEnd(tic, edg, err)
+		jb.noteEnd(logs.MsgNoReply, tic, edg, err)
 		return snd, edg
 	}
 	snd.rep = rep
@@ -129,22 +130,21 @@
 	}
 }
 
-// noteEnd logs a send that got no reply, with its cause.
-func (jb *job) noteEnd(tgt *target, edg ending, err error) {
+// noteEnd logs a send without a whole reply, with its cause.
+func (jb *job) noteEnd(msg string, tgt *target, edg ending, err error) {
 	if edg == endGone {
 		return
 	}
-	fld := logrus.Fields{"ending": edg.String(), "endpoint": tgt.Backend.ID, "address": tgt.Backend.Address}
-	if err != nil {
-		fld["error"] = err.Error()
-	}
-	jb.note("no reply", fld)
+	jb.note(msg, logrus.Fields{
+		logs.FieldEnding: edg.String(), logs.FieldEndpoint: tgt.Backend.ID, "address": tgt.Backend.Address,
+		logs.FieldError: err.Error(),
+	})
 }
 
 // noteBad logs a reply that is no answer to the request.
 func (jb *job) noteBad(snd *send, edg ending) {
-	jb.note("bad reply", logrus.Fields{
-		"ending": edg.String(), "endpoint": snd.tgt.Backend.ID, fieldStatus: snd.rep.Status,
+	jb.note(logs.MsgBadReply, logrus.Fields{
+		logs.FieldEnding: edg.String(), logs.FieldEndpoint: snd.tgt.Backend.ID, logs.FieldStatus: snd.rep.Status,
 		"replyTo": snd.note.Request, "signed": snd.note.Genuine, "refused": snd.note.NotExecuted,
 	})
 }
@@ -235,13 +235,13 @@
 		jb.fail(refusalUnknown)
 	case actDrop:
 		jb.rct.SetConnectionClose()
-		jb.note("caller left", logrus.Fields{})
+		jb.note(logs.MsgLeft, logrus.Fields{})
 	case actAgain:
 	}
 }
 
 // fail answers that the request may have run.
-func (jb *job) fail(rfl refusal) { jb.answerSelf("failed", rfl) }
+func (jb *job) fail(rfl refusal) { jb.answerSelf(logs.MsgFailed, rfl) }
 
 // headReply copies the endpoint's status and headers to the caller.
 func (jb *job) headReply(rep *wire.Reply) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -27,6 +28,8 @@
 	// last is the id of the last event that the caller has.
 	last   string
 	events int
+	// firstAt is when the caller got its first event, zero before.
+	firstAt time.Time
 	// kept is an endpoint's whole answer that reports a failure, or nil.
 	kept *answer
 	// failed is set when the caller can't be written to.
@@ -47,7 +50,7 @@
 		edg := pmp.run(ctx, tgt)
 		act := jb.trl.next(edg, jb.mayResend)
 		if act == actAgain {
-			jb.note("sent again", logrus.Fields{"after": edg.String(), "lastEvent": pmp.last})
+			jb.note(logs.MsgSentAgain, logrus.Fields{"after": edg.String(), "lastEvent": pmp.last})
 			continue
 		}
 		pmp.conclude(act, pmp.kept)
@@ -121,9 +124,12 @@
 		case errors.Is(err, io.EOF) && !spl.partial():
 			return endAnswer
 		case errors.Is(err, io.EOF):
+			pmp.jb.noteEnd(logs.MsgBrokeOff, snd.tgt, endLost, io.ErrUnexpectedEOF)
 			return endLost
 		default:
-			return pmp.jb.endOf(ctx, err)
+			edg := pmp.jb.endOf(ctx, err)
+			pmp.jb.noteEnd(logs.MsgBrokeOff, snd.tgt, edg, err)
+			return edg
 		}
 	}
 }
@@ -141,9 +147,8 @@
 		snd.tgt.Began()
 	}
 	if pmp.out == nil {
-		pmp.jb.began(time.Now())
-	}
-	if pmp.out == nil {
+		pmp.firstAt = time.Now()
+		pmp.jb.began(pmp.firstAt)
 		pmp.start(snd)
 	}
 	if _, err := pmp.out.Write(evt.raw); err != nil {
@@ -172,7 +177,7 @@
 // unpicked ends a stream for which no endpoint is left.
 func (pmp *pump) unpicked(kept *answer, err error) {
 	if pmp.out != nil {
-		pmp.abort("noEndpoint")
+		pmp.abort(logs.ReasonNoEndpoint)
 		return
 	}
 	pmp.jb.unpicked(kept, err)
@@ -187,7 +192,8 @@
 	case pmp.out == nil:
 		pmp.jb.conclude(act, kept)
 	case act == actDeliver && !pmp.jb.trl.failed:
-		pmp.jb.note("answered", logrus.Fields{fieldStatus: 200, "events": pmp.events, fieldSends: pmp.jb.trl.sends})
+		late := pmp.firstAt.Sub(pmp.jb.arrived) > pmp.jb.mat.Route.Target
+		pmp.jb.noteAnswered(late, logrus.Fields{logs.FieldStatus: http.StatusOK, "events": pmp.events, "firstMs": pmp.firstAt.Sub(pmp.jb.arrived).Milliseconds()})
 	default:
 		pmp.abort(act.String())
 	}
@@ -197,5 +203,6 @@
 func (pmp *pump) abort(reason string) {
 	pmp.out.Aborted = true
 	pmp.jb.rct.SetConnectionClose()
-	pmp.jb.note("cut off", logrus.Fields{"reason": reason, "events": pmp.events, "lastEvent": pmp.last})
+	metrics.GetOrRegisterCounter(logs.MetricCutOff+reason, nil).Inc(1)
+	pmp.jb.note(logs.MsgCutOff, logrus.Fields{logs.FieldReason: reason, "events": pmp.events, "lastEvent": pmp.last})
 }
--- a/internal/relay/trail.go
+++ b/internal/relay/trail.go
@@ -1,6 +1,9 @@
 package relay
 
-import "github.com/wagtailwick/wagtailwick/pkg/wick"
+import (
+	"github.com/wagtailwick/wagtailwick/internal/logs"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
 
 // moreSends bounds the sends beyond a route's attempts that follow explicit
 // refusals and failed connections, which ran nothing.
@@ -113,8 +116,9 @@
 func (edg ending) String() string { return endingNames[edg] }
 
 var actionNames = map[action]string{
-	actDeliver: "deliver", actAgain: "again", actRefuse: "refuse", actUnknown: "unknown",
-	actTimeout: "timeout", actDrop: "callerLeft",
+	actDeliver: "deliver", actAgain: "again", actRefuse: "refuse",
+	actUnknown: logs.ReasonOutcomeUnknown,
+	actTimeout: logs.ReasonTimeout, actDrop: logs.ReasonCallerLeft,
 }
 
 // String returns the name for logs.
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -51,7 +51,8 @@
 
 // A Count is the number of endpoints in a zone that take requests.
 type Count struct {
-	OnDemand, Spot int
+	OnDemand int `json:"onDemand"`
+	Spot     int `json:"spot"`
 }
 
 // A State is what is known of a service.
@@ -108,6 +109,9 @@
 	return plr.found
 }
 
+// Need returns the number of endpoints aimed at, spare ones left out.
+func (plr *Planner) Need() int { return plr.need }
+
 // Plan returns the orders that are due.
 func (plr *Planner) Plan(svc wick.Service, sta State) []wick.ScaleOrder {
 	if plr.orders == nil {
