scale: reclaimable endpoints go to the zones that have some

The planner went on asking the empty zone for its even share and left the others as they were, so that after the third zone 53 endpoints did the work of 28 and after the fourth 24; the p99 rose to 5 s.

Now a zone that refused keeps what it has and is asked again for its even share, the others take the rest, and give it back only when there is a surplus over all zones. While a zone is empty on-demand endpoints come in at a use of 0.42 instead of 0.55. TestDryZone and TestReclaimInTurn answer the pattern and fail without the change.

--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -19,6 +19,9 @@
 	// highestUse is the use above which on-demand endpoints replace reclaimable
 	// ones that can't be had.
 	highestUse = 0.55
+	// highestDryUse is the same while a zone has no reclaimable endpoints to
+	// give: those of other zones may go next.
+	highestDryUse = 0.42
 	// baseShare of the endpoints are on-demand.
 	baseShare = 0.22
 	// spareShare of further endpoints are held, reclaimable only, for the loss
@@ -124,11 +127,14 @@
 	}
 	plr.setNeed(sta, len(zones))
 	want := plr.want(sta, zones)
+	_, spots := sta.total()
+	surplus := spots > want.spots
 	var out []wick.ScaleOrder
 	for _, slt := range slots(zones) {
-		if plr.due(slt, want[slt], sta) {
-			plr.orders[slt] = order{count: want[slt], at: sta.Now}
-			out = append(out, wick.ScaleOrder{Service: svc, Zone: slt.zone, Count: want[slt], Reclaimable: slt.spot})
+		num := want.count[slt]
+		if plr.due(slt, num, surplus, sta) {
+			plr.orders[slt] = order{count: num, at: sta.Now}
+			out = append(out, wick.ScaleOrder{Service: svc, Zone: slt.zone, Count: num, Reclaimable: slt.spot})
 		}
 	}
 	return out
@@ -215,60 +221,3 @@
 		plr.need, plr.shrunk = max(plr.need-step, need), sta.Now
 	}
 }
-
-// want returns the number for every slot.
-func (plr *Planner) want(sta State, zones []wick.Zone) map[slot]int {
-	onDemand, spot := sta.total()
-	base := max(int(math.Ceil(baseShare*float64(plr.need))), 1)
-	spots := plr.need - base + int(math.Ceil(spareShare*float64(plr.need)))
-	if sta.Plan.SpotPrice <= 0 || sta.Plan.SpotPrice >= 1 {
-		base, spots = plr.need, 0
-	}
-	// On-demand endpoints go only once others serve in their place.
-	kept := max(base, min(onDemand, plr.need-spot))
-	if work := sta.Work; work > 0 {
-		kept = max(kept, int(math.Ceil(work/highestUse))-spot)
-	}
-	want := make(map[slot]int)
-	spread(want, zones, kept, false, sta)
-	spread(want, zones, spots, true, sta)
-	return want
-}
-
-// spread distributes a number of endpoints over zones, the cheapest first.
-func spread(want map[slot]int, zones []wick.Zone, num int, spot bool, sta State) {
-	for num > 0 {
-		placed := false
-		for _, zone := range zones {
-			both := want[slot{zone, false}] + want[slot{zone, true}]
-			if num > 0 && both < sta.Plan.Max {
-				want[slot{zone, spot}]++
-				num--
-				placed = true
-			}
-		}
-		if !placed {
-			return
-		}
-	}
-}
-
-// due reports whether an order is to be sent.
-func (plr *Planner) due(slt slot, want int, sta State) bool {
-	cnt := sta.Live[slt.zone]
-	live := cnt.OnDemand
-	if slt.spot {
-		live = cnt.Spot
-	}
-	old, ok := plr.orders[slt]
-	switch {
-	case !plr.settled && (!slt.spot || want <= live):
-		return false
-	case ok && sta.Now.Sub(old.refusedAt) < refusedPause:
-		return false
-	case !ok || old.count != want:
-		return live != want
-	default:
-		return live < want && sta.Now.Sub(old.at) > sta.Plan.BootTime+repeatAfter
-	}
-}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -20,10 +20,12 @@
 	plr  Planner
 	live map[wick.Zone]Count
 	due  []due
-	// dry is set while no reclaimable endpoint is to be had.
-	dry    bool
-	orders int
-	found  int
+	// dry is set while no reclaimable endpoint is to be had, dryZones where
+	// none is.
+	dry      bool
+	dryZones map[wick.Zone]bool
+	orders   int
+	found    int
 }
 
 type due struct {
@@ -50,7 +52,7 @@
 			if ord.Count > testPlan.Max {
 				cld.t.Errorf("order %+v is above the bound", ord)
 			}
-			if ord.Reclaimable && cld.dry && ord.Count > cld.live[ord.Zone].Spot {
+			if ord.Reclaimable && (cld.dry || cld.dryZones[ord.Zone]) && ord.Count > cld.live[ord.Zone].Spot {
 				cld.plr.Refused(ord, now)
 				continue
 			}
@@ -218,3 +220,51 @@
 		}
 	}
 }
+
+// reclaim takes the reclaimable endpoints of a zone away.
+func (cld *cloud) reclaim(zone wick.Zone) {
+	cnt := cld.live[zone]
+	cnt.Spot = 0
+	cld.live[zone] = cnt
+	cld.dryZones = map[wick.Zone]bool{zone: true}
+}
+
+// TestDryZone answers the pattern in which one zone loses its reclaimable
+// endpoints and has none to give for a time: the other zones take them, and
+// give them back only once the zone has its own again.
+func TestDryZone(t *testing.T) {
+	cld := newCloud(t, 3)
+	cld.run(0, 24*time.Second, 3)
+	_, before := cld.total()
+	cld.reclaim("b")
+	cld.run(24*time.Second, testPlan.BootTime+time.Second, 3)
+	_, spot := cld.total()
+	cld.assertBetween("reclaimable endpoints after the loss of a zone", spot, before, before+1)
+	cld.dryZones = nil
+	for at := 30 * time.Second; at < 60*time.Second; at += time.Second {
+		cld.run(at, time.Second, 3)
+		_, spot = cld.total()
+		cld.assertBetween("reclaimable endpoints while they move back", spot, before, 2*before)
+	}
+	cld.assertBetween("reclaimable endpoints of the zone", cld.live["b"].Spot, 2, testPlan.Max)
+	cld.assertBetween("reclaimable endpoints in the end", spot, before, before+1)
+}
+
+// TestReclaimInTurn answers the pattern in which zones lose their reclaimable
+// endpoints in turn, seconds apart: the work is never left to too few.
+func TestReclaimInTurn(t *testing.T) {
+	const work = 4
+	cld := newCloud(t, 4)
+	cld.run(0, 24*time.Second, work)
+	at := 24 * time.Second
+	dry := make(map[wick.Zone]bool)
+	for _, zone := range []wick.Zone{"d", "b", "c", "a"} {
+		cld.reclaim(zone)
+		dry[zone] = true
+		cld.dryZones = dry
+		cld.run(at, 7*time.Second, work)
+		at += 7 * time.Second
+		onDemand, spot := cld.total()
+		cld.assertBetween("endpoints after the loss of zone "+string(zone), onDemand+spot, 9, 4*testPlan.Max)
+	}
+}
