edge: gauges of an entry's state, late answers of routes without a target

Cause: the metrics had no age of the plan and of the endpoints, no state of the duties, no retries left, no endpoints by state and no memory, so an engineer on call had to read the dump of each entry. They are gauges now, set when the metrics are read (TestGauges). While writing its test: every answer of a route without a target was logged, and judged, as late; it is not any more.

Clean-up: one handler for objects that stand for themselves (feed.Each) instead of two in edge/rollout.go, one lookup of an endpoint's group in pool, one script for the two tests of a run that is moved.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -30,6 +30,8 @@
 	hertz *server.Hertz
 	// Registry holds the metrics; the default registry if nil.
 	Registry metrics.Registry
+	// Gather is called before the metrics are written, unless it is nil.
+	Gather func()
 }
 
 // Add registers the state dump of a part.
@@ -101,6 +103,9 @@
 }
 
 func (srv *Server) serveMetrics(_ context.Context, req *app.RequestContext) {
+	if srv.Gather != nil {
+		srv.Gather()
+	}
 	reg := srv.Registry
 	if reg == nil {
 		reg = metrics.DefaultRegistry
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -157,8 +157,8 @@
 	}
 	edg.members = &feed.Follower{Store: cfg.Store, Kind: wick.KindMember, Handler: edg.roster, Pause: edg.memberPause, Patience: silence}
 	edg.rollouts = newRollouts(edg)
-	edg.orders = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.VersionOrder, Handler: orderHandler{edg.rollouts}}
-	edg.moves = &feed.Follower{Store: cfg.Store, Kind: wick.KindMove, Handler: moveHandler{edg.rollouts}, Active: edg.rollouts.anyMoving}
+	edg.orders = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.VersionOrder, Handler: feed.Each(edg.rollouts.takeOrder)}
+	edg.moves = &feed.Follower{Store: cfg.Store, Kind: wick.KindMove, Handler: feed.Each(edg.rollouts.takeRecord), Active: edg.rollouts.anyMoving}
 	edg.leases = lease.NewKeeper(cfg.Store, cfg.ID, cfg.Incarnation,
 		func() []wick.Member { return edg.roster.Members(time.Now(), quotaMemory) },
 		edg.wants,
@@ -260,6 +260,7 @@
 	if edg.cfg.Admin == "" {
 		return nil
 	}
+	edg.admin.Gather = edg.gather
 	edg.admin.Add("pool", func() any { return edg.pool.Summaries() })
 	edg.admin.Add("leases", func() any { return edg.leases.Dump() })
 	edg.admin.Add("members", func() any { return edg.roster.All() })
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailwick/wagtailwick/internal/fake"
@@ -389,3 +390,24 @@
 		t.Errorf("the entry's last record says leaving: %v (%v)", rec.Leaving, err)
 	}
 }
+
+// TestGauges guards against metrics that say nothing of the state that an
+// engineer on call looks for.
+func TestGauges(t *testing.T) {
+	sit := newSite(t, 1, wick.Quota{})
+	sit.awaitAnswers()
+	edg := sit.edges[0]
+	sit.await("the entry's own record", func() bool { return len(edg.roster.Alive(time.Now(), quotaMemory, false)) > 0 })
+	edg.gather()
+	for name, least := range map[string]int64{
+		"edge.planAgeMs": 0, "edge.registryAgeMs": 0, "edge.planVersion": 1, "edge.entries": 1,
+		"edge.memoryBytes": 1 << 20, "retry.left": 1, "pool.s.live": 1, "pool.s.inFlight": 0,
+	} {
+		gau, ok := metrics.DefaultRegistry.Get(name).(metrics.Gauge)
+		if !ok {
+			t.Errorf("no gauge %s", name)
+		} else if gau.Value() < least {
+			t.Errorf("gauge %s is %d, want %d at least", name, gau.Value(), least)
+		}
+	}
+}
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -76,32 +76,16 @@
 	return wick.MoveID(string(rol.ord.Service) + "-" + string(rol.ord.Target))
 }
 
-// An orderHandler follows operators' orders.
-type orderHandler struct{ rls *rollouts }
-
-// Replace takes all orders.
-func (hdl orderHandler) Replace(objs []wick.Object) {
-	for idx := range objs {
-		hdl.Change(objs[idx])
-	}
-}
-
-// Change takes one order.
-func (hdl orderHandler) Change(obj wick.Object) {
-	if obj.Deleted {
-		return
-	}
-	ord, err := hdl.rls.edg.cfg.Catalog.VersionOrder(obj)
+// takeOrder takes an operators' order.
+func (rls *rollouts) takeOrder(obj wick.Object) {
+	ord, err := rls.edg.cfg.Catalog.VersionOrder(obj)
 	if err != nil || ord.Service == "" || ord.Target == "" {
 		log.WithError(err).WithField("order", obj.Key.Name).Warn("edge: version order passed over")
 		return
 	}
-	hdl.rls.take(ord, time.Now())
+	rls.take(ord, time.Now())
 }
 
-// Settled does nothing: each order stands for itself.
-func (orderHandler) Settled() {}
-
 // take notes an order.
 func (rls *rollouts) take(ord wick.VersionOrder, now time.Time) {
 	rls.mu.Lock()
@@ -132,27 +116,13 @@
 	}
 }
 
-// A moveHandler follows the records of moves.
-type moveHandler struct{ rls *rollouts }
-
-// Replace takes all records.
-func (hdl moveHandler) Replace(objs []wick.Object) {
-	for idx := range objs {
-		hdl.Change(objs[idx])
-	}
-}
-
-// Change takes one record.
-func (hdl moveHandler) Change(obj wick.Object) {
-	if obj.Deleted {
-		return
-	}
+// takeRecord takes the record of a move.
+func (rls *rollouts) takeRecord(obj wick.Object) {
 	rec, err := move.Parse(obj)
 	if err != nil {
 		log.WithError(err).Warn("edge: record of a move can't be read")
 		return
 	}
-	rls := hdl.rls
 	rls.mu.Lock()
 	defer rls.mu.Unlock()
 	if rol := rls.orders[rec.Service]; rol != nil && rol.id() == rec.Move {
@@ -161,9 +131,6 @@
 	}
 }
 
-// Settled does nothing: each record stands for itself.
-func (moveHandler) Settled() {}
-
 // Choose restricts a send while a service is moved.
 func (rls *rollouts) Choose(svc wick.Service, route wick.RouteName, now time.Time) relay.Choice {
 	rls.mu.Lock()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -35,6 +35,27 @@
 	Settled()
 }
 
+// Each is a Handler for objects that stand for themselves. It is called with
+// each object that is not deleted.
+type Each func(obj wick.Object)
+
+// Replace takes all objects of the kind.
+func (eac Each) Replace(objs []wick.Object) {
+	for idx := range objs {
+		eac.Change(objs[idx])
+	}
+}
+
+// Change takes one object.
+func (eac Each) Change(obj wick.Object) {
+	if !obj.Deleted {
+		eac(obj)
+	}
+}
+
+// Settled does nothing.
+func (Each) Settled() {}
+
 // A Follower keeps a Handler up to date. All fields but Pause must be set
 // before Run.
 type Follower struct {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -107,9 +107,7 @@
 
 // suspect keeps an endpoint as a last resort until a time.
 func (pl *Pool) suspect(vid wick.VMID, until time.Time) {
-	pl.mu.RLock()
-	grp := pl.where[vid]
-	pl.mu.RUnlock()
+	grp := pl.groupOf(vid)
 	if grp == nil {
 		return
 	}
@@ -123,9 +121,7 @@
 // Leave notes that a start of an endpoint takes no new requests, and reports
 // whether that is news.
 func (pl *Pool) Leave(vid wick.VMID, born int64) bool {
-	pl.mu.RLock()
-	grp := pl.where[vid]
-	pl.mu.RUnlock()
+	grp := pl.groupOf(vid)
 	if grp == nil {
 		return false
 	}
@@ -142,9 +138,7 @@
 
 // Report takes an endpoint's own account of its load.
 func (pl *Pool) Report(vid wick.VMID, rep Report) {
-	pl.mu.RLock()
-	grp := pl.where[vid]
-	pl.mu.RUnlock()
+	grp := pl.groupOf(vid)
 	if grp == nil {
 		return
 	}
@@ -155,6 +149,13 @@
 	}
 }
 
+// groupOf returns the group that an endpoint is in, or nil.
+func (pl *Pool) groupOf(vid wick.VMID) *group {
+	pl.mu.RLock()
+	defer pl.mu.RUnlock()
+	return pl.where[vid]
+}
+
 func (pl *Pool) group(svc wick.Service) *group {
 	pl.mu.RLock()
 	defer pl.mu.RUnlock()
@@ -179,9 +180,7 @@
 
 // Load returns the last report of an endpoint.
 func (pl *Pool) Load(vid wick.VMID) (wick.BackendLoad, bool) {
-	pl.mu.RLock()
-	grp := pl.where[vid]
-	pl.mu.RUnlock()
+	grp := pl.groupOf(vid)
 	if grp == nil {
 		return wick.BackendLoad{}, false
 	}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -89,5 +89,5 @@
 	}
 	jb.headReply(kept.rep)
 	jb.rct.Response.SetBody(kept.body)
-	jb.noteAnswered(time.Since(jb.arrived) > jb.mat.Route.Target, logrus.Fields{logs.FieldStatus: kept.rep.Status})
+	jb.noteAnswered(jb.late(time.Since(jb.arrived)), logrus.Fields{logs.FieldStatus: kept.rep.Status})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -276,6 +276,13 @@
 	metrics.GetOrRegisterTimer("relay.request."+kind, nil).Update(took)
 }
 
+// late reports whether a time is above the route's target. A route without a
+// target has no late answers.
+func (jb *job) late(took time.Duration) bool {
+	target := jb.mat.Route.Target
+	return target > 0 && took > target
+}
+
 // noteAnswered logs an answer. Of those in time and from the first endpoint
 // only so many are logged.
 func (jb *job) noteAnswered(late bool, fld logrus.Fields) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -410,6 +410,20 @@
 	}
 }
 
+// leaveAfterFirst sends the first event of a stream and lets the first endpoint
+// leave. The channel is closed when the run is stopped there.
+func (sit *site) leaveAfterFirst(con net.Conn) <-chan struct{} {
+	begin(con, "id: 1\ndata: a\n\n")
+	stopped := make(chan struct{})
+	sit.mover.mu.Lock()
+	sit.mover.stop = func() { close(stopped) }
+	sit.mover.mu.Unlock()
+	sit.mu.Lock()
+	sit.pool.Leave(sit.order[0], 0)
+	sit.mu.Unlock()
+	return stopped
+}
+
 // TestHandoff answers the pattern in which a zone's endpoints are reclaimed
 // under running streams that can't be repeated: each goes on elsewhere, once.
 func TestHandoff(t *testing.T) {
@@ -435,16 +449,8 @@
 					end(con)
 					return
 				}
-				begin(con, "id: 1\ndata: a\n\n")
-				stopped := make(chan struct{})
-				sit.mover.mu.Lock()
-				sit.mover.stop = func() { close(stopped) }
-				sit.mover.mu.Unlock()
-				sit.mu.Lock()
-				sit.pool.Leave(sit.order[0], 0)
-				sit.mu.Unlock()
 				select {
-				case <-stopped:
+				case <-sit.leaveAfterFirst(con):
 				case <-time.After(400 * time.Millisecond):
 					begun := "id: 2\ndata: b\n\n"
 					fmt.Fprintf(con, "%x\r\n%s\r\n", len(begun), begun)
@@ -474,15 +480,7 @@
 			fmt.Fprint(con, "HTTP/1.1 503 X\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n")
 			return
 		}
-		begin(con, "id: 1\ndata: a\n\n")
-		stopped := make(chan struct{})
-		sit.mover.mu.Lock()
-		sit.mover.stop = func() { close(stopped) }
-		sit.mover.mu.Unlock()
-		sit.mu.Lock()
-		sit.pool.Leave(sit.order[0], 0)
-		sit.mu.Unlock()
-		<-stopped
+		<-sit.leaveAfterFirst(con)
 	})
 	sit.mover.moved = true
 	status, body, err := sit.ask("/say/1", "X-Model", "m")
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -186,7 +186,7 @@
 	} else {
 		smp.Out.FirstToken = now.Sub(snd.at)
 	}
-	smp.Out.Late = smp.Out.FirstToken > snd.jb.mat.Route.Target
+	smp.Out.Late = snd.jb.late(smp.Out.FirstToken)
 	smp.Out.Cancelled = edg == endGone
 	switch edg {
 	case endFailure, endTimeout:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -192,7 +192,7 @@
 	case pmp.out == nil:
 		pmp.jb.conclude(act, kept)
 	case act == actDeliver && !pmp.jb.trl.failed:
-		late := pmp.firstAt.Sub(pmp.jb.arrived) > pmp.jb.mat.Route.Target
+		late := pmp.jb.late(pmp.firstAt.Sub(pmp.jb.arrived))
 		pmp.jb.noteAnswered(late, logrus.Fields{logs.FieldStatus: http.StatusOK, "events": pmp.events, "firstMs": pmp.firstAt.Sub(pmp.jb.arrived).Milliseconds()})
 	default:
 		pmp.abort(act.String())
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -63,6 +63,13 @@
 	bud.spent = max(0, bud.spent-bud.share())
 }
 
+// Left returns the retries that may be made at once.
+func (bud *Budget) Left() float64 {
+	bud.mu.Lock()
+	defer bud.mu.Unlock()
+	return max(bud.reserve()-bud.spent, 0)
+}
+
 // Take removes one retry from the bucket and reports whether there was one.
 func (bud *Budget) Take() bool {
 	bud.mu.Lock()
