usage: a window is reported once its counts have been read

Ruled out: counts lost with their entries (the records were in the store).

The reporter now asks when the records were last read, and leaves windows that ended less than 2.2 s before that. The part "counts not read" of TestReporter fails without it (a report before any read, and window 999 too early).

--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -84,7 +84,7 @@
 func (edg *Edge) usageLoop(ctx context.Context) {
 	rpt := &usage.Reporter{
 		Store: edg.cfg.Store, Duties: edg.cfg.Duties, Window: edg.cfg.Bounds.UsageWindow,
-		Late: edg.cfg.Bounds.UsageLate, Sum: edg.began,
+		Late: edg.cfg.Bounds.UsageLate, Sum: edg.began, ReadAt: edg.members.Answered,
 	}
 	for retry.Sleep(ctx, usageEvery) {
 		fence, ok := edg.control(time.Now())
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -18,6 +18,8 @@
 	// settleTime passes between the end of a window and its report, so that
 	// the entries' counts of it have been published and read.
 	settleTime = 3 * time.Second
+	// publishTime passes between the end of a window and the last record of it.
+	publishTime = 2200 * time.Millisecond
 	// callTimeout bounds a call; a holder makes none that could end after its
 	// lease.
 	callTimeout = time.Second
@@ -45,6 +47,9 @@
 	Window, Late time.Duration
 	// Sum returns the counts of a window over all entries.
 	Sum func(num uint64) map[wick.Customer]int
+	// ReadAt returns when the entries' counts were last read, the zero time if
+	// never. Windows that ended later are not reported. It may be nil.
+	ReadAt func() time.Time
 
 	fence wick.Fence
 	// known is set once the object was read under this fence.
@@ -83,6 +88,13 @@
 // due returns the next window to report.
 func (rpt *Reporter) due(now time.Time) (uint64, bool) {
 	last := WindowOf(now.Add(-settleTime), rpt.Window) - 1
+	if rpt.ReadAt != nil {
+		read := rpt.ReadAt()
+		if read.IsZero() {
+			return 0, false
+		}
+		last = min(last, WindowOf(read.Add(-publishTime), rpt.Window)-1)
+	}
 	first := WindowOf(now.Add(-rpt.Late), rpt.Window)
 	if rpt.rev != 0 {
 		first = max(first, rpt.cur.Report.Window+1)
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -70,6 +70,28 @@
 			t.Errorf("%d reports in a minute, want 13", num)
 		}
 	})
+	t.Run("counts not read", func(t *testing.T) {
+		snk, count := &sink{}, 0
+		rpt := newReporter(&fake.Store{}, snk, &count)
+		var readAt time.Time
+		rpt.ReadAt = func() time.Time { return readAt }
+		steps(rpt, 1, 0, 3*time.Second, &count)
+		// Found in the recorded day inc-0782: a new holder reported a window
+		// with no counts before it had read any.
+		if num := len(snk.reports); num != 0 {
+			t.Errorf("%d reports before any counts were read", num)
+		}
+		readAt = base.Add(publishTime - time.Millisecond)
+		steps(rpt, 1, 3*time.Second, 4*time.Second, &count)
+		if num := len(snk.reports); num != 1 || snk.reports[0].Window != 998 {
+			t.Errorf("reports %v, want window 998: 999 ended too late for what was read", snk.reports)
+		}
+		readAt = base.Add(publishTime)
+		steps(rpt, 1, 4*time.Second, 5*time.Second, &count)
+		if num := len(snk.reports); num != 2 {
+			t.Errorf("%d reports, want 2 once the counts of window 999 were read", num)
+		}
+	})
 	t.Run("answer lost", func(t *testing.T) {
 		snk, count := &sink{lose: true}, 0
 		steps(newReporter(&fake.Store{}, snk, &count), 1, 0, 20*time.Second, &count)
