--- a/internal/bench/rollout.go
+++ b/internal/bench/rollout.go
@@ -9,7 +9,6 @@
 	"github.com/wagtailwick/wagtailwick/internal/canary"
 	"github.com/wagtailwick/wagtailwick/internal/invar"
 	"github.com/wagtailwick/wagtailwick/internal/move"
-	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -43,7 +42,7 @@
 	wld   *world
 	kind  badness
 	fixed bool
-	mov   bundle.Move
+	mov   wick.Move
 	rec   move.Record
 	began time.Time
 	steps int
@@ -57,7 +56,7 @@
 // startRollout adds a move to a run before its first event.
 func (wld *world) startRollout(kind badness) {
 	rol := &rollout{wld: wld, kind: kind, fixed: wld.pol.Fixed, began: wld.start}
-	rol.mov = bundle.Move{
+	rol.mov = wick.Move{
 		Name: "m", Service: service, From: version, To: candidate, Deadline: wld.start.Add(moveDeadline),
 		MaxShareBeforeProof: 0.1, WatchMillis: 20_000,
 	}
--- a/internal/canary/sim_test.go
+++ b/internal/canary/sim_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/wagtailwick/wagtailwick/internal/invar"
 	"github.com/wagtailwick/wagtailwick/internal/move"
-	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -60,7 +59,7 @@
 	fixed   bool
 	start   time.Time
 	rec     move.Record
-	mov     bundle.Move
+	mov     wick.Move
 	ents    []*simEntry
 	events  []simEvent
 	from    time.Duration
@@ -82,7 +81,7 @@
 func newSim(t *testing.T, seed uint64, kind badness, chk *invar.Checker) *sim {
 	t.Helper()
 	sm := &sim{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), kind: kind, start: time.Now()}
-	sm.mov = bundle.Move{
+	sm.mov = wick.Move{
 		Name: "m", Service: "quote", From: "v1", To: "v2", Deadline: sm.start.Add(simDeadline),
 		MaxShareBeforeProof: simShare, WatchMillis: 60_000,
 	}
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -5,20 +5,17 @@
 
 import (
 	"crypto/ecdsa"
-	"crypto/ed25519"
 	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
-	"encoding/base64"
 	"encoding/pem"
 	"math/big"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -133,34 +130,3 @@
 func encode(kind string, der []byte) string {
 	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
 }
-
-// An OperatorKey is the key pair of one operator, in base64.
-type OperatorKey struct {
-	Name bundle.KeyName `json:"name"`
-	// Public goes into the settings of the entries.
-	Public string `json:"publicKey"`
-	// Seed is secret.
-	Seed string `json:"seed"`
-}
-
-// NewOperatorKey makes a key pair.
-func NewOperatorKey(name bundle.KeyName) (OperatorKey, error) {
-	pub, priv, err := ed25519.GenerateKey(rand.Reader)
-	if err != nil {
-		return OperatorKey{}, eris.Wrap(err, "certs: generate key")
-	}
-	return OperatorKey{
-		Name:   name,
-		Public: base64.StdEncoding.EncodeToString(pub),
-		Seed:   base64.StdEncoding.EncodeToString(priv.Seed()),
-	}, nil
-}
-
-// Signer returns the key for signing, or wick.ErrInvalid for a malformed seed.
-func (opk OperatorKey) Signer() (bundle.Signer, error) {
-	seed, err := base64.StdEncoding.DecodeString(opk.Seed)
-	if err != nil || len(seed) != ed25519.SeedSize {
-		return bundle.Signer{}, eris.Wrap(wick.ErrInvalid, "certs: seed of operator key")
-	}
-	return bundle.Signer{Name: opk.Name, Key: ed25519.NewKeyFromSeed(seed)}, nil
-}
--- a/internal/cmds/bundle.go
+++ b/internal/cmds/bundle.go
@@ -11,7 +11,6 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/wagtailwick/wagtailwick/internal/certs"
 	"github.com/wagtailwick/wagtailwick/internal/store"
 	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
@@ -52,7 +51,7 @@
 	}
 	var sgr bundle.Signer
 	if keyFile != nil {
-		var key certs.OperatorKey
+		var key bundle.OperatorKey
 		err := readJSON(*keyFile, &key)
 		if err == nil {
 			sgr, err = key.Signer()
--- a/internal/cmds/keys.go
+++ b/internal/cmds/keys.go
@@ -49,7 +49,7 @@
 	name := cmd.Flag("name", "Name of the operator in the settings.").Required().String()
 	file := cmd.Flag("file", "File for the key pair.").Required().String()
 	return cmd.FullCommand(), func() error {
-		key, err := certs.NewOperatorKey(bundle.KeyName(*name))
+		key, err := bundle.NewOperatorKey(bundle.KeyName(*name))
 		if err != nil {
 			return err
 		}
--- a/internal/cmds/site.go
+++ b/internal/cmds/site.go
@@ -73,7 +73,7 @@
 
 func (wtr *siteWriter) write(entries []string) error {
 	for _, name := range operators {
-		key, err := certs.NewOperatorKey(name)
+		key, err := bundle.NewOperatorKey(name)
 		if err != nil {
 			return err
 		}
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -13,7 +13,6 @@
 	"github.com/wagtailwick/wagtailwick/internal/move"
 	"github.com/wagtailwick/wagtailwick/internal/relay"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
-	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -208,7 +207,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	perSecond := rls.perSecond(rol.ord.Service, now)
-	mov := bundle.Move{
+	mov := wick.Move{
 		Name: string(rol.id()), Service: rol.ord.Service, To: rol.ord.Target, Deadline: rol.seen.Add(rol.ord.Within),
 		MaxShareBeforeProof: rls.proofShare(rol.ord, perSecond),
 	}
@@ -247,7 +246,7 @@
 }
 
 // input collects what a step decides by.
-func (rls *rollouts) input(rol *rollout, mov bundle.Move, ver canary.Verdict, perSecond float64, now time.Time) move.Input {
+func (rls *rollouts) input(rol *rollout, mov wick.Move, ver canary.Verdict, perSecond float64, now time.Time) move.Input {
 	end := mov.Deadline.Add(-doneMargin)
 	mov.WatchMillis = wick.Millis(max(end.Sub(now), 0).Milliseconds())
 	return move.Input{
--- a/internal/entry/moves.go
+++ b/internal/entry/moves.go
@@ -82,7 +82,7 @@
 	return out
 }
 
-func moveID(ver wick.BundleVersion, mov *bundle.Move) wick.MoveID {
+func moveID(ver wick.BundleVersion, mov *wick.Move) wick.MoveID {
 	return wick.MoveID(fmt.Sprintf("%d-%s", ver, mov.Name))
 }
 
@@ -120,7 +120,7 @@
 // under the same name. Such a move stays undone: a bundle that is submitted for
 // another reason must not show a bad version to callers again. Operators try
 // again with a move of another name.
-func (ent *Entry) carriedStop(mid wick.MoveID, mov *bundle.Move) (canary.Stop, bool) {
+func (ent *Entry) carriedStop(mid wick.MoveID, mov *wick.Move) (canary.Stop, bool) {
 	for _, stp := range ent.notices.Stops() {
 		_, name, _ := strings.Cut(string(stp.Move), "-")
 		if name == mov.Name && stp.Service == mov.Service && stp.Version == mov.To {
@@ -140,7 +140,7 @@
 // carriedUndo returns why a move that has not begun is undone at once: the
 // bundle version before had it under the same name and it was undone there.
 // The rule passes from version to version, since the new record is undone too.
-func (ent *Entry) carriedUndo(ctx context.Context, prev wick.BundleVersion, mov *bundle.Move) (string, error) {
+func (ent *Entry) carriedUndo(ctx context.Context, prev wick.BundleVersion, mov *wick.Move) (string, error) {
 	earlier := moveID(prev, mov)
 	rec, rev, err := ent.keeper().Load(ctx, earlier)
 	if err != nil {
@@ -324,7 +324,7 @@
 	return rate{total: total, at: now, perSecond: rat.perSecond + rateGain*(sample-rat.perSecond)}
 }
 
-func (ent *Entry) decide(ctx context.Context, ver wick.BundleVersion, mov *bundle.Move, fence wick.Fence, rates map[wick.MoveID]rate) {
+func (ent *Entry) decide(ctx context.Context, ver wick.BundleVersion, mov *wick.Move, fence wick.Fence, rates map[wick.MoveID]rate) {
 	mid := moveID(ver, mov)
 	known, ok := ent.moves.get(mid)
 	if !ok || known.Final(time.Now()) {
--- a/internal/entry/moves_test.go
+++ b/internal/entry/moves_test.go
@@ -11,7 +11,6 @@
 	"github.com/wagtailwick/wagtailwick/internal/move"
 	"github.com/wagtailwick/wagtailwick/internal/notice"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
-	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -78,7 +77,7 @@
 	ctx := context.Background()
 	sto := &fake.Store{}
 	ent := &Entry{store: sto, invar: &invar.Checker{}, notices: &notice.Set{}}
-	mov := bundle.Move{Name: "m", Service: "quotes", From: "q1", To: "q2"}
+	mov := wick.Move{Name: "m", Service: "quotes", From: "q1", To: "q2"}
 	start := move.New("2-m", mov, time.Now())
 	if _, err := ent.keeper().Update(ctx, start, 1, func(rec move.Record) (move.Record, bool) {
 		return move.Step(rec, move.Input{Now: time.Now(), Stop: "fails"})
@@ -88,7 +87,7 @@
 	renamed, other := mov, mov
 	renamed.Name, other.To = "again", "q3"
 	for name, tst := range map[string]struct {
-		mov  bundle.Move
+		mov  wick.Move
 		want bool
 	}{"same": {mov, true}, "renamed": {renamed, false}, "other version": {other, false}} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -69,7 +69,7 @@
 	default:
 		to := wick.ModelVersion(fmt.Sprintf("v%d", bnd.Version))
 		svc.Versions = []wick.ModelVersion{svc.Active, to}
-		bnd.Moves = []bundle.Move{{Name: "mv", Service: "quotes", From: svc.Active, To: to, Deadline: time.Now().Add(time.Hour), MaxShareBeforeProof: 0.1}}
+		bnd.Moves = []wick.Move{{Name: "mv", Service: "quotes", From: svc.Active, To: to, Deadline: time.Now().Add(time.Hour), MaxShareBeforeProof: 0.1}}
 	}
 	bnd.Services = []bundle.Service{svc}
 	wld.bundle = &bnd
--- a/internal/move/jump_test.go
+++ b/internal/move/jump_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -13,7 +12,7 @@
 // on without proof.
 func TestJump(t *testing.T) {
 	begin := time.Unix(1000, 0)
-	mov := bundle.Move{Service: "s", To: "new", Deadline: begin.Add(16 * time.Second), MaxShareBeforeProof: 0.3}
+	mov := wick.Move{Service: "s", To: "new", Deadline: begin.Add(16 * time.Second), MaxShareBeforeProof: 0.3}
 	run := func(proved, exhausted bool) Record {
 		rec := New("m", mov, begin)
 		for step := range 64 {
--- a/internal/move/keeper_test.go
+++ b/internal/move/keeper_test.go
@@ -10,12 +10,11 @@
 
 	"github.com/wagtailwick/wagtailwick/internal/fake"
 	"github.com/wagtailwick/wagtailwick/internal/invar"
-	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-func testMove(now time.Time, deadline time.Duration) bundle.Move {
-	return bundle.Move{
+func testMove(now time.Time, deadline time.Duration) wick.Move {
+	return wick.Move{
 		Name: "m", Service: "quote", From: "v1", To: "v2", Deadline: now.Add(deadline),
 		MaxShareBeforeProof: 0.05, WatchMillis: 30_000,
 	}
--- a/internal/move/move.go
+++ b/internal/move/move.go
@@ -9,7 +9,6 @@
 
 	"github.com/qmuntal/stateless"
 
-	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -92,7 +91,7 @@
 // An Input is what a step decides by.
 type Input struct {
 	Now  time.Time
-	Move bundle.Move
+	Move wick.Move
 	// Ready is set when endpoints of the new version report.
 	Ready bool
 	// Stop is why the version is bad, or "".
@@ -125,7 +124,7 @@
 }
 
 // New returns the record of a move that has not begun.
-func New(mid wick.MoveID, mov bundle.Move, now time.Time) Record {
+func New(mid wick.MoveID, mov wick.Move, now time.Time) Record {
 	return Record{
 		Move: mid, Service: mov.Service, From: mov.From, To: mov.To, State: StatePending,
 		Since: now, StepAt: now, Deadline: mov.Deadline, Reason: "waits for endpoints of the new version",
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -126,7 +126,7 @@
 
 // A Move is a move with a deadline counted from the step.
 type Move struct {
-	bundle.Move
+	wick.Move
 	DeadlineMillis wick.Millis `json:"deadlineMillis"`
 }
 
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -25,7 +25,7 @@
 	}
 	keys := make(map[string]any)
 	for _, name := range []string{"marie", "jean"} {
-		key, err := certs.NewOperatorKey(bundle.KeyName(name))
+		key, err := bundle.NewOperatorKey(bundle.KeyName(name))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -108,7 +108,7 @@
 }
 
 func (sit *Site) addOperator(name bundle.KeyName) error {
-	key, err := certs.NewOperatorKey(name)
+	key, err := bundle.NewOperatorKey(name)
 	if err != nil {
 		return err
 	}
--- a/internal/slope/site.go
+++ b/internal/slope/site.go
@@ -83,7 +83,7 @@
 		return err
 	}
 	for idx, name := range []bundle.KeyName{"submitter", "signer"} {
-		key, err := certs.NewOperatorKey(name)
+		key, err := bundle.NewOperatorKey(name)
 		if err != nil {
 			return err
 		}
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -3,8 +3,6 @@
 package bundle
 
 import (
-	"time"
-
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -28,7 +26,7 @@
 	// Customers have unique names and unique key hashes.
 	Customers []Customer `json:"customers"`
 	// Moves have unique names. A service has at most one move.
-	Moves []Move `json:"moves,omitempty"`
+	Moves []wick.Move `json:"moves,omitempty"`
 	// Fleet is nil when the endpoints are not to be changed.
 	Fleet *Fleet `json:"fleet,omitempty"`
 }
@@ -100,20 +98,6 @@
 	MaxPerSecond float64 `json:"maxPerSecond,omitempty"`
 }
 
-// A Move takes a service's traffic from one version to another.
-type Move struct {
-	Name    string            `json:"name"`
-	Service wick.Service      `json:"service"`
-	From    wick.ModelVersion `json:"from"`
-	To      wick.ModelVersion `json:"to"`
-	// Deadline is when all traffic must be on To; otherwise the move is undone.
-	Deadline time.Time `json:"deadline"`
-	// MaxShareBeforeProof bounds the share of To until it is proved.
-	MaxShareBeforeProof wick.Share `json:"maxShareBeforeProof"`
-	// WatchMillis is how long To is watched after the last step.
-	WatchMillis wick.Millis `json:"watchMillis,omitempty"`
-}
-
 // A Fleet says which endpoints the fleet duty holds. Services that it does not
 // name are left alone.
 type Fleet struct {
--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -27,7 +27,7 @@
 		},
 		Classes:   []bundle.Class{{Name: "big", Service: "quotes", Slots: 8}},
 		Customers: []bundle.Customer{{Name: "north", KeyHash: strings.Repeat("0a", 32), Weight: 1}},
-		Moves:     []bundle.Move{{Name: "mv", Service: "quotes", From: "q1", To: "q2", Deadline: start.Add(time.Hour), MaxShareBeforeProof: 0.05}},
+		Moves:     []wick.Move{{Name: "mv", Service: "quotes", From: "q1", To: "q2", Deadline: start.Add(time.Hour), MaxShareBeforeProof: 0.05}},
 	}
 }
 
@@ -141,7 +141,7 @@
 	for name, typ := range map[string]reflect.Type{
 		"": reflect.TypeFor[bundle.Bundle](), "service": reflect.TypeFor[bundle.Service](), "call": reflect.TypeFor[bundle.Call](),
 		"targets": reflect.TypeFor[bundle.Targets](), "class": reflect.TypeFor[bundle.Class](),
-		"customer": reflect.TypeFor[bundle.Customer](), "move": reflect.TypeFor[bundle.Move](),
+		"customer": reflect.TypeFor[bundle.Customer](), "move": reflect.TypeFor[wick.Move](),
 		"fleet": reflect.TypeFor[bundle.Fleet](), "offer": reflect.TypeFor[bundle.Offer](),
 		"fleetService": reflect.TypeFor[bundle.FleetService](),
 	} {
--- a/pkg/bundle/check.go
+++ b/pkg/bundle/check.go
@@ -203,7 +203,7 @@
 }
 
 // checkEnds checks the two versions of a move.
-func (chk *checker) checkEnds(path string, svc Service, mov Move) {
+func (chk *checker) checkEnds(path string, svc Service, mov wick.Move) {
 	var hasFrom, hasTo bool
 	for _, ver := range svc.Versions {
 		hasFrom = hasFrom || ver == mov.From
--- a/pkg/bundle/client.go
+++ b/pkg/bundle/client.go
@@ -225,7 +225,7 @@
 	bnd := old.Bundle
 	bnd.Version, bnd.Replaces, bnd.WriteID = last+1, last, ""
 	now := cli.Clock.Now()
-	bnd.Moves = slices.DeleteFunc(slices.Clone(bnd.Moves), func(mov Move) bool {
+	bnd.Moves = slices.DeleteFunc(slices.Clone(bnd.Moves), func(mov wick.Move) bool {
 		return !mov.Deadline.After(now.Add(mov.WatchMillis.Duration()))
 	})
 	return cli.Submit(ctx, sgr, bnd)
