site, slope, cmds: one search for free ports; an entry that is stopped at its start ends

Site.WaitVersion fails at once and names the entry that ended, or the entries that lack the version.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,6 +18,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/internal/httpio"
 )
 
 // A Dump returns the state of one part as a value that encodes to JSON.
@@ -28,6 +30,7 @@
 	mu    sync.Mutex
 	dumps map[string]Dump
 	hertz *server.Hertz
+	lis   net.Listener
 	// Registry holds the metrics; the default registry if nil.
 	Registry metrics.Registry
 	// Gather is called before the metrics are written, unless it is nil.
@@ -61,12 +64,13 @@
 
 // Start listens on addr and serves until Stop.
 func (srv *Server) Start(addr string) error {
-	ln, err := net.Listen("tcp", addr) //nolint:noctx // the listener lives until Stop
+	lis, err := net.Listen("tcp", addr) //nolint:noctx // the listener lives until Stop
 	if err != nil {
 		return eris.Wrap(err, "admin: listen")
 	}
+	srv.lis = lis
 	srv.hertz = server.New(
-		server.WithListener(ln),
+		server.WithListener(lis),
 		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(time.Second),
@@ -90,7 +94,7 @@
 	if srv.hertz == nil {
 		return nil
 	}
-	return srv.hertz.Shutdown(ctx)
+	return eris.Wrap(httpio.Shutdown(ctx, srv.hertz, srv.lis), "admin")
 }
 
 func (srv *Server) serveDump(_ context.Context, req *app.RequestContext) {
--- a/internal/cmds/site.go
+++ b/internal/cmds/site.go
@@ -1,11 +1,8 @@
 package cmds
 
 import (
-	"errors"
 	"fmt"
-	"net"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"time"
 
@@ -13,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailwick/wagtailwick/internal/certs"
+	"github.com/wagtailwick/wagtailwick/internal/ports"
 	"github.com/wagtailwick/wagtailwick/internal/setup"
 	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
@@ -31,44 +29,18 @@
 	port := cmd.Flag("port", "First port.").Default("30000").Int()
 	entries := cmd.Arg("entry", "Entries, each as id:zone.").Required().Strings()
 	return cmd.FullCommand(), func() error {
-		wtr := &siteWriter{ev: ev, dir: *dir, keys: make(bundle.Keys), port: *port}
+		wtr := &siteWriter{ev: ev, dir: *dir, keys: make(bundle.Keys), ports: ports.Finder{First: *port}}
 		return wtr.write(*entries)
 	}
 }
 
 // A siteWriter writes the files of a trial site.
 type siteWriter struct {
-	ev   *env
-	dir  string
-	keys bundle.Keys
-	// port is the next port to try.
-	port int
-	vars strings.Builder
-}
-
-// address returns an address on loopback whose port is free for TCP and UDP.
-func (wtr *siteWriter) address() (string, error) {
-	const lastPort = 1<<16 - 1
-	for ; wtr.port <= lastPort; wtr.port++ {
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(wtr.port))
-		if free(addr) {
-			wtr.port++
-			return addr, nil
-		}
-	}
-	return "", eris.New("no free port")
-}
-
-func free(addr string) bool {
-	lis, err := net.Listen("tcp", addr) //nolint:noctx // closed at once
-	if err != nil {
-		return false
-	}
-	con, err := net.ListenPacket("udp", addr) //nolint:noctx // closed at once
-	if err == nil {
-		err = con.Close()
-	}
-	return errors.Join(err, lis.Close()) == nil
+	ev    *env
+	dir   string
+	keys  bundle.Keys
+	ports ports.Finder
+	vars  strings.Builder
 }
 
 func (wtr *siteWriter) write(entries []string) error {
@@ -85,11 +57,11 @@
 	if err := wtr.file("operators.json", wtr.keys); err != nil {
 		return err
 	}
-	storeAddr, err := wtr.address()
+	storeAddr, err := wtr.ports.Addr()
 	if err != nil {
 		return err
 	}
-	cloudAddr, err := wtr.address()
+	cloudAddr, err := wtr.ports.Addr()
 	if err != nil {
 		return err
 	}
@@ -145,7 +117,7 @@
 func (wtr *siteWriter) listen(lsn *setup.Listen) error {
 	for _, adr := range []*string{&lsn.Callers, &lsn.Peers, &lsn.Admin} {
 		var err error
-		if *adr, err = wtr.address(); err != nil {
+		if *adr, err = wtr.ports.Addr(); err != nil {
 			return err
 		}
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailwick/wagtailwick/internal/fake"
+	"github.com/wagtailwick/wagtailwick/internal/ports"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -151,29 +152,20 @@
 	return next
 }
 
-func freeAddr(t *testing.T, network string) string {
+func freeAddr(t *testing.T) string {
 	t.Helper()
-	if network == "udp" {
-		con, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer con.Close()
-		return con.LocalAddr().String()
-	}
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := ports.Addr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer lis.Close()
-	return lis.Addr().String()
+	return addr
 }
 
 func (sit *site) start(num, edges int) {
 	cfg := Config{
 		ID: wick.EntryID(fmt.Sprint("edge", num)), Incarnation: 1, Zone: "z", Store: sit.sto, Dialect: testDialect{},
 		Catalog: testCatalog{}, Duties: sit.duties, Kinds: Kinds{Plan: "plan", Backend: "backend", VersionOrder: "order"},
-		Callers: freeAddr(sit.T, "tcp"), Ready: freeAddr(sit.T, "tcp"), Admin: freeAddr(sit.T, "tcp"), Peer: freeAddr(sit.T, "udp"),
+		Callers: freeAddr(sit.T), Ready: freeAddr(sit.T), Admin: freeAddr(sit.T), Peer: freeAddr(sit.T),
 		MaxConnections: 100,
 		Bounds: Bounds{
 			UsageWindow: window, UsageLate: 10 * window, HandoverPause: 100 * time.Millisecond, Grace: 4 * time.Second,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -94,6 +94,7 @@
 type Server struct {
 	cfg Config
 	hrz *server.Hertz
+	lis *httpio.Listener
 }
 
 // New returns a server. Serve must be called.
@@ -111,7 +112,7 @@
 		server.WithDisablePrintRoute(true), server.WithDisablePreParseMultipartForm(true),
 		server.WithRedirectTrailingSlash(false),
 	)
-	srv := &Server{cfg: cfg, hrz: hrz}
+	srv := &Server{cfg: cfg, hrz: hrz, lis: lis}
 	hrz.Use(recovery.Recovery())
 	hrz.GET("/readyz", srv.readyz)
 	hrz.POST(routeChat, srv.signedIn(srv.chat))
@@ -131,7 +132,7 @@
 // Shutdown closes the listener and waits for open connections until ctx ends.
 // Table.Drain goes before it.
 func (srv *Server) Shutdown(ctx context.Context) error {
-	return eris.Wrap(srv.hrz.Shutdown(ctx), "front")
+	return eris.Wrap(httpio.Shutdown(ctx, srv.hrz, srv.lis), "front")
 }
 
 // readyz tells the load balancer whether to send new work here.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -104,6 +104,7 @@
 type Server struct {
 	cfg Config
 	hrz *server.Hertz
+	lis *httpio.Listener
 	// draining is set when new requests are refused, closing when callers
 	// are asked to use another connection.
 	draining, closing atomic.Bool
@@ -116,12 +117,12 @@
 // New returns a server. Serve must be called.
 func New(cfg Config) *Server {
 	srv := &Server{cfg: cfg, plain: logs.NewSampler(plainLines)}
-	lis := &httpio.Listener{
+	srv.lis = &httpio.Listener{
 		Listener: cfg.Listener, Limit: int64(cfg.MaxConnections), ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, Refusal: func() []byte { return []byte(`{"executed":"no"}`) },
 	}
 	srv.hrz = server.New(
-		server.WithListener(lis), server.WithTransport(standard.NewTransporter),
+		server.WithListener(srv.lis), server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true), server.WithMaxRequestBodySize(maxBody),
 		server.WithMaxHeaderBytes(maxHeader), server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout), server.WithDisablePrintRoute(true),
@@ -139,7 +140,7 @@
 
 // Shutdown closes the listener and waits for open connections until ctx ends.
 func (srv *Server) Shutdown(ctx context.Context) error {
-	return eris.Wrap(srv.hrz.Shutdown(ctx), "relay")
+	return eris.Wrap(httpio.Shutdown(ctx, srv.hrz, srv.lis), "relay")
 }
 
 // AskToLeave closes each caller's connection after its next answer.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 	"github.com/wagtailwick/wagtailwick/internal/entry"
 	"github.com/wagtailwick/wagtailwick/internal/fake"
 	"github.com/wagtailwick/wagtailwick/internal/move"
+	"github.com/wagtailwick/wagtailwick/internal/ports"
 	"github.com/wagtailwick/wagtailwick/internal/setup"
 	"github.com/wagtailwick/wagtailwick/pkg/bundle"
 	"github.com/wagtailwick/wagtailwick/pkg/client"
@@ -63,7 +63,9 @@
 	entry *entry.Entry
 	set   setup.Settings
 	stop  context.CancelFunc
-	done  chan error
+	// done is closed when the entry has ended, after err was set.
+	done chan struct{}
+	err  error
 }
 
 // Start starts the stand-ins and the entries.
@@ -176,38 +178,32 @@
 	}
 }
 
-// freePort returns an address with a port that is free now.
-func freePort(network string) (string, error) {
-	if network == "udp" {
-		con, err := net.ListenPacket("udp", anyPort) //nolint:noctx // closed at once
-		if err != nil {
-			return "", eris.Wrap(err, "site: find a port")
-		}
-		return con.LocalAddr().String(), con.Close()
-	}
-	lis, err := net.Listen("tcp", anyPort) //nolint:noctx // closed at once
-	if err != nil {
-		return "", eris.Wrap(err, "site: find a port")
-	}
-	return lis.Addr().String(), lis.Close()
-}
-
 // StartEntry starts an entry with nothing kept, under a new or an old name.
 func (sit *Site) StartEntry(eid wick.EntryID, zone wick.Zone) error {
 	set, err := sit.settings(eid, zone)
 	if err != nil {
 		return err
 	}
+	sit.run(set)
+	return nil
+}
+
+// run starts an entry from its settings.
+func (sit *Site) run(set setup.Settings) {
+	eid := set.Entry.ID
 	sit.Cloud.Register(wick.VM{
-		ID: wick.VMID(eid), Role: wick.RoleEntry, Zone: zone, Address: set.Listen.Peers, State: wick.VMLive, Reclaimable: true,
+		ID: wick.VMID(eid), Role: wick.RoleEntry, Zone: set.Entry.Zone, Address: set.Listen.Peers, State: wick.VMLive,
+		Reclaimable: true,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	prc := &process{entry: entry.New(set), set: set, stop: cancel, done: make(chan error, 1)}
+	prc := &process{entry: entry.New(set), set: set, stop: cancel, done: make(chan struct{})}
 	sit.mu.Lock()
 	sit.entries[eid] = prc
 	sit.mu.Unlock()
-	go func() { prc.done <- prc.entry.Run(ctx) }()
-	return nil
+	go func() {
+		prc.err = prc.entry.Run(ctx)
+		close(prc.done)
+	}()
 }
 
 func (sit *Site) settings(eid wick.EntryID, zone wick.Zone) (setup.Settings, error) {
@@ -220,11 +216,8 @@
 	set.Peers = setup.Peers{Certificate: pair.Certificate, Key: pair.Key, Authority: sit.aut.PEM}
 	set.Platform.StoreURL, set.Platform.CloudURL = sit.storeURL, sit.cloudURL
 	set.OperatorKeys = sit.keys
-	for _, adr := range []struct {
-		network string
-		addr    *string
-	}{{"tcp", &set.Listen.Callers}, {"udp", &set.Listen.Peers}, {"tcp", &set.Listen.Admin}} {
-		if *adr.addr, err = freePort(adr.network); err != nil {
+	for _, addr := range []*string{&set.Listen.Callers, &set.Listen.Peers, &set.Listen.Admin} {
+		if *addr, err = ports.Addr(); err != nil {
 			return set, err
 		}
 	}
@@ -238,18 +231,19 @@
 		return eris.Wrapf(wick.ErrNotFound, "site: entry %s", eid)
 	}
 	prc.entry.Drain(notice)
-	err := <-prc.done
+	<-prc.done
 	prc.stop()
 	sit.Cloud.Remove(wick.VMID(eid))
-	return err
+	return prc.err
 }
 
 // KillEntry ends an entry without a drain.
 func (sit *Site) KillEntry(eid wick.EntryID) {
 	if prc := sit.take(eid); prc != nil {
 		prc.stop()
-		if err := <-prc.done; err != nil {
-			logrus.WithError(err).WithField("entry", eid).Warn("site: entry ended with an error")
+		<-prc.done
+		if prc.err != nil {
+			logrus.WithError(prc.err).WithField("entry", eid).Warn("site: entry ended with an error")
 		}
 		sit.Cloud.Remove(wick.VMID(eid))
 	}
@@ -313,27 +307,41 @@
 
 const poll = 20 * time.Millisecond
 
-// WaitVersion waits until all running entries serve with a bundle version.
+// WaitVersion waits until all running entries serve with a bundle version. It
+// fails at once when an entry has ended by itself; that error wraps
+// wick.ErrStopped.
 func (sit *Site) WaitVersion(ctx context.Context, ver wick.BundleVersion) error {
-	for !sit.inForce(ver) {
+	for {
+		missing, err := sit.missing(ver)
+		if err != nil || len(missing) == 0 {
+			return err
+		}
 		select {
 		case <-time.After(poll):
 		case <-ctx.Done():
-			return eris.Wrapf(ctx.Err(), "site: version %d not in force everywhere", ver)
+			return eris.Wrapf(ctx.Err(), "site: version %d not in force at %s", ver, strings.Join(missing, ", "))
 		}
 	}
-	return nil
 }
 
-func (sit *Site) inForce(ver wick.BundleVersion) bool {
+// missing describes the entries that don't serve with a bundle version yet.
+func (sit *Site) missing(ver wick.BundleVersion) ([]string, error) {
 	sit.mu.Lock()
 	defer sit.mu.Unlock()
-	for _, prc := range sit.entries {
-		if prc.entry.State() != wick.EntryServing || prc.entry.Bundle() < ver {
-			return false
+	var out []string
+	for eid, prc := range sit.entries {
+		select {
+		case <-prc.done:
+			return nil, eris.Wrapf(wick.ErrStopped, "site: entry %s ended by itself: %v", eid, prc.err)
+		default:
+		}
+		if state := prc.entry.State(); state != wick.EntryServing {
+			out = append(out, fmt.Sprintf("%s (%s)", eid, state))
+		} else if now := prc.entry.Bundle(); now < ver {
+			out = append(out, fmt.Sprintf("%s (version %d)", eid, now))
 		}
 	}
-	return true
+	return out, nil
 }
 
 // Moves returns the states of the newest bundle's moves by name.
--- a/internal/slope/run.go
+++ b/internal/slope/run.go
@@ -49,9 +49,7 @@
 	Progress io.Writer
 
 	dir string
-	// port is the last port that was given to an entry.
-	port int
-	rep  *Report
+	rep *Report
 }
 
 type part struct {
@@ -86,7 +84,6 @@
 	defer os.RemoveAll(dir) //nolint:errcheck // only settings are left behind
 	run.dir = dir
 	// Runs at the same time start at different ports.
-	run.port = firstPort + os.Getpid()%64*128
 	if run.Progress == nil {
 		run.Progress = io.Discard
 	}
--- a/internal/slope/site.go
+++ b/internal/slope/site.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -17,6 +15,7 @@
 
 	"github.com/wagtailwick/wagtailwick/internal/certs"
 	"github.com/wagtailwick/wagtailwick/internal/fake"
+	"github.com/wagtailwick/wagtailwick/internal/ports"
 	"github.com/wagtailwick/wagtailwick/internal/setup"
 	"github.com/wagtailwick/wagtailwick/internal/wire"
 	"github.com/wagtailwick/wagtailwick/pkg/bundle"
@@ -170,7 +169,7 @@
 	set.Peers = setup.Peers{Certificate: pair.Certificate, Key: pair.Key, Authority: sit.aut.PEM}
 	set.Platform.StoreURL, set.Platform.CloudURL = sit.storeURL, sit.cloudURL
 	set.OperatorKeys = sit.keys
-	set.Listen, err = sit.run.freeAddresses()
+	set.Listen, err = freeAddresses()
 	if err != nil {
 		return err
 	}
@@ -193,44 +192,18 @@
 	return nil
 }
 
-// Ports of entries are below those that the system gives to outgoing
-// connections: a port that was free when it was chosen was taken before the
-// entry listened, in a run of 20 entries.
-const (
-	firstPort = 20_000
-	lastPort  = 32_000
-)
-
-// freeAddresses returns addresses that were free a moment ago.
-func (run *Run) freeAddresses() (setup.Listen, error) {
+// freeAddresses returns addresses that nothing listens on.
+func freeAddresses() (setup.Listen, error) {
 	var lst setup.Listen
-	for _, adr := range []struct {
-		network string
-		addr    *string
-	}{{"tcp", &lst.Callers}, {"udp", &lst.Peers}, {"tcp", &lst.Admin}} {
-		for *adr.addr == "" {
-			if run.port++; run.port > lastPort {
-				return lst, eris.New("slope: no free port")
-			}
-			if addr := fmt.Sprintf("127.0.0.1:%d", run.port); free(adr.network, addr) {
-				*adr.addr = addr
-			}
+	for _, addr := range []*string{&lst.Callers, &lst.Peers, &lst.Admin} {
+		var err error
+		if *addr, err = ports.Addr(); err != nil {
+			return lst, err
 		}
 	}
 	return lst, nil
 }
 
-func free(network, addr string) bool {
-	var cls io.Closer
-	var err error
-	if network == "udp" {
-		cls, err = net.ListenPacket(network, addr) //nolint:noctx // closed at once
-	} else {
-		cls, err = net.Listen(network, addr) //nolint:noctx // closed at once
-	}
-	return err == nil && cls.Close() == nil
-}
-
 // roll submits and signs the next version and returns the time from the
 // signature until all entries have adopted it.
 func (sit *site) roll(ctx context.Context) (time.Duration, error) {
