early: a SIGHUP before main does not end the entry

Ruled out: signal.Notify in a package of ours, since packages initialise in the order of their paths and ours come late.

Change: a C constructor ignores the signal from the load of the program on; the runtime leaves ignored signals alone until signal.Notify asks for them, which platform.Run does first. Builds without cgo do without it.

Left: the few hundred microseconds in which the loader runs before constructors.

--- /dev/null
+++ b/internal/early/hangup_cgo.go
@@ -0,0 +1,3 @@
+package early
+
+import "C" // compiles hangup.c
