relay: a stream whose endpoint goes silent goes on elsewhere

Cause: an endpoint that goes dark closes no connection.

If it can't be reached, or no longer knows a run whose answer had begun, the send counts as lost, and the rest goes on at another endpoint. Only requests that may be sent to another endpoint are watched.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -104,7 +104,9 @@
 	Dialect     wick.Dialect
 	Mover       wick.Mover
 	// Loads is nil if endpoints report no load.
-	Loads   wick.LoadReader
+	Loads wick.LoadReader
+	// Prober is nil if endpoints can't be asked for their runs.
+	Prober  wick.RunProber
 	Catalog wick.Catalog
 	Duties  wick.Duties
 	Orders  wick.VersionOrders
@@ -249,7 +251,7 @@
 	}
 	edg.relay = relay.New(relay.Config{
 		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
-		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
+		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Prober: edg.cfg.Prober, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
 		PlanConfirmed: edg.planConfirmed,
 		RegistryAge:   func() time.Duration { return time.Since(edg.backends.Answered()) },
 	})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,7 +78,7 @@
 	Choose(svc wick.Service, route wick.RouteName, now time.Time) Choice
 }
 
-// A Config wires a Server. All fields must be set.
+// A Config wires a Server. All fields must be set, but Prober may be nil.
 type Config struct {
 	Listener net.Listener
 	// MaxConnections bounds the callers' open connections.
@@ -89,6 +89,7 @@
 	Quotas         Quotas
 	Versions       Versions
 	Mover          wick.Mover
+	Prober         wick.RunProber
 	Budget         *retry.Budget
 	Client         *wire.Client
 	Meter          Meter
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -303,6 +303,10 @@
 
 func begin(con net.Conn, events ...string) {
 	fmt.Fprint(con, "HTTP/1.1 200 X\r\nX-Id: r1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+	goOn(con, events...)
+}
+
+func goOn(con net.Conn, events ...string) {
 	for _, evt := range events {
 		fmt.Fprintf(con, "%x\r\n%s\r\n", len(evt), evt)
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -33,6 +33,8 @@
 	note wick.ReplyNote
 	// first is when the first event came, zero before.
 	first time.Time
+	// wdg ends the send when its endpoint goes silent; nil if it is not watched.
+	wdg *watchdog
 }
 
 // A target is the endpoint chosen for one send.
@@ -105,7 +107,7 @@
 	})
 	if err != nil {
 		edg = jb.endOf(ctx, err)
-		jb.noteEnd(logs.MsgNoReply, tic, edg, err)
+		jb.noteEnd(logs.MsgNoReply, tic, edg, lossOf(ctx, err))
 		return snd, edg
 	}
 	snd.rep = rep
@@ -152,6 +154,8 @@
 // endOf tells how a send without a complete reply ended.
 func (jb *job) endOf(ctx context.Context, err error) ending {
 	switch {
+	case errors.Is(context.Cause(ctx), errSilent):
+		return endLost
 	case errors.Is(ctx.Err(), context.Canceled):
 		return endGone
 	case errors.Is(err, wick.ErrNotSent):
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -63,14 +63,17 @@
 func (pmp *pump) run(ctx context.Context, tgt *target) ending {
 	var cpy wick.RunCopy
 	for {
-		snd, edg := pmp.jb.open(ctx, tgt, pmp.last, cpy)
+		sctx, wdg := pmp.jb.watchSilence(ctx, tgt)
+		snd, edg := pmp.jb.open(sctx, tgt, pmp.last, cpy)
+		snd.wdg = wdg
 		var hof *handoff
 		switch {
 		case edg == endAnswer && snd.rep.Status < http.StatusMultipleChoices:
-			edg, hof = pmp.follow(ctx, snd)
+			edg, hof = pmp.follow(sctx, snd)
 		case edg == endAnswer || edg == endFailure:
-			pmp.kept, edg = pmp.jb.readWhole(ctx, snd, edg)
+			pmp.kept, edg = pmp.jb.readWhole(sctx, snd, edg)
 		}
+		wdg.stop()
 		snd.close(edg)
 		if cpy != "" && !edg.mayHaveRun() {
 			// Part of the run was made before it was moved.
@@ -109,6 +112,7 @@
 	buf := make([]byte, readBytes)
 	for {
 		num, err := snd.rep.Read(buf)
+		snd.wdg.hear()
 		spl.add(buf[:num])
 		for {
 			evt, ok := spl.next()
@@ -128,7 +132,7 @@
 			return endLost
 		default:
 			edg := pmp.jb.endOf(ctx, err)
-			pmp.jb.noteEnd(logs.MsgBrokeOff, snd.tgt, edg, err)
+			pmp.jb.noteEnd(logs.MsgBrokeOff, snd.tgt, edg, lossOf(ctx, err))
 			return edg
 		}
 	}
--- a/internal/relay/trail.go
+++ b/internal/relay/trail.go
@@ -95,6 +95,12 @@
 	return trl.ran < attempts && trl.sends < attempts+moreSends
 }
 
+// mayRepeatAfterLoss reports whether the request may be sent once more if the
+// send that is running is lost.
+func (trl *trail) mayRepeatAfterLoss() bool {
+	return trl.rpl.Repeatable() && trl.ran+1 < max(trl.rpl.MaxAttempts, 1)
+}
+
 // end tells what the caller gets when no send follows.
 func (trl *trail) end() action {
 	switch {
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -67,6 +67,13 @@
 	ReadLoad(ctx context.Context, bke Backend) (BackendLoad, error)
 }
 
+// A RunProber asks a model endpoint whether it may still send something of a
+// request: whether it runs it or has requests waiting. The error wraps
+// ErrUnavailable when the endpoint did not answer.
+type RunProber interface {
+	ProbeRun(ctx context.Context, bke Backend, rid RequestID) (working bool, err error)
+}
+
 // A ReplyNote is what the headers of an endpoint's reply say.
 type ReplyNote struct {
 	// Request is the request that the reply belongs to, or "".
