--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -101,8 +101,11 @@
 	Incarnation wick.Incarnation
 	Zone        wick.Zone
 	Store       wick.Store
-	Dialect     wick.Dialect
-	Mover       wick.Mover
+	// Lagging reads the same objects at a lower price, seconds old perhaps; nil
+	// if the store has no such reads.
+	Lagging wick.Store
+	Dialect wick.Dialect
+	Mover   wick.Mover
 	// Loads is nil if endpoints report no load.
 	Loads wick.LoadReader
 	// Prober is nil if endpoints can't be asked for their runs.
@@ -158,6 +161,7 @@
 		Pause: func() time.Duration { return edg.pace(backendPause, longestBackendPause) },
 	}
 	edg.members = &feed.Follower{Store: cfg.Store, Kind: wick.KindMember, Handler: edg.roster, Pause: edg.memberPause, Patience: silence}
+	edg.members.Lagging, edg.members.MayLag = cfg.Lagging, edg.mayLag
 	edg.rollouts = newRollouts(edg)
 	edg.orders = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.VersionOrder, Handler: feed.Each(edg.rollouts.takeOrder)}
 	edg.moves = &feed.Follower{Store: cfg.Store, Kind: wick.KindMove, Handler: feed.Each(edg.rollouts.takeRecord), Active: edg.rollouts.anyMoving}
@@ -193,6 +197,14 @@
 }
 
 // memberPause is the pause between reads and writes of the entries' records.
+// mayLag reports whether the other entries' records may be seconds old. They
+// must be new for the holder of the control duty, which reports what the entries
+// have counted, and while a version is judged by them.
+func (edg *Edge) mayLag() bool {
+	_, holds := edg.leases.Holds(DutyControl)
+	return !holds && !edg.rollouts.anyMoving()
+}
+
 func (edg *Edge) memberPause() time.Duration { return edg.pace(memberPause, longestMemberPause) }
 
 // retryMargin keeps the entries' retries below the agreed bound, since windows
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -69,6 +69,10 @@
 	// Patience bounds one watch, for kinds that change so often that a longer
 	// silence means a lost connection. The store's own bound holds if it is 0.
 	Patience time.Duration
+	// Lagging reads the same objects, seconds old perhaps, at a lower price. It
+	// is used while MayLag returns true; both are nil if all reads must be new.
+	Lagging wick.Store
+	MayLag  func() bool
 	// Active reports whether the kind is to be read now; nil is always.
 	Active func() bool
 
@@ -169,8 +173,16 @@
 	}
 }
 
+// store returns the store for the next read.
+func (fol *Follower) store() wick.Store {
+	if fol.Lagging != nil && fol.MayLag() {
+		return fol.Lagging
+	}
+	return fol.Store
+}
+
 func (fol *Follower) list(ctx context.Context) (wick.Revision, error) {
-	objs, rev, err := fol.Store.List(ctx, fol.Kind)
+	objs, rev, err := fol.store().List(ctx, fol.Kind)
 	if err != nil {
 		return 0, err //nolint:wrapcheck // wick.Store's errors are ours
 	}
@@ -207,7 +219,7 @@
 		ctx, cancel = context.WithTimeout(ctx, fol.Patience)
 		defer cancel()
 	}
-	objs, next, err := fol.Store.Watch(ctx, fol.Kind, rev)
+	objs, next, err := fol.store().Watch(ctx, fol.Kind, rev)
 	if err != nil {
 		return rev, err //nolint:wrapcheck // wick.Store's errors are ours
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -177,3 +177,29 @@
 		assertText(t, "calls", strings.Join(sst.calls, ","), "list,watch")
 	})
 }
+
+// TestLagging guards against old data where new data is needed: only while
+// MayLag holds may a follower read from the lagging store.
+func TestLagging(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fresh, lagging := &scriptStore{}, &scriptStore{watches: []watchStep{{}, {}}}
+		var mayLag atomic.Bool
+		mayLag.Store(true)
+		fol := &Follower{
+			Store: fresh, Lagging: lagging, MayLag: mayLag.Load, Kind: "kind", Handler: &recorder{}, Patience: time.Second,
+			Pause: func() time.Duration { return 100 * time.Millisecond },
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go fol.Run(ctx)
+		time.Sleep(250 * time.Millisecond)
+		assertText(t, "reads that must be new", strings.Join(fresh.calls, ","), "")
+		assertText(t, "reads that may lag", strings.Join(lagging.calls, ","), "list,watch,watch")
+		mayLag.Store(false)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if len(fresh.calls) == 0 || fresh.calls[0] != "watch" {
+			t.Errorf("reads that must be new: %v, want watches", fresh.calls)
+		}
+	})
+}
--- a/internal/relay/watchdog_test.go
+++ b/internal/relay/watchdog_test.go
@@ -36,7 +36,7 @@
 // pauseThen returns a script whose first send begins with some events and is
 // silent for a time before it ends well; a second send answers the rest.
 func pauseThen(silence time.Duration, first ...string) script {
-	return func(req *http.Request, con net.Conn, num int) {
+	return func(_ *http.Request, con net.Conn, num int) {
 		if num > 0 {
 			begin(con, "id: 2\ndata: elsewhere\n\n")
 			end(con)
