revise: one loop of conditional updates for fleet and move objects

Cause: fleet.keeper and move.Keeper each had the same loop over conflicts and lost responses. It stands once now; the two keep what they decide.

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailwick/wagtailwick/internal/invar"
+	"github.com/wagtailwick/wagtailwick/internal/revise"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -31,17 +32,26 @@
 	return rec, nil
 }
 
-// load reads the record of a service. Revision zero means that there is none.
-func (kee *keeper) load(ctx context.Context, svc wick.Service) (Record, wick.Revision, error) {
-	obj, err := kee.store.Get(ctx, wick.ObjectKey{Kind: wick.KindFleet, Name: string(svc)})
-	if errors.Is(err, wick.ErrNotFound) {
-		return Record{Service: svc, Series: string(svc) + "-" + string(wick.NewWriteID())}, 0, nil
+// decode returns the record of a service that an object holds, or a new one if
+// there is no object.
+func decode(obj wick.Object, svc wick.Service) (Record, error) {
+	if obj.Revision == 0 {
+		return Record{Service: svc, Series: string(svc) + "-" + string(wick.NewWriteID())}, nil
 	}
-	if err != nil {
-		return Record{}, 0, eris.Wrapf(err, "fleet: read %s", svc)
+	return Parse(obj)
+}
+
+// load reads the record of a service, or returns a new one.
+func (kee *keeper) load(ctx context.Context, svc wick.Service) (Record, error) {
+	obj, err := kee.store.Get(ctx, objectKey(svc))
+	if err != nil && !errors.Is(err, wick.ErrNotFound) {
+		return Record{}, eris.Wrapf(err, "fleet: read %s", svc)
 	}
-	rec, err := Parse(obj)
-	return rec, obj.Revision, err
+	return decode(obj, svc)
+}
+
+func objectKey(svc wick.Service) wick.ObjectKey {
+	return wick.ObjectKey{Kind: wick.KindFleet, Name: string(svc)}
 }
 
 // update applies decide to the newest record until a conditional write takes
@@ -50,43 +60,44 @@
 func (kee *keeper) update(
 	ctx context.Context, svc wick.Service, fence wick.Fence, limit int, decide func(rec Record) (Record, bool),
 ) (Record, error) {
+	var out Record
 	var mine wick.WriteID
-	var lastErr error
-	for range maxAttempts {
-		rec, rev, err := kee.load(ctx, svc)
-		if err != nil {
-			return rec, err
-		}
-		if mine != "" && rec.WriteID == mine {
-			return rec, nil
+	err := revise.Object(ctx, kee.store, objectKey(svc), maxAttempts, func(obj wick.Object) ([]byte, error) {
+		rec, err := decode(obj, svc)
+		out = rec
+		if err != nil || mine != "" && rec.WriteID == mine {
+			return nil, err
 		}
 		if fence < rec.Fence {
-			return rec, eris.Wrapf(wick.ErrStaleFence, "fleet: %s is held with %d, not %d", svc, rec.Fence, fence)
+			return nil, eris.Wrapf(wick.ErrStaleFence, "fleet: %s is held with %d, not %d", svc, rec.Fence, fence)
 		}
 		next, changed := decide(rec)
 		if !changed && fence == rec.Fence {
-			return rec, nil
+			return nil, nil
 		}
-		// VMs found on the list may be more than the maximum; orders never are.
-		held := next.Held()
-		if !kee.checker.Check(held <= limit || !ordersMore(&rec, &next), invar.FleetBound, "%s would hold %d of at most %d", svc, held, limit) {
-			return rec, eris.Wrapf(wick.ErrInvalid, "fleet: %s would hold %d", svc, held)
+		if err := kee.check(&rec, &next, svc, limit); err != nil {
+			return nil, err
 		}
 		mine = wick.NewWriteID()
 		next.WriteID, next.Holder, next.Fence = mine, kee.self, fence
+		out = next
 		data, err := json.Marshal(&next)
-		if err != nil {
-			return rec, eris.Wrap(err, "fleet: encode")
-		}
-		if _, err = kee.store.Put(ctx, wick.ObjectKey{Kind: wick.KindFleet, Name: string(svc)}, data, rev); err == nil {
-			return next, nil
-		}
-		lastErr = err
-		if !errors.Is(err, wick.ErrConflict) && !errors.Is(err, wick.ErrUnavailable) {
-			break
-		}
+		return data, eris.Wrap(err, "fleet: encode")
+	})
+	if err != nil {
+		return Record{}, eris.Wrap(err, "fleet")
+	}
+	return out, nil
+}
+
+// check refuses a record that orders more VMs than the limit. VMs found on the
+// list may be more than the maximum; orders never are.
+func (kee *keeper) check(rec, next *Record, svc wick.Service, limit int) error {
+	held := next.Held()
+	if !kee.checker.Check(held <= limit || !ordersMore(rec, next), invar.FleetBound, "%s would hold %d of at most %d", svc, held, limit) {
+		return eris.Wrapf(wick.ErrInvalid, "fleet: %s would hold %d", svc, held)
 	}
-	return Record{}, eris.Wrapf(lastErr, "fleet: write %s", svc)
+	return nil
 }
 
 // ordersMore tells whether next has an order that rec has not.
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -154,7 +154,7 @@
 	inp.Need = mtr.Observe(inp.Now, inp.Reports, target)
 	run.delayUnload(inp)
 	sta := Status{Need: inp.Need}
-	known, _, err := run.keeper.load(ctx, svc)
+	known, err := run.keeper.load(ctx, svc)
 	if err != nil {
 		return sta, err
 	}
--- a/internal/move/keeper.go
+++ b/internal/move/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailwick/wagtailwick/internal/invar"
+	"github.com/wagtailwick/wagtailwick/internal/revise"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -55,44 +56,42 @@
 func (kep *Keeper) Update(
 	ctx context.Context, start Record, fence wick.Fence, decide func(rec Record) (Record, bool),
 ) (Record, error) {
+	var out Record
 	var mine wick.WriteID
-	var lastErr error
-	for range maxAttempts {
-		rec, rev, err := kep.Load(ctx, start.Move)
-		if err != nil {
-			return rec, err
-		}
-		if rev == 0 {
-			rec = start
-		}
-		if mine != "" && rec.WriteID == mine {
-			return rec, nil
+	err := revise.Object(ctx, kep.Store, objectKey(start.Move), maxAttempts, func(obj wick.Object) ([]byte, error) {
+		rec, err := decode(obj, start)
+		out = rec
+		if err != nil || mine != "" && rec.WriteID == mine {
+			return nil, err
 		}
 		if fence != 0 && fence < rec.Fence {
-			return rec, eris.Wrapf(wick.ErrStaleFence, "move: %s is held with %d, not %d", start.Move, rec.Fence, fence)
+			return nil, eris.Wrapf(wick.ErrStaleFence, "move: %s is held with %d, not %d", start.Move, rec.Fence, fence)
 		}
 		next, changed := decide(rec)
 		if !changed {
-			return rec, nil
+			return nil, nil
 		}
 		if !kep.Checker.Check(allowed(rec, next), invar.StopIsFinal, "%s from %s to %s", start.Move, rec.State, next.State) {
-			return rec, eris.Wrapf(wick.ErrInvalid, "move: %s is %s", start.Move, rec.State)
+			return nil, eris.Wrapf(wick.ErrInvalid, "move: %s is %s", start.Move, rec.State)
 		}
 		mine = wick.NewWriteID()
 		next.WriteID, next.Holder, next.Fence = mine, kep.Self, max(rec.Fence, fence)
+		out = next
 		data, err := json.Marshal(&next)
-		if err != nil {
-			return rec, eris.Wrap(err, "move: encode")
-		}
-		if _, err = kep.Store.Put(ctx, objectKey(start.Move), data, rev); err == nil {
-			return next, nil
-		}
-		lastErr = err
-		if !errors.Is(err, wick.ErrConflict) && !errors.Is(err, wick.ErrUnavailable) {
-			break
-		}
+		return data, eris.Wrap(err, "move: encode")
+	})
+	if err != nil {
+		return Record{}, eris.Wrap(err, "move")
+	}
+	return out, nil
+}
+
+// decode returns the record that an object holds, or start if there is none.
+func decode(obj wick.Object, start Record) (Record, error) {
+	if obj.Revision == 0 {
+		return start, nil
 	}
-	return Record{}, eris.Wrapf(lastErr, "move: write %s", start.Move)
+	return Parse(obj)
 }
 
 // allowed reports whether a record may follow another.
