stream, front: a caller gets the id of its request once a replica knows it

With each request's state logged at the kill (trial): accepted 1 ms before, id sent, no replica chosen yet.

Change: Request.AwaitReplica waits until the first copy was taken, at most 100 ms, before the headers of a streamed call go out. The request runs meanwhile. A caller whose entry is killed before has no id and sends its call anew.

TestAwaitReplica fails without the wait (no other entry knows the request).

--- a/internal/front/model.go
+++ b/internal/front/model.go
@@ -93,7 +93,9 @@
 	rct.Response.Header.Set("X-Request-Id", string(req.Head.ID))
 	rdr := req.Attach(stream.Cursor{})
 	if bod.Stream {
-		// The headers go out at once: the caller needs the id to resume.
+		// The headers go out before the answer: the caller needs the id to
+		// resume, and a replica must know it by then.
+		req.AwaitReplica(ctx)
 		srv.writeEvents(ctx, rct, rdr, nil)
 		return
 	}
--- a/internal/stream/copy.go
+++ b/internal/stream/copy.go
@@ -109,6 +109,9 @@
 	for req := range reqs {
 		req.mu.Lock()
 		mem, ok := req.target(mems)
+		if !ok {
+			req.secure()
+		}
 		skip := req.removed || !req.holding || req.state == StateHandedOver
 		req.mu.Unlock()
 		switch {
@@ -243,6 +246,9 @@
 		return false
 	}
 	req.rep.head = !res.NeedHead
+	if req.rep.head {
+		req.secure()
+	}
 	if res.Have <= len(req.texts) {
 		req.rep.acked = res.Have
 	}
--- a/internal/stream/request.go
+++ b/internal/stream/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/wagtailwick/wagtailwick/internal/invar"
@@ -96,6 +97,10 @@
 	// successor runs the request after a handover.
 	successor wick.EntryID
 	rep       replica
+	// secured is closed once a replica knows of the request, or when there is
+	// no entry that could keep one. It is closed once.
+	secured   chan struct{}
+	isSecured bool
 	// readers counts attached readers, idle is when the last one left.
 	readers int
 	idle    time.Time
@@ -125,7 +130,33 @@
 func newRequest(tab *Table, hea Head) *Request {
 	return &Request{
 		tab: tab, Head: hea, state: StateQueued, bytes: hea.inputBytes() + requestBytes,
-		idle: tab.now(), heard: tab.now(), grace: idleGrace,
+		idle: tab.now(), heard: tab.now(), grace: idleGrace, secured: make(chan struct{}),
+	}
+}
+
+// replicaWait bounds the wait for a replica: a caller gets the id of its request
+// after it also if the first copy is lost.
+const replicaWait = 100 * time.Millisecond
+
+// AwaitReplica waits until a replica knows of the request, so that a caller that
+// has its id finds it again although this entry is killed. The wait is bounded;
+// the request runs meanwhile.
+func (req *Request) AwaitReplica(ctx context.Context) {
+	tim := time.NewTimer(replicaWait)
+	defer tim.Stop()
+	select {
+	case <-req.secured:
+	case <-tim.C:
+		metrics.GetOrRegisterCounter("stream.unsecured", nil).Inc(1)
+	case <-ctx.Done():
+	}
+}
+
+// secure ends the waits for a replica. The caller holds req.mu.
+func (req *Request) secure() {
+	if !req.isSecured {
+		req.isSecured = true
+		close(req.secured)
 	}
 }
 
--- /dev/null
+++ b/internal/stream/secure_test.go
@@ -0,0 +1,68 @@
+package stream
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+func (wld *world) end() {
+	for _, ent := range wld.entries {
+		ent.kill()
+		ent.tab.Close()
+	}
+	time.Sleep(time.Minute)
+}
+
+// holders counts the entries but the first that know a request.
+func (wld *world) holders(rid wick.RequestID) int {
+	num := 0
+	for _, ent := range wld.entries[1:] {
+		if ent.tab.find(rid) != nil {
+			num++
+		}
+	}
+	return num
+}
+
+// TestAwaitReplica guards against a caller that has the id of a request which
+// no other entry knows. Found by the replay of lachance.jsonl: an entry was killed
+// 1 ms after it had sent the id, and the request was lost.
+func TestAwaitReplica(t *testing.T) {
+	accept := func(t *testing.T, wld *world) (*Request, time.Duration) {
+		t.Helper()
+		req, err := wld.entries[0].tab.Accept(t.Context(), Head{Customer: "cus", Prompt: wick.Prompt{Text: "kept"}, MaxTokens: 50})
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		req.AwaitReplica(t.Context())
+		return req, time.Since(began)
+	}
+	t.Run("known elsewhere", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			wld := newWorld(1, faults{}, disabled{})
+			req, _ := accept(t, wld)
+			if num := wld.holders(req.Head.ID); num != 1 {
+				t.Errorf("%d other entries know the request, want 1", num)
+			}
+			wld.entries[0].kill()
+			time.Sleep(time.Second)
+			if num := wld.holders(req.Head.ID); num != 1 {
+				t.Errorf("%d entries know the request of a killed entry, want 1", num)
+			}
+			wld.end()
+		})
+	})
+	t.Run("no replica", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			wld := newWorld(1, faults{}, disabled{replica: true})
+			if _, waited := accept(t, wld); waited != replicaWait {
+				t.Errorf("waited %v for a replica that never comes, want %v", waited, replicaWait)
+			}
+			wld.end()
+		})
+	})
+}
