--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -23,6 +23,9 @@
 	// removed. Windows that it counted are reported by then.
 	staleRecord = 40 * time.Second
 	sweepEvery  = 10 * time.Second
+	// countMemory is how long the counts of an entry whose record no longer
+	// changes are waited for: it may be cut off from the store and still serve.
+	countMemory = 20 * time.Second
 )
 
 // restore takes over what an earlier process of this entry has counted, before
@@ -58,6 +61,8 @@
 func (edg *Edge) publish(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	// Counts are read after it, so that those of the windows through it are in.
+	through := usage.Through(time.Now(), edg.cfg.Bounds.UsageWindow)
 	peerAddr := ""
 	if edg.peers.Load() != nil {
 		peerAddr = edg.cfg.Peer
@@ -65,7 +70,7 @@
 	return edg.roster.Publish(ctx, roster.Record{ //nolint:wrapcheck // our own package
 		ID: edg.cfg.ID, Incarnation: edg.cfg.Incarnation, Zone: edg.cfg.Zone, Peer: peerAddr,
 		Beat: edg.beat.Add(1), Leaving: edg.ready.draining.Load(),
-		Demand: edg.quotas.book.Demand(time.Now()), Began: edg.tally.Counts(),
+		Demand: edg.quotas.book.Demand(time.Now()), Began: edg.tally.Counts(), Through: through,
 		Work: edg.pool.Work(time.Now()), Requests: edg.pool.Requests(time.Now()), Found: edg.found.get(), Evidence: edg.rollouts.evidence(),
 	})
 }
@@ -84,7 +89,7 @@
 func (edg *Edge) usageLoop(ctx context.Context) {
 	rpt := &usage.Reporter{
 		Store: edg.cfg.Store, Duties: edg.cfg.Duties, Window: edg.cfg.Bounds.UsageWindow,
-		Late: edg.cfg.Bounds.UsageLate, Sum: edg.began, ReadAt: edg.members.Answered,
+		Late: edg.cfg.Bounds.UsageLate, Sum: edg.began, ReadAt: edg.members.Answered, Complete: edg.allCounted,
 	}
 	for retry.Sleep(ctx, usageEvery) {
 		fence, ok := edg.control(time.Now())
@@ -98,6 +103,17 @@
 	}
 }
 
+// allCounted reports whether all other entries whose records are not older than
+// countMemory have published their final counts of a window.
+func (edg *Edge) allCounted(num uint64) bool {
+	for _, rec := range edg.roster.Alive(time.Now(), countMemory, false) {
+		if rec.ID != edg.cfg.ID && rec.Through < num {
+			return false
+		}
+	}
+	return true
+}
+
 // sweepLoop removes the records of entries that have ended, while this entry
 // holds the control duty.
 func (edg *Edge) sweepLoop(ctx context.Context) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,6 +33,8 @@
 	Demand map[wick.Customer]float64 `json:"demand,omitempty"`
 	// Began counts the requests that began to run, by window and customer.
 	Began map[uint64]map[wick.Customer]int `json:"began,omitempty"`
+	// Through is the last window whose counts in Began are final, 0 if unknown.
+	Through uint64 `json:"through,omitempty"`
 	// Found is, on the holder of the control duty, the number of endpoints of
 	// each service that the first holder found.
 	Found map[wick.Service]int `json:"found,omitempty"`
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -20,6 +20,9 @@
 	settleTime = 3 * time.Second
 	// publishTime passes between the end of a window and the last record of it.
 	publishTime = 2200 * time.Millisecond
+	// reportLead is how long before the end of its time a window is reported
+	// although the counts of some entries are missing.
+	reportLead = 3 * time.Second
 	// callTimeout bounds a call; a holder makes none that could end after its
 	// lease.
 	callTimeout = time.Second
@@ -50,6 +53,10 @@
 	// ReadAt returns when the entries' counts were last read, the zero time if
 	// never. Windows that ended later are not reported. It may be nil.
 	ReadAt func() time.Time
+	// Complete reports whether all entries have published their final counts of
+	// a window. A window that is not complete waits for the entries that can't
+	// reach the store for a while. It may be nil.
+	Complete func(num uint64) bool
 
 	fence wick.Fence
 	// known is set once the object was read under this fence.
@@ -99,7 +106,15 @@
 	if rpt.rev != 0 {
 		first = max(first, rpt.cur.Report.Window+1)
 	}
-	return first, first <= last
+	return first, first <= last && !rpt.waits(first, now)
+}
+
+// waits reports whether a window is held back for counts that are missing.
+func (rpt *Reporter) waits(num uint64, now time.Time) bool {
+	if rpt.Complete == nil || rpt.Complete(num) {
+		return false
+	}
+	return now.Before(EndOf(num, rpt.Window).Add(rpt.Late - reportLead))
 }
 
 func (rpt *Reporter) load(ctx context.Context) error {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -32,6 +32,18 @@
 	return time.UnixMilli(int64(num+1) * window.Milliseconds()) //nolint:gosec // far below the limit
 }
 
+// countDelay is how long after a request began it may be counted: one that is
+// answered as a whole is counted when its answer has come.
+const countDelay = 1600 * time.Millisecond
+
+// Through returns the last window whose counts are final, 0 without windows.
+func Through(now time.Time, window time.Duration) uint64 {
+	if window <= 0 {
+		return 0
+	}
+	return WindowOf(now.Add(-countDelay), window) - 1
+}
+
 // Began counts a request that began to run.
 func (tal *Tally) Began(cus wick.Customer, at time.Time) {
 	num := WindowOf(at, tal.Window)
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -92,6 +92,26 @@
 			t.Errorf("%d reports, want 2 once the counts of window 999 were read", num)
 		}
 	})
+	t.Run("counts of an entry missing", func(t *testing.T) {
+		snk, count := &sink{}, 0
+		rpt := newReporter(&fake.Store{}, snk, &count)
+		complete := false
+		rpt.Complete = func(uint64) bool { return complete }
+		end := EndOf(1000, window).Sub(base)
+		steps(rpt, 1, 0, end+rpt.Late-reportLead, &count)
+		// Found on acep-casca, scale-2: windows were reported without the
+		// counts of entries that reached the store again 2 s later.
+		if last := snk.reports[len(snk.reports)-1].Window; last != 999 {
+			t.Errorf("window %d was reported before its counts were complete or its time was up", last)
+		}
+		steps(rpt, 1, end+rpt.Late-reportLead, end+rpt.Late-reportLead+time.Second, &count)
+		if last := snk.reports[len(snk.reports)-1].Window; last != 1000 {
+			t.Errorf("last report is of window %d, want 1000 before its time is up", last)
+		}
+		complete = true
+		steps(rpt, 1, end+rpt.Late, end+rpt.Late+time.Second, &count)
+		assertOnce(t, snk)
+	})
 	t.Run("answer lost", func(t *testing.T) {
 		snk, count := &sink{lose: true}, 0
 		steps(newReporter(&fake.Store{}, snk, &count), 1, 0, 20*time.Second, &count)
@@ -113,6 +133,20 @@
 	})
 }
 
+// TestThrough guards against counts that are taken for final while a request of
+// their window may still be counted.
+func TestThrough(t *testing.T) {
+	end := EndOf(7, window)
+	for _, tst := range []struct {
+		after time.Duration
+		want  uint64
+	}{{0, 6}, {countDelay - time.Millisecond, 6}, {countDelay, 7}, {window, 7}} {
+		if got := Through(end.Add(tst.after), window); got != tst.want {
+			t.Errorf("%v after window 7 the counts are final through %d, want %d", tst.after, got, tst.want)
+		}
+	}
+}
+
 // TestTally guards against counts in the wrong window and counts without end.
 func TestTally(t *testing.T) {
 	tal := &Tally{Window: window}
