relay: the watchdog's timer is set before its check can read it

Found while reading the diff: the check of a watchdog read its timer without an order to its assignment.

--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -24,9 +24,12 @@
 	probeAgain = 120 * time.Millisecond
 )
 
-// errSilent ends a send whose endpoint is silent and has lost the run or can't
-// be reached.
-var errSilent = errors.New("the endpoint is silent and does not work on the request")
+var (
+	// errSilent ends a send whose endpoint is silent and has lost the run or
+	// can't be reached.
+	errSilent = errors.New("the endpoint is silent and does not work on the request")
+	errNoRun  = errors.New("the endpoint does not know the run")
+)
 
 // A watchdog ends a send whose endpoint has gone silent without closing its
 // connection, so that the request can go on elsewhere while its caller still
@@ -36,7 +39,8 @@
 	bke    wick.Backend
 	rid    wick.RequestID
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	// timer runs the next check.
+	timer atomic.Pointer[time.Timer]
 	// heard is when the endpoint last sent anything, in nanoseconds since 1970.
 	heard atomic.Int64
 	// begun is set once the endpoint has sent part of the answer. Before that
@@ -53,10 +57,15 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	wdg := &watchdog{prober: jb.srv.cfg.Prober, bke: tgt.Backend, rid: jb.ask.ID, cancel: cancel}
 	wdg.heard.Store(time.Now().UnixNano())
-	wdg.timer = time.AfterFunc(silentAfter, func() { wdg.check(ctx) })
+	wdg.arm(ctx, silentAfter)
 	return ctx, wdg
 }
 
+// arm lets the next check run after a time.
+func (wdg *watchdog) arm(ctx context.Context, after time.Duration) {
+	wdg.timer.Store(time.AfterFunc(after, func() { wdg.check(ctx) }))
+}
+
 // hear notes that the endpoint has sent a part of the answer.
 func (wdg *watchdog) hear() {
 	if wdg != nil {
@@ -68,17 +77,20 @@
 // stop ends the watch.
 func (wdg *watchdog) stop() {
 	if wdg != nil {
-		wdg.timer.Stop()
 		wdg.cancel(nil)
+		wdg.timer.Load().Stop()
 	}
 }
 
 // check asks the endpoint after a silence, and ends the send if two answers in a
 // row say that nothing will come.
 func (wdg *watchdog) check(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
 	heard := wdg.heard.Load()
 	if quiet := time.Since(time.Unix(0, heard)); quiet < silentAfter {
-		wdg.timer.Reset(silentAfter - quiet)
+		wdg.arm(ctx, silentAfter-quiet)
 		return
 	}
 	cause := wdg.probe(ctx)
@@ -88,7 +100,7 @@
 	switch {
 	case ctx.Err() != nil:
 	case cause == nil || wdg.heard.Load() != heard:
-		wdg.timer.Reset(silentAfter)
+		wdg.arm(ctx, silentAfter)
 	default:
 		metrics.GetOrRegisterCounter("relay.silentEndpoints", nil).Inc(1)
 		wdg.cancel(eris.Wrapf(errSilent, "silent for %v: %v", time.Since(time.Unix(0, heard)), cause))
@@ -113,5 +125,3 @@
 	}
 	return err //nolint:wrapcheck // logged here
 }
-
-var errNoRun = errors.New("the endpoint does not know the run")
