--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -193,6 +193,7 @@
 		defer cancel()
 		go fol.Run(ctx)
 		time.Sleep(250 * time.Millisecond)
+		synctest.Wait()
 		assertText(t, "reads that must be new", strings.Join(fresh.calls, ","), "")
 		assertText(t, "reads that may lag", strings.Join(lagging.calls, ","), "list,watch,watch")
 		mayLag.Store(false)
