--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -62,8 +62,8 @@
 	endpointIdle = 4 * time.Second
 )
 
-// leaseTiming lets another entry take the control duty within about 5 s.
-var leaseTiming = lease.Timing{Renew: time.Second, Expiry: 3 * time.Second}
+// leaseTiming lets another entry take the control duty within about 6 s.
+var leaseTiming = lease.Timing{Renew: 1500 * time.Millisecond, Expiry: 4500 * time.Millisecond}
 
 // Kinds name the kinds of objects that operators and endpoints write.
 type Kinds struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -54,6 +54,10 @@
 	ConnTimeout time.Duration
 	// IdleTimeout is how long a pooled connection stays unused; 4 s if zero.
 	IdleTimeout time.Duration
+	// Reset drops a connection with all that was not delivered yet when a call
+	// on it is given up. A call that a network partition holds up is not
+	// delivered after it then.
+	Reset bool
 	// Meter names the counters wire.<Meter>.calls, .sent and .received of the
 	// default registry. Nothing is counted if it is "".
 	Meter string
@@ -120,6 +124,12 @@
 				if err != nil {
 					return nil, err
 				}
+				if tcp, ok := con.(*net.TCPConn); ok && cli.Reset {
+					if err := tcp.SetLinger(0); err != nil {
+						_ = con.Close()
+						return nil, err
+					}
+				}
 				return &conn{Conn: con, cnt: cli.cnt}, nil
 			},
 			MaxConnsPerHost:        maxConns,
