perf, pool, scale: learn the engines' performance and size the fleet from the latency objective

Cause: pool and scale assumed the engine of the first two sites (36 prompt tokens per ms, .16 ms per generated token) and one target utilization of .28. The first seconds, in which no prompt is cached, were taken for a lasting load. After all entries had restarted, the next holder of the duty took the enlarged fleet for the initial one and kept a floor of 17.

Ruled out: the prior rate alone (work of the first seconds still orders 24); a learned slope of step time over running requests (prompts of others lengthen steps where many run, so it counts prefill twice).

Change: internal/perf learns the prefill rate (Theil-Sen over the latest 96 answers) and the step time; entries publish their estimates and use the median. Work is summed in tokens and converted with the present estimate. The target utilization follows from the shortest latency objective and the mean work of a request; occupied slots are a second bound. For 10 s from the first load no more is ordered than for a cold start. Every entry keeps and publishes the initial counts.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -257,6 +257,29 @@
 	})
 }
 
+// TestInitialCounts guards against a new holder of the control duty that takes the
+// fleet it finds for the initial one, after the first holder has restarted
+// (tsagaan-dulaan, scale-1: 24 endpoints in place of 9, and with them a floor of
+// 17, for the rest of the day).
+func TestInitialCounts(t *testing.T) {
+	const initial = 9
+	sit := newSite(t, 2, wick.Quota{})
+	sit.edges[0].initialCounts.set("s", initial)
+	assertKnown := func(num int) {
+		t.Helper()
+		sit.await(fmt.Sprintf("process %d knows the initial count", num), func() bool {
+			return sit.edges[num].initialCounts.copy()["s"] == initial
+		})
+	}
+	assertKnown(1)
+	for num := range 2 {
+		sit.stops[num]()
+		<-sit.exited[num]
+	}
+	sit.start(0, 2)
+	assertKnown(2)
+}
+
 // TestRetryCapacity guards against a retry budget that grows with the number of
 // entries: each used the part for the number of entries that is assumed before
 // any record is read (acep-casca-grown, deploy/days/grey.toml, seed
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -38,6 +38,7 @@
 		cancel()
 		if err == nil {
 			edg.tally.Restore(rec.Started)
+			edg.initialCounts.restore(rec.InitialEndpoints)
 			log.WithFields(logrus.Fields{"incarnation": rec.Incarnation, "windows": len(rec.Started)}).Info("edge: usage counts restored")
 			return
 		}
@@ -74,15 +75,18 @@
 		ID: edg.cfg.ID, Incarnation: edg.cfg.Incarnation, Zone: edg.cfg.Zone, Peer: peerAddr,
 		Beat: edg.heartbeat.Add(1), Leaving: edg.ready.draining.Load(),
 		Demand: edg.quotas.book.Demand(time.Now()), Started: edg.tally.Counts(), CompleteThrough: through,
-		Work: edg.pool.WorkRate(time.Now()), Requests: edg.pool.RequestRate(time.Now()), InitialEndpoints: edg.initialCounts.copy(), Evidence: edg.rollouts.evidence(),
+		Work: edg.pool.WorkRate(time.Now()), Requests: edg.pool.RequestRate(time.Now()), InitialEndpoints: edg.initialCounts.copy(),
+		Engines: edg.pool.Engines(time.Now()), Occupied: edg.pool.Occupied(time.Now()), Evidence: edg.rollouts.evidence(),
 	})
 }
 
-// allocationLoop periodically recomputes this entry's parts of the quotas and of
-// the retry budget.
+// allocationLoop periodically recomputes what this entry derives from all entries'
+// records: its parts of the quotas and of the retry budget, and the performance of
+// the endpoints.
 func (edg *Edge) allocationLoop(ctx context.Context) {
 	for {
 		edg.quotas.allocate(time.Now())
+		edg.adoptRecords(time.Now())
 		if !retry.Sleep(ctx, allocationInterval) {
 			return
 		}
--- a/internal/edge/scale.go
+++ b/internal/edge/scale.go
@@ -22,7 +22,8 @@
 )
 
 // initialCounts holds the number of endpoints of each service that the first
-// holder of the control duty observed.
+// holder of the control duty observed. Every entry keeps and publishes them, so
+// that they outlast the holder.
 type initialCounts struct {
 	mu  sync.Mutex
 	num map[wick.Service]int
@@ -35,6 +36,20 @@
 	return maps.Clone(inc.num)
 }
 
+// restore adds counts that were published earlier. Counts that are set already stay.
+func (inc *initialCounts) restore(num map[wick.Service]int) {
+	inc.mu.Lock()
+	defer inc.mu.Unlock()
+	for svc, val := range num {
+		if inc.num == nil {
+			inc.num = make(map[wick.Service]int)
+		}
+		if _, ok := inc.num[svc]; !ok {
+			inc.num[svc] = val
+		}
+	}
+}
+
 func (inc *initialCounts) set(svc wick.Service, num int) {
 	inc.mu.Lock()
 	defer inc.mu.Unlock()
@@ -103,6 +118,7 @@
 	ent := log.WithFields(logrus.Fields{
 		"service": ord.Service, "zone": ord.Zone, "count": ord.Count, "reclaimable": ord.Reclaimable, "fence": fence,
 		"live": sta.Live[ord.Zone], "need": plr.Desired(), "found": sta.InitialCount, "work": sta.Load,
+		"meanWork": sta.MeanWork.String(), "target": sta.Target.String(), "occupied": sta.Occupied,
 	})
 	switch {
 	case err == nil:
@@ -129,9 +145,13 @@
 			work, known = work+val, true
 		}
 	}
-	if known {
+	// Until the engines' performance has been observed, the work of their requests
+	// is not known well enough to order endpoints for it.
+	if known && (!svc.Model || sca.edg.pool.Engine(svc.Name).Known()) {
 		sta.Load = work
 	}
+	sca.observeLatency(svc.Name, &sta)
+	sta.InitialCount = sca.edg.initialCounts.copy()[svc.Name]
 	for _, rec := range sca.edg.roster.All() {
 		sta.InitialCount = max(sta.InitialCount, rec.InitialEndpoints[svc.Name])
 	}
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// prefillTokensPerMilli is the assumed prefill rate of an endpoint, in
-	// prompt tokens per millisecond.
-	prefillTokensPerMilli = 36.0
 	// firstCachedShare is the share of a prompt's shared parts that the first
 	// endpoint in their rendezvous order is assumed to have cached, although
 	// this entry has not sent them there: other entries use the same order.
@@ -24,11 +21,6 @@
 	secondCachedShare = 0.25
 	// crossZoneMillis is the cost of an endpoint in another zone.
 	crossZoneMillis = 40.0
-	// runningMillis is the cost of each request that an endpoint runs: each
-	// slows down the tokens of all others in the batch.
-	runningMillis = 4.0
-	// waitingMillis is the cost of each request that is queued at an endpoint.
-	waitingMillis = 60.0
 	// fullSlotsMillis is the cost of an endpoint of a plain service whose slots
 	// are all in use.
 	fullSlotsMillis = 100.0
@@ -52,6 +44,9 @@
 	InputTokens wick.Tokens
 	// OutputTokens bounds the generated tokens.
 	OutputTokens wick.Tokens
+	// Resumed is set for a request that continues an earlier answer, whose times
+	// say nothing about the length of its prompt.
+	Resumed bool
 	// OnlyVersion is the only allowed version and ExceptVersion a disallowed one, unless
 	// they are "".
 	OnlyVersion, ExceptVersion wick.ModelVersion
@@ -85,6 +80,7 @@
 	grp     *group
 	end     *endpoint
 	prefill wick.Tokens
+	run     run
 	once    sync.Once
 }
 
@@ -107,9 +103,12 @@
 	grp.requestRate.add(1, que.Now)
 	if que.Model {
 		asg.prefill = grp.uncached(end, que, grp.preferredFor(que))
+		asg.run = run{model: !que.Resumed, prefill: asg.prefill, output: que.OutputTokens, pickedAt: que.Now, queued: end.queued(que.Now)}
 		end.pendingPrefill += asg.prefill
 		end.recordPrompt(que.Parts, que.Now)
-		grp.workRate.add(estimateWork(asg.prefill, que.OutputTokens).Seconds(), que.Now)
+		grp.modelRate.add(1, que.Now)
+		grp.prefillRate.add(float64(asg.prefill), que.Now)
+		grp.outputRate.add(float64(que.OutputTokens), que.Now)
 	}
 	return asg, nil
 }
@@ -150,14 +149,14 @@
 	if !que.Model {
 		return cost + fullSlotsMillis*float64(end.inFlight)/float64(max(end.bke.Slots, 1))
 	}
-	running, wait := end.inFlight, float64(end.pendingPrefill)/prefillTokensPerMilli
+	running, wait := end.inFlight, grp.engine.PrefillMillis(end.pendingPrefill)
 	if que.Now.Sub(end.report.At) < maxReportAge {
 		load := &end.report.Load
 		running = max(running, load.Running)
-		wait = max(wait, waitingMillis*float64(load.Waiting)+float64(load.NextTokens)/prefillTokensPerMilli)
+		wait = max(wait, grp.engine.WaitingMillis(load.Waiting)+grp.engine.PrefillMillis(load.NextTokens))
 	}
-	cost += runningMillis*float64(running) + wait
-	return cost + uncachedWeight*float64(grp.uncached(end, que, preferred))/prefillTokensPerMilli
+	cost += grp.engine.RunningMillis(running) + wait
+	return cost + uncachedWeight*grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
 }
 
 // uncached estimates the prompt tokens that an endpoint would have to prefill.
@@ -244,9 +243,16 @@
 }
 
 // AnswerStarted records that the request's answer has begun, which ends its prefill.
-func (asg *Assignment) AnswerStarted() {
+func (asg *Assignment) AnswerStarted(now time.Time) {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
+	asg.endPrefill()
+	asg.grp.learnStart(&asg.run, now)
+}
+
+// endPrefill ends the request's part of the endpoint's pending prefill. The
+// group's lock must be held.
+func (asg *Assignment) endPrefill() {
 	asg.end.pendingPrefill -= asg.prefill
 	asg.prefill = 0
 }
@@ -255,10 +261,17 @@
 // no effect.
 func (asg *Assignment) Done(res Result, now time.Time) {
 	asg.once.Do(func() {
-		asg.AnswerStarted()
 		asg.grp.mu.Lock()
 		defer asg.grp.mu.Unlock()
+		asg.endPrefill()
+		if res == ResultAnswered {
+			asg.grp.learnTokens(&asg.run, now)
+		}
 		asg.end.inFlight--
+		if !asg.run.pickedAt.IsZero() {
+			held := now.Sub(asg.run.pickedAt).Seconds()
+			asg.grp.occupiedRate.add(held/float64(max(asg.end.bke.Slots, 1)), now)
+		}
 		asg.end.recordResult(res, now)
 	})
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/wagtailwick/wagtailwick/internal/perf"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -37,9 +38,17 @@
 	eps map[wick.VMID]*endpoint
 	// weights caches the rendezvous weights of endpoints by prompt part.
 	weights map[weightKey]uint64
-	// workRate measures the estimated endpoint time of this entry's requests,
-	// requestRate their number.
-	workRate, requestRate meter
+	// requestRate measures the number of this entry's requests, modelRate that of
+	// its model requests, prefillRate their prompt tokens to process and
+	// outputRate their tokens to generate.
+	requestRate, modelRate, prefillRate, outputRate meter
+	// occupiedRate measures the share of their slots that this entry's finished
+	// requests occupied, in endpoints.
+	occupiedRate meter
+	// engine is the performance of the endpoints that all estimates use, learner
+	// this entry's own observation of it.
+	engine  perf.Engine
+	learner perf.Learner
 }
 
 // Set adds or updates an endpoint.
@@ -241,22 +250,31 @@
 // WorkRate returns the estimated endpoint time that this entry's requests use at each
 // service, in seconds per second.
 func (pl *Pool) WorkRate(now time.Time) map[wick.Service]float64 {
-	return pl.rates(now, func(grp *group) *meter { return &grp.workRate })
+	return pl.rates(func(grp *group) float64 {
+		return grp.engine.Work(grp.modelRate.rate(now), grp.prefillRate.rate(now), grp.outputRate.rate(now))
+	})
 }
 
 // RequestRate returns this entry's requests per second to each service.
 func (pl *Pool) RequestRate(now time.Time) map[wick.Service]float64 {
-	return pl.rates(now, func(grp *group) *meter { return &grp.requestRate })
+	return pl.rates(func(grp *group) float64 { return grp.requestRate.rate(now) })
 }
 
-func (pl *Pool) rates(now time.Time, meterOf func(grp *group) *meter) map[wick.Service]float64 {
+// Occupied returns the share of their slots that this entry's requests occupy,
+// summed over the endpoints of each service.
+func (pl *Pool) Occupied(now time.Time) map[wick.Service]float64 {
+	return pl.rates(func(grp *group) float64 { return grp.occupiedRate.rate(now) })
+}
+
+// rates returns a rate of each service that is not 0.
+func (pl *Pool) rates(rateOf func(grp *group) float64) map[wick.Service]float64 {
 	pl.mu.RLock()
 	defer pl.mu.RUnlock()
 	out := make(map[wick.Service]float64, len(pl.groups))
 	for svc, grp := range pl.groups {
 		grp.mu.Lock()
-		if mtr := meterOf(grp); mtr.sum > 0 {
-			out[svc] = mtr.rate(now)
+		if rate := rateOf(grp); rate > 0 {
+			out[svc] = rate
 		}
 		grp.mu.Unlock()
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -166,7 +166,7 @@
 		for range 5 {
 			asg := pick(t, pl, que)
 			counts[asg.Backend.ID]++
-			asg.AnswerStarted()
+			asg.AnswerStarted(start)
 			asg.Done(ResultAnswered, start)
 		}
 	}
@@ -240,7 +240,7 @@
 		t.Run(tst.name, func(t *testing.T) {
 			pl := newPool("a", "a", "a")
 			first := pick(t, pl, que)
-			first.AnswerStarted()
+			first.AnswerStarted(start)
 			first.Done(ResultAnswered, start)
 			pl.Report(first.Backend.ID, Report{At: start.Add(-tst.age), Load: wick.BackendLoad{Running: 10, Waiting: tst.waiting}})
 			if got := pick(t, pl, que).Backend.ID == first.Backend.ID; got != tst.wantSame {
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -7,20 +7,8 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-const (
-	// decodeMillis is the time that one generated token adds to its batch.
-	decodeMillis = 0.16
-	// overheadMillis is the fixed time of a request in addition to its tokens.
-	overheadMillis = 8.0
-	// rateTimeConstant is the time constant of the decay of a meter.
-	rateTimeConstant = 5 * time.Second
-)
-
-// estimateWork estimates the time that an endpoint spends on a request.
-func estimateWork(prefill, output wick.Tokens) time.Duration {
-	millis := overheadMillis + float64(prefill)/prefillTokensPerMilli + decodeMillis*float64(output)
-	return time.Duration(millis * float64(time.Millisecond))
-}
+// rateTimeConstant is the time constant of the decay of a meter.
+const rateTimeConstant = 5 * time.Second
 
 // A meter measures a rate by an exponentially decaying sum.
 type meter struct {
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -25,7 +25,7 @@
 func (req *request) serveBuffered(ctx context.Context) {
 	var lastReply *bufferedReply
 	for {
-		tgt, err := req.pick()
+		tgt, err := req.pick(false)
 		if err != nil {
 			req.concludeNoEndpoint(lastReply, err)
 			return
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -45,13 +45,14 @@
 	choice Choice
 }
 
-// pick picks an endpoint for the next attempt.
-func (req *request) pick() (*target, error) {
+// pick picks an endpoint for the next attempt, which continues an earlier answer
+// if resumed is set.
+func (req *request) pick(resumed bool) (*target, error) {
 	now := time.Now()
 	choice := req.srv.cfg.Versions.Choose(req.service, req.match.Route.Name, now)
 	que := pool.Query{
 		Service: req.service, Model: len(req.params.Parts) > 0, Parts: req.params.Parts, InputTokens: req.params.InputTokens,
-		OutputTokens: req.params.OutputTokens, OnlyVersion: choice.Only, ExceptVersion: choice.Except, Exclude: req.tried, Now: now,
+		OutputTokens: req.params.OutputTokens, OnlyVersion: choice.Only, ExceptVersion: choice.Except, Exclude: req.tried, Resumed: resumed, Now: now,
 	}
 	asg, err := req.srv.cfg.Pool.Pick(que)
 	if err != nil && choice.Fallback {
@@ -72,7 +73,7 @@
 // to.
 func (req *request) pickHandoffTarget(old *target) (*target, error) {
 	asg, err := req.srv.cfg.Pool.Pick(pool.Query{
-		Service: req.service, Model: true, Parts: req.params.Parts, InputTokens: 0, OutputTokens: req.params.OutputTokens,
+		Service: req.service, Model: true, Parts: req.params.Parts, InputTokens: 0, OutputTokens: req.params.OutputTokens, Resumed: true,
 		OnlyVersion: old.Backend.Version, Exclude: req.tried, Now: time.Now(),
 	})
 	if err != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -43,7 +43,7 @@
 func (req *request) serveStream(ctx context.Context) {
 	fwd := &forwarder{req: req, lastEventID: req.params.LastEventID}
 	for {
-		tgt, err := req.pick()
+		tgt, err := req.pick(fwd.lastEventID != "")
 		if err != nil {
 			fwd.concludeNoEndpoint(fwd.lastReply, err)
 			return
@@ -150,7 +150,7 @@
 		if fwd.out == nil {
 			metrics.GetOrRegisterTimer("relay.firstEvent", nil).Update(att.firstEventAt.Sub(fwd.req.arrived))
 		}
-		att.tgt.AnswerStarted()
+		att.tgt.AnswerStarted(att.firstEventAt)
 	}
 	if fwd.out == nil {
 		fwd.firstEventAt = time.Now()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/canary"
+	"github.com/wagtailwick/wagtailwick/internal/perf"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -38,7 +39,7 @@
 	// 0 if unknown.
 	CompleteThrough uint64 `json:"through,omitempty"`
 	// InitialEndpoints is the number of endpoints per service that the first holder of the
-	// control duty found. Only the current holder sets it.
+	// control duty found, as far as this entry knows them.
 	InitialEndpoints map[wick.Service]int `json:"found,omitempty"`
 	// Evidence holds the outcome counters of moves in progress.
 	Evidence []canary.Evidence `json:"evidence,omitempty"`
@@ -48,6 +49,12 @@
 	// Requests is the number of requests per second that this entry sends to
 	// endpoints, per service.
 	Requests map[wick.Service]float64 `json:"requests,omitempty"`
+	// Engines is the performance of each service's endpoints as this entry
+	// observed it.
+	Engines map[wick.Service]perf.Engine `json:"engines,omitempty"`
+	// Occupied is the share of their slots that this entry's requests occupy,
+	// summed over the endpoints of each service.
+	Occupied map[wick.Service]float64 `json:"occupied,omitempty"`
 }
 
 // Member returns the entry as a peer.
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -13,15 +13,12 @@
 )
 
 const (
-	// targetUtilization is the utilization to which endpoints are scaled. Above it, the
-	// queueing delay before prompt processing grows steeply.
-	targetUtilization = 0.28
-	// maxUtilization is the utilization above which on-demand endpoints replace
-	// unavailable reclaimable ones.
-	maxUtilization = 0.55
-	// maxExhaustedUtilization replaces maxUtilization while a zone has no reclaimable
-	// capacity, since other zones may lose theirs next.
-	maxExhaustedUtilization = 0.42
+	// urgentFactor times the target utilization is the utilization above which
+	// on-demand endpoints replace unavailable reclaimable ones. While a zone has no
+	// reclaimable capacity it is exhaustedFactor, since other zones may lose
+	// theirs next.
+	urgentFactor    = 2.0
+	exhaustedFactor = 1.5
 	// onDemandShare is the fraction of the desired endpoints that is on-demand.
 	onDemandShare = 0.22
 	// spareShare is the fraction of additional reclaimable endpoints that is
@@ -39,6 +36,10 @@
 	// until the load is known: prompt caches are cold, so all prompts must be
 	// processed from scratch at the same time.
 	coldStartShare = 1.25
+	// warmupTime is how long after the first load no more endpoints are ordered than
+	// for a cold start: until prompts are cached, the load is higher than it will
+	// be, and an endpoint ordered for it is itself cold when it serves.
+	warmupTime = 10 * time.Second
 	// scaleDownDelay is how long the required count must be lower before a
 	// scale-down begins. It removes at most the fraction scaleDownFraction each
 	// scaleDownInterval, since the prompt cache of every removed endpoint is lost.
@@ -68,6 +69,12 @@
 	// Load is the load in busy endpoints, that is endpoint-seconds per second.
 	// It is negative if unknown.
 	Load float64
+	// MeanWork is the mean endpoint time of a request, Target the shortest latency
+	// objective to its first token. Both are 0 if unknown.
+	MeanWork, Target time.Duration
+	// Occupied is the share of their slots that requests occupy, summed over all
+	// endpoints.
+	Occupied float64
 	// InitialCount is the number of endpoints that the first holder of the duty
 	// observed, 0 if unknown.
 	InitialCount int
@@ -100,6 +107,10 @@
 	// no longer changes.
 	startedAt    time.Time
 	initialFinal bool
+	// coldStart is set if the service was found without an earlier holder of the
+	// duty. loadedAt is when its load was first known.
+	coldStart bool
+	loadedAt  time.Time
 	// desired is the number of endpoints to run, spare ones excluded. lowerSince
 	// is since when the load has required fewer, and scaledDownAt is when desired
 	// was last lowered.
@@ -129,6 +140,7 @@
 	if len(zones) == 0 || !plr.initialFinal && sta.Now.Sub(plr.startedAt) < firstOrderDelay {
 		return nil
 	}
+	sta.Load = plr.sustainedLoad(sta)
 	plr.updateDesired(sta, len(zones))
 	tgt := plr.target(sta, zones)
 	_, spots := sta.total()
@@ -148,7 +160,10 @@
 // until the first order, which adds reclaimable endpoints.
 func (plr *Planner) observe(sta State) {
 	if plr.startedAt.IsZero() {
-		plr.startedAt = sta.Now
+		plr.startedAt, plr.coldStart = sta.Now, sta.InitialCount == 0
+	}
+	if plr.loadedAt.IsZero() && sta.Load >= 0 {
+		plr.loadedAt = sta.Now
 	}
 	if sta.InitialCount > 0 {
 		plr.initial, plr.initialFinal = sta.InitialCount, true
@@ -206,12 +221,21 @@
 	return onDemand, spot
 }
 
+// sustainedLoad returns the load without the part of a cold start that ends once
+// prompts are cached.
+func (plr *Planner) sustainedLoad(sta State) float64 {
+	if !plr.coldStart || sta.Load < 0 || sta.Now.Sub(plr.loadedAt) >= warmupTime {
+		return sta.Load
+	}
+	return min(sta.Load, coldStartShare*float64(plr.initial)*sta.targetUtilization())
+}
+
 // updateDesired follows the load: it scales up at once, and down after a delay.
 func (plr *Planner) updateDesired(sta State, zones int) {
 	floor := int(math.Ceil(floorShare * float64(plr.initial)))
 	lowest := max(sta.Plan.Min*zones, floor, 1)
 	highest := max(sta.Plan.Max, 1) * zones
-	required := int(math.Ceil(sta.Load / targetUtilization))
+	required := int(math.Ceil(max(sta.Load/sta.targetUtilization(), sta.Occupied/slotUtilization)))
 	if sta.Load < 0 {
 		required = max(plr.desired, int(coldStartShare*float64(plr.initial)))
 	}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -269,3 +269,68 @@
 		cld.assertBetween("endpoints after the loss of zone "+string(zone), onDemand+spot, 9, 4*testPlan.Max)
 	}
 }
+
+// TestColdStart guards against endpoints that are ordered for the load of a cold
+// start: prompts that are not cached yet take several times the work, for the few
+// seconds that a new endpoint needs to boot (tsagaan-dulaan, quiet-1: 24 endpoints
+// for the work of 7 in the first seconds and of 2 afterwards).
+func TestColdStart(t *testing.T) {
+	const cold, warm = 6.0, 1.0
+	const transient = 9 * time.Second
+	cld := newCloud(t, 3)
+	cld.run(0, 16*time.Second, -1)
+	_, before := cld.total()
+	cld.run(16*time.Second, transient, cold)
+	_, during := cld.total()
+	cld.assertBetween("reclaimable endpoints during the cold start", during, before, before)
+	cld.run(16*time.Second+transient, 10*time.Second, warm)
+	onDemand, spot := cld.total()
+	cld.assertBetween("endpoints afterwards", onDemand+spot, 9, 19)
+
+	t.Run("sustained", func(t *testing.T) {
+		cld := newCloud(t, 3)
+		cld.run(0, 30*time.Second, cold)
+		onDemand, spot := cld.total()
+		cld.assertBetween("endpoints", onDemand+spot, 15, 24)
+	})
+	t.Run("later holder", func(t *testing.T) {
+		cld := newCloud(t, 3)
+		cld.initial = 12
+		cld.run(0, 9*time.Second, cold)
+		onDemand, spot := cld.total()
+		cld.assertBetween("endpoints", onDemand+spot, 15, 24)
+	})
+}
+
+// TestTargetUtilization guards against a fleet that is sized for one latency
+// objective and one length of requests, whatever those of the service are.
+func TestTargetUtilization(t *testing.T) {
+	for name, tst := range map[string]struct {
+		work, target time.Duration
+		low, high    float64
+	}{
+		"unknown":                   {0, 0, defaultUtilization, defaultUtilization},
+		"short requests":            {40 * time.Millisecond, 400 * time.Millisecond, 0.3, maxUtilization},
+		"long requests":             {250 * time.Millisecond, 1000 * time.Millisecond, 0.2, 0.3},
+		"too long for the target":   {800 * time.Millisecond, 400 * time.Millisecond, minUtilization, minUtilization},
+		"very short for the target": {time.Millisecond, time.Second, maxUtilization, maxUtilization},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sta := State{MeanWork: tst.work, Target: tst.target}
+			if got := sta.targetUtilization(); got < tst.low || got > tst.high {
+				t.Errorf("target utilization %.3f, want %.3f to %.3f", got, tst.low, tst.high)
+			}
+		})
+	}
+}
+
+// TestSlots guards against a fleet whose endpoints run few requests at a time and
+// whose slots are exhausted before their processing time is.
+func TestSlots(t *testing.T) {
+	var plr Planner
+	live := map[wick.Zone]Count{"a": {OnDemand: 3}, "b": {OnDemand: 3}, "c": {OnDemand: 3}, "d": {OnDemand: 3}}
+	plr.Plan("s", State{Plan: testPlan, Live: live, Load: 1, Occupied: 9, InitialCount: 12, Now: start})
+	if plr.Desired() < 18 {
+		t.Errorf("desired %d endpoints for 9 that are fully occupied, want 18", plr.Desired())
+	}
+}
--- a/internal/scale/target.go
+++ b/internal/scale/target.go
@@ -25,7 +25,7 @@
 	// On-demand endpoints are removed only once their replacements are live.
 	onDemandCount := max(base, min(onDemand, plr.desired-spot))
 	if work := sta.Load; work > 0 {
-		onDemandCount = max(onDemandCount, int(math.Ceil(work/plr.maxUtilization(zones)))-spot)
+		onDemandCount = max(onDemandCount, int(math.Ceil(work/(plr.onDemandFactor(zones)*sta.targetUtilization())))-spot)
 	}
 	tgt := target{count: make(map[group]int), spots: spots}
 	zoneMax := func(wick.Zone) int { return sta.Plan.Max }
@@ -54,14 +54,15 @@
 	return !plr.orders[group{zone, true}].refusedAt.IsZero()
 }
 
-// maxUtilization returns the utilization above which on-demand endpoints are ordered.
-func (plr *Planner) maxUtilization(zones []wick.Zone) float64 {
+// onDemandFactor returns the utilization above which on-demand endpoints are
+// ordered, as a multiple of the target utilization.
+func (plr *Planner) onDemandFactor(zones []wick.Zone) float64 {
 	for _, zone := range zones {
 		if plr.exhausted(zone) {
-			return maxExhaustedUtilization
+			return exhaustedFactor
 		}
 	}
-	return maxUtilization
+	return urgentFactor
 }
 
 // distribute spreads a number of endpoints over zones as evenly as the bounds
