relay, wire, pool: replies without an end, stalled streams, late copies, panics, expired permissions

Ruled out by the same tests on the code before: endless status lines, headers, informational replies, chunk sizes, extensions and trailers end early (net/http bounds them), also with a signed head.

Change: a memory budget for partial replies of all requests (48 MiB beyond 64 KiB of each), bounds of 8 MiB a reply and 1 MiB an event; events with an id or data count as progress, bytes and comments don't; a cancelled attempt without progress for twice the latency objective (1 s at least) counts against its endpoint; calls that must not be repeated have a transport without kept connections; replies without an id count only there; handlers recover; the first byte of a call is not written after its context's deadline.

Tests changed: TestNoProbeWhileReceiving sent comments and asked for no probe of them. Comments are what a stalled endpoint sends, so it now sends events and asks for as much; TestCommentsAreNoProgress asks that a slow endpoint which sends only comments is not cut.

--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -132,6 +132,9 @@
 	ResultUnreachable
 	// ResultCancelled is a cancellation by the caller or the entry.
 	ResultCancelled
+	// ResultStalled is a cancellation after the endpoint had made no progress for
+	// long.
+	ResultStalled
 )
 
 // recordResult updates the endpoint's failure rate and backoff after a request.
@@ -140,6 +143,8 @@
 	case ResultAnswered:
 		end.consecutiveLosses = 0
 		end.failureRate *= 1 - ewmaWeight
+	case ResultStalled:
+		end.failureRate += ewmaWeight * (1 - end.failureRate)
 	case ResultFailed:
 		end.consecutiveLosses = 0
 		end.failureRate += ewmaWeight * (1 - end.failureRate)
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"io"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,7 +14,7 @@
 )
 
 // maxReplyBytes bounds the body of a buffered reply.
-const maxReplyBytes = 16 << 20
+const maxReplyBytes = 8 << 20
 
 // A bufferedReply is a complete reply of an endpoint.
 type bufferedReply struct {
@@ -58,7 +61,7 @@
 
 // bufferReply reads the body of a reply to its end.
 func (req *request) bufferReply(ctx context.Context, att *attempt, otc outcome) (*bufferedReply, outcome) {
-	body, err := att.rep.ReadBody(maxReplyBytes)
+	body, err := req.readBody(att.rep)
 	if err != nil {
 		otc = req.classifyError(ctx, err)
 		req.logIncomplete(logs.MsgResponseAborted, att.tgt, otc, err)
@@ -67,6 +70,28 @@
 	return &bufferedReply{rep: att.rep, body: body}, otc
 }
 
+// readBody reads a reply's body to its end. A reply that exceeds maxReplyBytes or
+// the memory for replies fails.
+func (req *request) readBody(rep *wire.Reply) ([]byte, error) {
+	var buf bytes.Buffer
+	for {
+		buf.Grow(readBufferBytes)
+		chunk := buf.AvailableBuffer()[:readBufferBytes]
+		num, err := rep.Read(chunk)
+		buf.Write(chunk[:num])
+		switch {
+		case errors.Is(err, io.EOF):
+			return buf.Bytes(), nil
+		case err != nil:
+			return nil, err //nolint:wrapcheck // classified by the caller
+		case buf.Len() > maxReplyBytes:
+			return nil, errReplySize
+		case !req.buffered.grow(int64(buf.Cap())):
+			return nil, errReplyMemory
+		}
+	}
+}
+
 // concludeNoEndpoint answers a request for which no further endpoint could be
 // picked: with the last complete reply if there is one, otherwise with the
 // refusal that matches the attempts so far.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -18,6 +18,20 @@
 	id  string
 }
 
+// isProgress reports whether an event is a part of the answer. Comments, which
+// only keep a connection open, are not.
+func (evt event) isProgress() bool {
+	if evt.id != "" {
+		return true
+	}
+	for line := range bytes.Lines(evt.raw) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
 // write appends received bytes. It invalidates events returned before.
 func (spl *eventSplitter) write(data []byte) {
 	if spl.start > 0 {
@@ -38,6 +52,9 @@
 	return event{raw: rest[:end], id: eventID(rest[:end])}, true
 }
 
+// partialBytes returns the memory of the buffer.
+func (spl *eventSplitter) partialBytes() int64 { return int64(cap(spl.buf)) }
+
 // hasPartial reports whether an incomplete event is buffered.
 func (spl *eventSplitter) hasPartial() bool { return len(bytes.TrimSpace(spl.buf[spl.start:])) > 0 }
 
--- /dev/null
+++ b/internal/relay/panic.go
@@ -0,0 +1,32 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/internal/logs"
+)
+
+// recoverPanic contains a panic in one request, so that it doesn't end the requests
+// of all other callers. The request may have run.
+func (srv *Server) recoverPanic(ctx context.Context, rct *app.RequestContext) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		metrics.GetOrRegisterCounter("relay.panics", nil).Inc(1)
+		log.WithFields(logrus.Fields{logs.FieldError: fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("relay: panic in a request")
+		rct.SetConnectionClose()
+		if rct.Response.GetHijackWriter() == nil {
+			refusalOutcomeUnknown.write(rct)
+		}
+		rct.Abort()
+	}()
+	rct.Next(ctx)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -117,11 +117,13 @@
 	// routineLogs samples the log lines of requests that the first endpoint
 	// answered in time.
 	routineLogs *logs.Sampler
+	// buffers bounds the memory of partial replies of all requests.
+	buffers byteBudget
 }
 
 // New returns a server that accepts connections once Serve is called.
 func New(cfg Config) *Server {
-	srv := &Server{cfg: cfg, routineLogs: logs.NewSampler(routineLogsPerSecond)}
+	srv := &Server{cfg: cfg, routineLogs: logs.NewSampler(routineLogsPerSecond), buffers: byteBudget{limit: maxBufferedBytes}}
 	srv.lis = &httpio.Listener{
 		Listener: cfg.Listener, Limit: int64(cfg.MaxConnections), ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, Refusal: func() []byte { return []byte(`{"executed":"no"}`) },
@@ -136,7 +138,7 @@
 			opt.NoDefaultServerHeader, opt.NoDefaultContentType = true, true
 		}},
 	)
-	srv.hrz.Use(srv.serve)
+	srv.hrz.Use(srv.recoverPanic, srv.serve)
 	return srv
 }
 
@@ -174,6 +176,8 @@
 	header http.Header
 	// metered is set once the meter has counted the request.
 	metered bool
+	// buffered is the memory held for the replies of endpoints.
+	buffered reservation
 }
 
 // serve handles one request.
@@ -187,12 +191,14 @@
 		rct.SetConnectionClose()
 	}
 	hdr := endToEndHeader(rct)
-	req := &request{srv: srv, rct: rct, header: hdr, params: srv.cfg.Dialect.ReadRequest(hdr), arrived: now}
+	req := &request{srv: srv, rct: rct, header: hdr, arrived: now, buffered: reservation{bud: &srv.buffers}}
+	req.params = srv.cfg.Dialect.ReadRequest(hdr)
 	if rfl, ok := req.admit(ctx, now); !ok {
 		req.writeRefusal(logs.MsgRefused, rfl)
 		return
 	}
 	defer func() { req.recordLatency(time.Since(now)) }()
+	defer req.buffered.release()
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(timeoutGrace))
 	defer cancel()
 	if req.match.Route.Kind == wick.RouteStream {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -34,6 +34,9 @@
 	note   wick.ReplyMeta
 	// firstEventAt is when the first event was received, zero before.
 	firstEventAt time.Time
+	// progressAt is when the last part of the answer was received, or else when
+	// the request was sent.
+	progressAt time.Time
 	// wdg cancels the attempt when its endpoint stalls; nil if the attempt is
 	// not watched.
 	wdg *watchdog
@@ -95,7 +98,8 @@
 // headers. If they are those of a valid reply, the outcome is preliminary: it
 // still depends on the body.
 func (req *request) dispatch(ctx context.Context, tgt *target, lastEventID string, cpy wick.RunSnapshot) (att *attempt, otc outcome) {
-	att = &attempt{req: req, tgt: tgt, sentAt: time.Now()}
+	now := time.Now()
+	att = &attempt{req: req, tgt: tgt, sentAt: now, progressAt: now}
 	hdr := req.header.Clone()
 	dsp := wick.Dispatch{
 		Endpoint: tgt.Backend.ID, Deadline: req.deadline.Sub(att.sentAt), Rank: req.match.Rank(), LastEventID: lastEventID, Snapshot: cpy,
@@ -123,7 +127,7 @@
 		}
 	}()
 	switch {
-	case att.note.Request != "" && att.note.Request != req.params.ID:
+	case req.isStray(att.note):
 		metrics.GetOrRegisterCounter("relay.strayReplies", nil).Inc(1)
 		return att, outcomeLost
 	case att.note.NotExecuted:
@@ -137,6 +141,21 @@
 	}
 }
 
+// isStray reports whether a reply may be that of another request. One without an id
+// is accepted only on a connection that no other request has used.
+func (req *request) isStray(note wick.ReplyMeta) bool {
+	if note.Request == "" {
+		return req.params.ID != "" && req.match.Route.Repeatable()
+	}
+	return note.Request != req.params.ID
+}
+
+// markProgress records that a part of the answer was received.
+func (att *attempt) markProgress() {
+	att.progressAt = time.Now()
+	att.wdg.markReceived(att.progressAt)
+}
+
 // logIncomplete logs an attempt without a complete reply, with its cause.
 func (req *request) logIncomplete(msg string, tgt *target, otc outcome, err error) {
 	if otc == outcomeCancelled {
@@ -180,7 +199,7 @@
 		att.rep.Close()
 	}
 	now := time.Now()
-	att.tgt.Done(poolFate(otc), now)
+	att.tgt.Done(att.poolResult(otc, now), now)
 	if att.tgt.choice.Done != nil {
 		att.tgt.choice.Done(att.versionSample(otc, now))
 	}
@@ -212,7 +231,26 @@
 
 var errEndpointFailed = errors.New("relay: the endpoint failed or timed out")
 
-func poolFate(otc outcome) pool.Result {
+// poolResult returns the outcome for the pool. An attempt that its caller or the
+// deadline ended counts against the endpoint if it had stalled.
+func (att *attempt) poolResult(otc outcome, now time.Time) pool.Result {
+	if res := poolResult(otc); res != pool.ResultCancelled || now.Sub(att.progressAt) < att.req.stallTime() {
+		return res
+	}
+	return pool.ResultStalled
+}
+
+// minStallTime is the least time without progress after which an attempt has
+// stalled. Sound endpoints that preempt a request or process long prompts pause for
+// less than that.
+const minStallTime = time.Second
+
+// stallTime returns the time without progress after which an attempt has stalled.
+func (req *request) stallTime() time.Duration {
+	return max(minStallTime, 2*req.match.Route.Target)
+}
+
+func poolResult(otc outcome) pool.Result {
 	switch otc {
 	case outcomeReply:
 		return pool.ResultAnswered
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -30,11 +30,9 @@
 	eventCount  int
 	// firstEventAt is when the first event was forwarded, zero before.
 	firstEventAt time.Time
-	// lastReply is the most recent reply that was not a stream, such as an error
-	// response; nil if there is none or it was truncated.
+	// lastReply is the most recent complete reply that was not a stream, such as an
+	// error response; nil if there is none.
 	lastReply *bufferedReply
-	// writeFailed is set when a write to the caller has failed.
-	writeFailed bool
 }
 
 // serveStream answers a request with a stream of events. The response headers
@@ -72,7 +70,10 @@
 		case otc == outcomeReply && att.rep.Status < http.StatusMultipleChoices:
 			otc, hof = fwd.forwardWithHandoff(attCtx, att)
 		case otc == outcomeReply || otc == outcomeServerError:
-			fwd.lastReply, otc = fwd.req.bufferReply(attCtx, att, otc)
+			var brp *bufferedReply
+			if brp, otc = fwd.req.bufferReply(attCtx, att, otc); brp != nil {
+				fwd.lastReply = brp
+			}
 		}
 		wdg.stop()
 		att.close(otc)
@@ -113,17 +114,22 @@
 	buf := make([]byte, readBufferBytes)
 	for {
 		num, err := att.rep.Read(buf)
-		att.wdg.markReceived()
 		spl.write(buf[:num])
 		for {
 			evt, ok := spl.next()
 			if !ok {
 				break
 			}
+			if evt.isProgress() {
+				att.markProgress()
+			}
 			if !fwd.forwardEvent(att, evt) {
 				return outcomeCancelled
 			}
 		}
+		if err == nil {
+			err = fwd.req.checkPartial(&spl)
+		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF) && !spl.hasPartial():
@@ -158,11 +164,9 @@
 		fwd.startResponse(att)
 	}
 	if _, err := fwd.out.Write(evt.raw); err != nil {
-		fwd.writeFailed = true
 		return false
 	}
 	if err := fwd.out.Flush(); err != nil {
-		fwd.writeFailed = true
 		return false
 	}
 	fwd.eventCount++
--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -65,10 +65,10 @@
 	wdg.timer.Store(time.AfterFunc(after, func() { wdg.check(ctx) }))
 }
 
-// markReceived records that a part of the reply was received.
-func (wdg *watchdog) markReceived() {
+// markReceived records that a part of the answer was received.
+func (wdg *watchdog) markReceived(now time.Time) {
 	if wdg != nil {
-		wdg.lastReceived.Store(time.Now().UnixNano())
+		wdg.lastReceived.Store(now.UnixNano())
 		wdg.receivedAny.Store(true)
 	}
 }
--- a/internal/relay/watchdog_test.go
+++ b/internal/relay/watchdog_test.go
@@ -98,25 +98,62 @@
 	}
 }
 
-// TestNoProbeWhileReceiving guards against probes of endpoints that send data
-// continuously: each probe costs the endpoint a call.
-func TestNoProbeWhileReceiving(t *testing.T) {
-	rly := newTestRelay(t, 1, func(_ *http.Request, con net.Conn, _ int) {
+// sendingScript returns a script that sends an event, then others at intervals that
+// are shorter than the silence timeout, and completes.
+func sendingScript(others ...string) script {
+	return func(_ *http.Request, con net.Conn, num int) {
+		if num > 0 {
+			beginStream(con, "id: 9\ndata: elsewhere\n\n")
+			endStream(con)
+			return
+		}
 		beginStream(con, "id: 1\n\n")
-		for range 6 {
+		for _, evt := range others {
 			time.Sleep(silenceTimeout / 4)
-			writeEvents(con, ": still here\n\n")
+			writeEvents(con, evt)
 		}
 		endStream(con)
-	})
+	}
+}
+
+// TestNoProbeWhileReceiving guards against probes of endpoints that send events
+// continuously: each probe costs the endpoint a call.
+func TestNoProbeWhileReceiving(t *testing.T) {
+	rly := newTestRelay(t, 1, sendingScript("id: 2\n\n", "id: 3\n\n", "data: x\n\n", "data: y\n\n", "id: 4\n\n", "id: 5\n\n"))
 	prb := &testProber{result: func(int) (bool, error) { return false, wick.ErrUnavailable }}
 	rly.srv.cfg.Prober = prb
 	status, body, err := rly.post("/gen/1")
 	if err != nil {
 		t.Error(err)
 	}
-	rly.assert(status, 200, body, "id: 1", 1)
+	rly.assert(status, 200, body, "id: 5", 1)
 	if num := prb.probeCount(); num != 0 {
 		t.Errorf("%d probes of an endpoint that sends every %v", num, silenceTimeout/4)
 	}
 }
+
+// TestCommentsAreNoProgress guards against a stalled stream that goes on for as long
+// as its endpoint sends a comment, or a byte of one, now and then. A slow endpoint
+// that reports the run must not be cut.
+func TestCommentsAreNoProgress(t *testing.T) {
+	comments := []string{": x\n\n", ": x\n\n", ":", " ", "y", "y", "y", "y", "y", "\n\n"}
+	for name, tst := range map[string]struct {
+		working  bool
+		body     string
+		attempts int
+	}{
+		"stalled": {false, "elsewhere", 2},
+		"slow":    {true, "id: 1", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rly := newTestRelay(t, 2, sendingScript(comments...))
+			rly.srv.cfg.Prober = &testProber{result: func(int) (bool, error) { return tst.working, nil }}
+			status, body, err := rly.post("/gen/1")
+			if err != nil {
+				t.Error(err)
+			}
+			rly.assert(status, 200, body, tst.body, tst.attempts)
+		})
+	}
+}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -14,6 +15,10 @@
 type sendGuard struct {
 	once   bool
 	cancel context.CancelCauseFunc
+	// deadline is the end of the call's context, zero if it has none. The first
+	// byte is not written after it, even if the process was paused and the
+	// context's timer has not fired yet.
+	deadline time.Time
 
 	mu sync.Mutex
 	// usedConn is the connection that the first byte was written to; nil before.
@@ -51,6 +56,9 @@
 	switch {
 	case grd.abandoned:
 		return errAbandoned
+	case grd.usedConn == nil && !grd.deadline.IsZero() && !time.Now().Before(grd.deadline):
+		grd.abandoned = true
+		return errExpired
 	case grd.usedConn == nil:
 		grd.usedConn = con
 	case grd.once && grd.usedConn != con:
--- a/internal/wire/conn_test.go
+++ b/internal/wire/conn_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"testing"
+	"time"
 )
 
 // A recordingConn counts the bytes written and calls onWrite in each write.
@@ -74,6 +75,27 @@
 			t.Error("call reported as not sent on a connection that does not report writes")
 		}
 	})
+	t.Run("paused past the deadline", func(t *testing.T) {
+		// The process was stopped by a signal after the call was prepared: its
+		// permission has run out, and the context's timer has not fired yet.
+		grd, _, rcn, con := newBoundConn(true)
+		grd.deadline = time.Now().Add(-time.Millisecond)
+		if _, err := con.Write([]byte("x")); !errors.Is(err, errExpired) || rcn.written != 0 {
+			t.Errorf("%d bytes written after the deadline, error %v", rcn.written, err)
+		}
+		if !grd.abandon() {
+			t.Error("call reported as sent")
+		}
+	})
+	t.Run("deadline within a body", func(t *testing.T) {
+		grd, _, rcn, con := newBoundConn(true)
+		grd.deadline = time.Now().Add(time.Hour)
+		_, _ = con.Write([]byte("x"))
+		grd.deadline = time.Now().Add(-time.Millisecond)
+		if _, err := con.Write([]byte("x")); err != nil || rcn.written != 2 {
+			t.Errorf("%d bytes written, error %v", rcn.written, err)
+		}
+	})
 	t.Run("next call", func(t *testing.T) {
 		grd, _, rcn, con := newBoundConn(true)
 		grd.abandon()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,6 +37,7 @@
 	errStallTimeout   = errors.New("timed out waiting for data")
 	errSecondConn     = errors.New("call was already written to another connection")
 	errAbandoned      = errors.New("call ended before it was sent")
+	errExpired        = errors.New("call's deadline passed before it was sent")
 	errTooLarge       = errors.New("reply exceeds the size limit")
 	errUndelimited    = errors.New("reply has neither a Content-Length nor chunked encoding")
 	errProtocolSwitch = errors.New("unexpected protocol switch")
@@ -63,9 +64,10 @@
 	// the default registry. Nothing is counted if it is "".
 	Meter string
 
-	once     sync.Once
-	tra      *http.Transport
-	counters traffic
+	once sync.Once
+	// pooled reuses connections, single opens one for each call.
+	pooled, single *http.Transport
+	counters       traffic
 }
 
 // A Call is one HTTP request.
@@ -79,9 +81,8 @@
 	// Target is the request target, sent verbatim instead of the path and query
 	// of URL, unless "".
 	Target string
-	// CloseConn closes the connection after the call, so that a late reply to the
-	// call can't be mistaken for that of a later one. The call itself may be
-	// sent on an idle connection of the pool.
+	// CloseConn sends the call on a connection of its own, which is closed after
+	// it, so that a late reply to one call can't be mistaken for that of another.
 	CloseConn bool
 	// NoRetry prevents net/http from retrying the call. Without it, net/http
 	// retries GET calls and calls with an Idempotency-Key that fail on a reused
@@ -112,7 +113,9 @@
 	return val
 }
 
-func (cli *Client) transport() *http.Transport {
+// transport returns the transport for calls on pooled connections, or for those
+// on a connection of their own.
+func (cli *Client) transport(single bool) *http.Transport {
 	cli.once.Do(func() {
 		cli.counters = newTraffic(cli.Meter)
 		maxConns := cli.MaxConns
@@ -120,7 +123,7 @@
 			maxConns = defaultMaxConns
 		}
 		dialer := &net.Dialer{Timeout: orDefault(cli.DialTimeout, defaultDialTimeout), KeepAlive: 5 * time.Second}
-		cli.tra = &http.Transport{
+		cli.pooled = &http.Transport{
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				con, err := dialer.DialContext(ctx, network, addr)
 				if err != nil {
@@ -140,12 +143,17 @@
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 		}
+		cli.single = cli.pooled.Clone()
+		cli.single.DisableKeepAlives = true
 	})
-	return cli.tra
+	if single {
+		return cli.single
+	}
+	return cli.pooled
 }
 
 // Close closes the idle connections of the pool.
-func (cli *Client) Close() { cli.transport().CloseIdleConnections() }
+func (cli *Client) Close() { cli.transport(false).CloseIdleConnections() }
 
 // Do sends a call and returns the reply once its header has been read. The error
 // wraps wick.ErrNotSent if no byte of the call was written to a connection, and
@@ -154,6 +162,7 @@
 	callerCtx := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	grd := &sendGuard{once: call.NoRetry, cancel: cancel}
+	grd.deadline, _ = ctx.Deadline()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { grd.bind(info.Conn) },
 	})
@@ -174,7 +183,7 @@
 		}
 	})
 	defer connTimer.Stop()
-	tra := cli.transport()
+	tra := cli.transport(call.CloseConn)
 	addCount(cli.counters.calls, 1)
 	res, err := tra.RoundTrip(req)
 	if err == nil && res.StatusCode == http.StatusSwitchingProtocols {
@@ -198,7 +207,7 @@
 	return rep, nil
 }
 
-// applyOverrides applies the call's Host, Target and CloseConn to req.
+// applyOverrides applies the call's Host and Target to req.
 func (call *Call) applyOverrides(req *http.Request) {
 	if call.Host != "" {
 		req.Host = call.Host
@@ -211,7 +220,6 @@
 			req.URL.Opaque, req.URL.RawQuery = call.Target, ""
 		}
 	}
-	req.Close = call.CloseConn
 }
 
 // Read reads from the reply's body. A body that is shorter than its declared
