--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,7 +56,9 @@
 	hdr.Set("X-Endpoint", string(dsp.Endpoint))
 }
 
-func (testDialect) ReadReply(int, http.Header) wick.ReplyMeta { return wick.ReplyMeta{Authentic: true} }
+func (testDialect) ReadReply(_ int, hdr http.Header) wick.ReplyMeta {
+	return wick.ReplyMeta{Request: wick.RequestID(hdr.Get("X-Id")), Authentic: true}
+}
 
 // testDuties records usage reports.
 type testDuties struct {
@@ -109,6 +112,7 @@
 		if strings.Contains(req.URL.Path, "slow") {
 			time.Sleep(sit.slowDelay)
 		}
+		wri.Header().Set("X-Id", req.Header.Get("X-Id"))
 		fmt.Fprint(wri, "answer")
 	}))
 	t.Cleanup(srv.Close)
@@ -407,6 +411,66 @@
 	}
 }
 
+// TestStopUnderLoad guards against requests that are accepted at the end of a drain and
+// cut by the exit of the process, which follows Run.
+func TestStopUnderLoad(t *testing.T) {
+	sit := newSite(t, 1, wick.Quota{})
+	sit.awaitReady()
+	var cut, answered atomic.Int64
+	exited := make(chan struct{})
+	var callers sync.WaitGroup
+	for num := range 20 {
+		callers.Go(func() {
+			for sit.call(num, exited, &cut) {
+				answered.Add(1)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	sit.stops[0]()
+	if err := <-sit.exited[0]; err != nil {
+		t.Error(err)
+	}
+	close(exited)
+	callers.Wait()
+	if num := cut.Load(); num > 0 {
+		t.Errorf("%d requests were in progress when the entry exited", num)
+	}
+	if answered.Load() == 0 {
+		t.Error("no request was answered")
+	}
+}
+
+// call sends a request on a new connection and reports whether it was answered. A
+// request that was written before the entry exited and answered after it counts as
+// cut, since the exit would have ended it.
+func (sit *site) call(num int, exited <-chan struct{}, cut *atomic.Int64) bool {
+	con, err := net.Dial("tcp", sit.addrs[0])
+	if err != nil {
+		return false
+	}
+	defer con.Close()
+	if _, err := fmt.Fprintf(con, "GET / HTTP/1.1\r\nHost: h\r\nX-Id: load%d\r\nX-Key: k\r\n\r\n", num); err != nil {
+		return false
+	}
+	select {
+	case <-exited:
+		return false
+	default:
+	}
+	res, err := http.ReadResponse(bufio.NewReader(con), nil)
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	select {
+	case <-exited:
+		cut.Add(1)
+	default:
+	}
+	return true
+}
+
 // TestGauges guards against missing or implausible gauges of the entry's state.
 func TestGauges(t *testing.T) {
 	sit := newSite(t, 1, wick.Quota{})
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -184,7 +184,11 @@
 	minDrainTime = 2500 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the exit after the
 	// drain.
-	exitMargin        = 500 * time.Millisecond
+	exitMargin = 500 * time.Millisecond
+	// closeTimeout bounds the wait for connections after the listener was closed.
+	// Requests that arrived just before are refused in it, and idle connections
+	// are not waited for any longer.
+	closeTimeout      = 300 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
 )
 
@@ -209,5 +213,10 @@
 			break
 		}
 	}
+	closeCtx, closed := context.WithTimeout(context.Background(), closeTimeout)
+	defer closed()
+	if err := edg.relay.Shutdown(closeCtx); err != nil {
+		log.WithError(err).Debug("edge: connections are open after the drain")
+	}
 	log.WithFields(logrus.Fields{"active": edg.relay.Active(), "ms": time.Since(start).Milliseconds()}).Info("edge: drained")
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -194,8 +195,9 @@
 		return 0, err //nolint:wrapcheck // wick.Store returns errors of this module
 	}
 	metrics.GetOrRegisterCounter("feed.lists", nil).Inc(1)
-	fol.Handler.Replace(objs)
-	fol.Handler.Settled()
+	if err := fol.apply("list", func() { fol.Handler.Replace(objs); fol.Handler.Settled() }); err != nil {
+		return 0, err
+	}
 	return rev, nil
 }
 
@@ -231,8 +233,27 @@
 		return rev, err //nolint:wrapcheck // wick.Store returns errors of this module
 	}
 	for idx := range objs {
-		fol.Handler.Change(objs[idx])
+		// An object that can't be applied is skipped, so that those after it are.
+		_ = fol.apply(objs[idx].Key.Name, func() { fol.Handler.Change(objs[idx]) })
 	}
-	fol.Handler.Settled()
+	_ = fol.apply("changes", fol.Handler.Settled)
 	return max(rev, next), nil
 }
+
+// errPanic is the error of a handler that panicked.
+var errPanic = errors.New("feed: panic in a handler")
+
+// apply calls a handler. It contains and logs a panic, so that one object doesn't end
+// the process.
+func (fol *Follower) apply(name string, handle func()) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			metrics.GetOrRegisterCounter("feed.panics", nil).Inc(1)
+			log.WithFields(logrus.Fields{"kind": fol.Kind, "object": name, "stack": string(debug.Stack())}).
+				Errorf("feed: panic in a handler: %v", cause)
+			err = errPanic
+		}
+	}()
+	handle()
+	return nil
+}
--- a/internal/peer/dispatch.go
+++ b/internal/peer/dispatch.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"strings"
 	"sync"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -37,7 +39,7 @@
 	if fn == nil {
 		return errorReply(eris.Wrapf(wick.ErrInvalid, "no handler for message type %s", env.Type))
 	}
-	val, err := fn(ctx, env.From, env.Body)
+	val, err := call(ctx, fn, env)
 	if err != nil {
 		return errorReply(err)
 	}
@@ -50,6 +52,20 @@
 	return rep
 }
 
+// call calls a handler. It contains a panic, so that one message doesn't end the
+// process.
+func call(ctx context.Context, fn wick.PeerHandler, env wick.Envelope) (val any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			metrics.GetOrRegisterCounter("peer.panics", nil).Inc(1)
+			logrus.WithFields(logrus.Fields{"peer": env.From, "type": env.Type, "stack": string(debug.Stack())}).
+				Errorf("peer: panic in a handler: %v", cause)
+			err = eris.Errorf("panic in the handler of %s", env.Type)
+		}
+	}()
+	return fn(ctx, env.From, env.Body)
+}
+
 // errorReply returns the reply that reports an error.
 func errorReply(err error) reply {
 	rep := reply{Code: codeFailed, Detail: strings.ToValidUTF8(truncate(err.Error()), "")}
