--- a/internal/edge/scale.go
+++ b/internal/edge/scale.go
@@ -114,11 +114,13 @@
 		plr.Failed(ord)
 		return
 	}
+	eng := sca.edg.pool.Engine(ord.Service)
 	err := sca.edg.cfg.Duties.Scale(ctx, fence, ord)
 	ent := log.WithFields(logrus.Fields{
 		"service": ord.Service, "zone": ord.Zone, "count": ord.Count, "reclaimable": ord.Reclaimable, "fence": fence,
 		"live": sta.Live[ord.Zone], "need": plr.Desired(), "found": sta.InitialCount, "work": sta.Load,
 		"meanWork": sta.MeanWork.String(), "target": sta.Target.String(), "occupied": sta.Occupied,
+		"prefillRate": eng.PrefillRate, "stepMillis": eng.StepMillis,
 	})
 	switch {
 	case err == nil:
