perf, relay, platform: estimate work from the caller's length hint

Cause: the work of generated tokens was estimated from the bound that a request sets, several times the usual length, and the step time was never learned: of short answers the first event, with which the time begins, holds most tokens.

Change: RequestMeta.LengthHint; estimates use it where it is given. Samples of the step time need 64 tokens.

--- a/internal/perf/learn.go
+++ b/internal/perf/learn.go
@@ -21,11 +21,11 @@
 	// refreshInterval is the time between two estimates.
 	refreshInterval = 500 * time.Millisecond
 	// minOutput is the least number of generated tokens of a sample of the step
-	// duration.
-	minOutput wick.Tokens = 16
+	// duration: the first event, with which the time begins, has some of them.
+	minOutput wick.Tokens = 64
 	// stepQuantile is the quantile of the observed time per token that is taken
 	// for the duration of a step: prompts of other requests lengthen the rest.
-	stepQuantile = 0.1
+	stepQuantile = 0.25
 )
 
 // Bounds of plausible estimates. An estimate outside them is ignored.
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -42,7 +42,7 @@
 	// Parts and InputTokens describe the prompt of a model request.
 	Parts       []wick.PromptPart
 	InputTokens wick.Tokens
-	// OutputTokens bounds the generated tokens.
+	// OutputTokens is the expected number of generated tokens.
 	OutputTokens wick.Tokens
 	// Resumed is set for a request that continues an earlier answer, whose times
 	// say nothing about the length of its prompt.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -55,7 +55,7 @@
 	choice := req.srv.cfg.Versions.Choose(req.service, req.match.Route.Name, now)
 	que := pool.Query{
 		Service: req.service, Model: len(req.params.Parts) > 0, Parts: req.params.Parts, InputTokens: req.params.InputTokens,
-		OutputTokens: req.params.OutputTokens, OnlyVersion: choice.Only, ExceptVersion: choice.Except, Exclude: req.tried, Resumed: resumed, Now: now,
+		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersion: choice.Except, Exclude: req.tried, Resumed: resumed, Now: now,
 	}
 	asg, err := req.srv.cfg.Pool.Pick(que)
 	if err != nil && choice.Fallback {
@@ -76,7 +76,7 @@
 // to.
 func (req *request) pickHandoffTarget(old *target) (*target, error) {
 	asg, err := req.srv.cfg.Pool.Pick(pool.Query{
-		Service: req.service, Model: true, Parts: req.params.Parts, InputTokens: 0, OutputTokens: req.params.OutputTokens, Resumed: true,
+		Service: req.service, Model: true, Parts: req.params.Parts, InputTokens: 0, OutputTokens: req.params.ExpectedOutput(), Resumed: true,
 		OnlyVersion: old.Backend.Version, Exclude: req.tried, Now: time.Now(),
 	})
 	if err != nil {
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -22,11 +22,23 @@
 	// InputTokens and OutputTokens bound a model request; both are 0 for
 	// other requests.
 	InputTokens, OutputTokens Tokens
-	Parts                     []PromptPart
+	// LengthHint is the caller's estimate of the tokens that will be generated, 0 if
+	// it gave none.
+	LengthHint Tokens
+	Parts      []PromptPart
 	// LastEventID is the last event that the caller has, or "".
 	LastEventID string
 }
 
+// ExpectedOutput returns the number of tokens that will probably be generated, which
+// is at most OutputTokens.
+func (met *RequestMeta) ExpectedOutput() Tokens {
+	if met.LengthHint <= 0 {
+		return met.OutputTokens
+	}
+	return min(met.LengthHint, met.OutputTokens)
+}
+
 // A Dispatch is the metadata sent to an endpoint along with the caller's
 // request.
 type Dispatch struct {
