pool: the choice of an endpoint takes the same time for 100 and for 10,000 endpoints

Change: preferred endpoints come from a ring, by rendezvous among the 32 after the prompt's position; with more than 32 endpoints a request compares these, up to four that cache its longest known shared part, and 16 random ones, ten of them in its own zone. All are compared only if none of them is available. BenchmarkPick uses prompts that were never seen before, which the one before hid.

--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -32,6 +34,10 @@
 // An endpoint is the record of one endpoint. It is guarded by the group's lock.
 type endpoint struct {
 	bke wick.Backend
+	// hash is the endpoint's position on the ring.
+	hash uint64
+	// removed is set once the endpoint is no longer in the group's lists.
+	removed bool
 	// graceUntil is set while the endpoint is not listed after an outage of the
 	// store. Until then it is chosen only as a last resort.
 	graceUntil time.Time
@@ -56,7 +62,7 @@
 }
 
 func newEndpoint(bke wick.Backend) *endpoint {
-	return &endpoint{bke: bke, cachedParts: make(map[string]time.Time), leaving: make(chan struct{})}
+	return &endpoint{bke: bke, hash: xxhash.Sum64String(string(bke.ID)), cachedParts: make(map[string]time.Time), leaving: make(chan struct{})}
 }
 
 func (end *endpoint) notifyLeaving() {
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -7,7 +7,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/wagtailwick/wagtailwick/internal/place"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -63,12 +62,6 @@
 	return !slices.Contains(que.Exclude, end.bke.ID)
 }
 
-// A weightKey identifies the rendezvous weight of an endpoint for a prompt part.
-type weightKey struct {
-	part string
-	vid  wick.VMID
-}
-
 // An Assignment is the assignment of an endpoint to one request.
 type Assignment struct {
 	Backend wick.Backend
@@ -93,7 +86,8 @@
 	}
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
-	end := grp.best(que, pl.zone)
+	preferred := grp.preferredFor(&que)
+	end := grp.best(&que, preferred, pl.zone)
 	if end == nil {
 		return nil, eris.Wrapf(wick.ErrNotFound, "pool: no endpoint of %s is available", que.Service)
 	}
@@ -102,10 +96,11 @@
 	end.inFlight++
 	grp.requestRate.add(1, que.Now)
 	if que.Model {
-		asg.prefill = grp.uncached(end, que, grp.preferredFor(que))
+		asg.prefill = grp.uncached(end, &que, preferred)
 		asg.run = run{model: !que.Resumed, prefill: asg.prefill, output: que.OutputTokens, pickedAt: que.Now, queued: end.queued(que.Now)}
 		end.pendingPrefill += asg.prefill
 		end.recordPrompt(que.Parts, que.Now)
+		grp.addHolder(end, que.Parts)
 		grp.modelRate.add(1, que.Now)
 		grp.prefillRate.add(float64(asg.prefill), que.Now)
 		grp.outputRate.add(float64(que.OutputTokens), que.Now)
@@ -114,37 +109,45 @@
 }
 
 // best returns the endpoint with the lowest cost among those with the highest
-// availability.
-func (grp *group) best(que Query, zone wick.Zone) *endpoint {
-	bestAvail := unavailable
-	for _, end := range grp.eps {
-		if que.matches(end) {
-			bestAvail = max(bestAvail, end.availability(que.Now))
-		}
+// availability. With many endpoints it compares a sample of them, and all of them only
+// if none of the sample is available.
+func (grp *group) best(que *Query, preferred [2]*endpoint, zone wick.Zone) *endpoint {
+	if len(grp.all) <= maxFullScan {
+		end, _ := grp.cheapest(grp.all, que, preferred, zone)
+		return end
 	}
-	if bestAvail == unavailable {
-		return nil
+	cnd := grp.sample(que, preferred, zone)
+	end, avail := grp.cheapest(cnd.ends[:cnd.num], que, preferred, zone)
+	if avail != available {
+		end, _ = grp.cheapest(grp.all, que, preferred, zone)
 	}
+	return end
+}
+
+// cheapest returns the endpoint of a list with the lowest cost among those with the
+// highest availability, nil if none is available.
+func (grp *group) cheapest(ends []*endpoint, que *Query, preferred [2]*endpoint, zone wick.Zone) (*endpoint, availability) {
+	bestAvail := unavailable
 	var best *endpoint
 	var lowest float64
-	preferred := grp.preferredFor(que)
-	for _, end := range grp.eps {
-		if end.availability(que.Now) != bestAvail || !que.matches(end) {
+	for _, end := range ends {
+		avail := end.availability(que.Now)
+		if avail == unavailable || avail < bestAvail || end.removed || !que.matches(end) {
 			continue
 		}
 		cost := grp.cost(end, que, preferred)
 		if end.bke.Zone != zone {
 			cost += crossZoneMillis
 		}
-		if best == nil || cost < lowest || cost == lowest && end.bke.ID < best.bke.ID {
-			best, lowest = end, cost
+		if best == nil || avail > bestAvail || cost < lowest || cost == lowest && end.bke.ID < best.bke.ID {
+			best, lowest, bestAvail = end, cost, avail
 		}
 	}
-	return best
+	return best, bestAvail
 }
 
 // cost estimates the time until an endpoint answers, in milliseconds.
-func (grp *group) cost(end *endpoint, que Query, preferred [2]wick.VMID) float64 {
+func (grp *group) cost(end *endpoint, que *Query, preferred [2]*endpoint) float64 {
 	cost := end.failureRate * failureMillis
 	if !que.Model {
 		return cost + fullSlotsMillis*float64(end.inFlight)/float64(max(end.bke.Slots, 1))
@@ -160,11 +163,11 @@
 }
 
 // uncached estimates the prompt tokens that an endpoint would have to prefill.
-func (grp *group) uncached(end *endpoint, que Query, preferred [2]wick.VMID) wick.Tokens {
+func (grp *group) uncached(end *endpoint, que *Query, preferred [2]*endpoint) wick.Tokens {
 	tokens := max(que.InputTokens-end.cachedTokens(que.Parts), 0)
 	shared := sharedTokens(que.Parts)
 	if tokens >= shared {
-		switch end.bke.ID {
+		switch end {
 		case preferred[0]:
 			tokens -= wick.Tokens(firstCachedShare * float64(shared))
 		case preferred[1]:
@@ -184,45 +187,15 @@
 	return sum
 }
 
-// preferredFor returns the first two endpoints in the rendezvous order of the
-// prompt's last shared part. All entries with the same endpoints compute the
-// same ones.
-func (grp *group) preferredFor(que Query) [2]wick.VMID {
-	var preferred [2]wick.VMID
+// preferredFor returns the first two endpoints for the prompt's last shared part, nil
+// if it has none. All entries with the same endpoints compute the same ones.
+func (grp *group) preferredFor(que *Query) [2]*endpoint {
 	if len(que.Parts) < 2 {
-		return preferred
+		return [2]*endpoint{}
 	}
-	part := que.Parts[len(que.Parts)-2].ID
-	var weights [2]uint64
-	for vid, end := range grp.eps {
-		if end.bke.Leaving || que.ExceptVersion != "" && end.bke.Version == que.ExceptVersion {
-			continue
-		}
-		wgt := grp.weight(weightKey{part, vid})
-		switch {
-		case preferred[0] == "" || wgt > weights[0]:
-			preferred[1], weights[1] = preferred[0], weights[0]
-			preferred[0], weights[0] = vid, wgt
-		case preferred[1] == "" || wgt > weights[1]:
-			preferred[1], weights[1] = vid, wgt
-		}
-	}
-	return preferred
-}
-
-// maxWeights bounds the cache of rendezvous weights.
-const maxWeights = 1 << 15
-
-func (grp *group) weight(key weightKey) uint64 {
-	wgt, ok := grp.weights[key]
-	if !ok {
-		if len(grp.weights) >= maxWeights {
-			grp.weights = make(map[weightKey]uint64)
-		}
-		wgt = place.Weight(key.part, wick.EntryID(key.vid))
-		grp.weights[key] = wgt
-	}
-	return wgt
+	return grp.ring.preferred(que.Parts[len(que.Parts)-2].ID, func(end *endpoint) bool {
+		return !end.bke.Leaving && (que.ExceptVersion == "" || end.bke.Version != que.ExceptVersion)
+	})
 }
 
 // Duplicate returns a second assignment to the same endpoint, for a run that
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,8 +36,12 @@
 type group struct {
 	mu  sync.Mutex
 	eps map[wick.VMID]*endpoint
-	// weights caches the rendezvous weights of endpoints by prompt part.
-	weights map[weightKey]uint64
+	// all and byZone list the endpoints in no particular order, for samples.
+	all    []*endpoint
+	byZone map[wick.Zone][]*endpoint
+	ring   ring
+	// holders lists endpoints that have probably cached a prompt part.
+	holders map[string][]*endpoint
 	// requestRate measures the number of this entry's requests, modelRate that of
 	// its model requests, prefillRate their prompt tokens to process and
 	// outputRate their tokens to generate.
@@ -56,7 +60,7 @@
 	pl.mu.Lock()
 	grp := pl.groups[bke.Service]
 	if grp == nil {
-		grp = &group{eps: make(map[wick.VMID]*endpoint), weights: make(map[weightKey]uint64)}
+		grp = &group{eps: make(map[wick.VMID]*endpoint), byZone: make(map[wick.Zone][]*endpoint)}
 		pl.groups[bke.Service] = grp
 	}
 	old := pl.groupByVM[bke.ID]
@@ -322,14 +326,10 @@
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
 	end := grp.eps[bke.ID]
-	if end == nil || end.bke.Born != bke.Born || end.bke.Address != bke.Address {
-		added := newEndpoint(bke)
-		if end != nil {
-			end.notifyLeaving()
-		}
-		end = added
-		grp.eps[bke.ID] = end
-		grp.weights = make(map[weightKey]uint64)
+	if end == nil || end.bke.Born != bke.Born || end.bke.Address != bke.Address || end.bke.Zone != bke.Zone {
+		grp.drop(end)
+		end = newEndpoint(bke)
+		grp.add(end)
 	}
 	// An incarnation that is leaving never returns to service.
 	bke.Leaving = bke.Leaving || end.bke.Leaving && end.bke.Born == bke.Born
@@ -347,9 +347,38 @@
 func (grp *group) remove(vid wick.VMID) {
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
-	if end := grp.eps[vid]; end != nil {
-		end.notifyLeaving()
-		delete(grp.eps, vid)
-		grp.weights = make(map[weightKey]uint64)
+	grp.drop(grp.eps[vid])
+}
+
+// add adds an endpoint to the group's lists.
+func (grp *group) add(end *endpoint) {
+	grp.eps[end.bke.ID] = end
+	grp.all = append(grp.all, end)
+	grp.byZone[end.bke.Zone] = append(grp.byZone[end.bke.Zone], end)
+	grp.ring.add(end)
+}
+
+// drop removes an endpoint, unless it is nil, and notifies its runs.
+func (grp *group) drop(end *endpoint) {
+	if end == nil {
+		return
+	}
+	end.notifyLeaving()
+	end.removed = true
+	delete(grp.eps, end.bke.ID)
+	grp.all = without(grp.all, end)
+	grp.byZone[end.bke.Zone] = without(grp.byZone[end.bke.Zone], end)
+	grp.ring.remove(end)
+}
+
+// without returns a list without an endpoint. It does not keep the order.
+func without(ends []*endpoint, end *endpoint) []*endpoint {
+	for idx, other := range ends {
+		if other == end {
+			last := len(ends) - 1
+			ends[idx], ends[last] = ends[last], nil
+			return ends[:last]
+		}
 	}
+	return ends
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -202,15 +202,25 @@
 	}
 }
 
+// BenchmarkPick measures the choice for prompts that were never seen before, with
+// endpoints in six zones.
 func BenchmarkPick(b *testing.B) {
-	for _, num := range []int{12, 140, 1000} {
+	for _, num := range []int{12, 166, 1000, 10000} {
 		b.Run(strconv.Itoa(num), func(b *testing.B) {
 			pl := New("a")
 			for idx := range num {
-				pl.Set(backend(idx, "a"), start)
+				pl.Set(backend(idx, wick.Zone("abcdef"[idx%6:idx%6+1])), start)
 			}
-			que := Query{Service: service, Model: true, Now: start, InputTokens: 10, Parts: []wick.PromptPart{{ID: "x", Tokens: 5}, {ID: "y", Tokens: 5}}}
-			for b.Loop() {
+			que := Query{Service: service, Model: true, Now: start, InputTokens: 900, Parts: make([]wick.PromptPart, 3)}
+			ids := make([]string, 1<<12)
+			for idx := range ids {
+				ids[idx] = strconv.Itoa(idx)
+			}
+			b.ReportAllocs()
+			for num := 0; b.Loop(); num++ {
+				que.Parts[0] = wick.PromptPart{ID: "system", Tokens: 300}
+				que.Parts[1] = wick.PromptPart{ID: ids[num%len(ids)], Tokens: 300}
+				que.Parts[2] = wick.PromptPart{ID: "own", Tokens: 300}
 				asg, err := pl.Pick(que)
 				if err != nil {
 					b.Fatal(err)
--- /dev/null
+++ b/internal/pool/sample.go
@@ -0,0 +1,104 @@
+package pool
+
+import (
+	"math/rand/v2"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+const (
+	// maxFullScan is the number of endpoints up to which all of them are compared for
+	// each request. Of more, a sample is.
+	maxFullScan = 32
+	// localSamples is the number of endpoints of the entry's own zone in a sample,
+	// remoteSamples that of all zones.
+	localSamples  = 10
+	remoteSamples = 6
+	// maxHolders bounds the endpoints that are remembered to cache a prompt part.
+	maxHolders = 4
+	// maxHeldParts bounds the prompt parts whose holders are remembered.
+	maxHeldParts = 1 << 16
+)
+
+// maxCandidates is the size of a sample: the preferred endpoints, the holders and the
+// random ones.
+const maxCandidates = 2 + maxHolders + localSamples + remoteSamples
+
+// candidates are the endpoints compared for one request. Some may be listed twice.
+type candidates struct {
+	ends [maxCandidates]*endpoint
+	num  int
+}
+
+func (cnd *candidates) add(end *endpoint) {
+	if end != nil && cnd.num < len(cnd.ends) {
+		cnd.ends[cnd.num] = end
+		cnd.num++
+	}
+}
+
+// addRandom adds consecutive endpoints of a list, from a random position on.
+func (cnd *candidates) addRandom(ends []*endpoint, num int) {
+	if len(ends) == 0 {
+		return
+	}
+	at := rand.IntN(len(ends)) //nolint:gosec // need not be unpredictable
+	for step := range min(num, len(ends)) {
+		cnd.add(ends[(at+step)%len(ends)])
+	}
+}
+
+// sample returns the candidates for a request: the preferred endpoints, those that
+// have cached the longest shared part of the prompt, and random ones, by which the
+// load is balanced.
+func (grp *group) sample(que *Query, preferred [2]*endpoint, zone wick.Zone) candidates {
+	var cnd candidates
+	cnd.add(preferred[0])
+	cnd.add(preferred[1])
+	for _, end := range grp.holdersOf(que.Parts) {
+		cnd.add(end)
+	}
+	cnd.addRandom(grp.byZone[zone], localSamples)
+	cnd.addRandom(grp.all, remoteSamples)
+	return cnd
+}
+
+// holdersOf returns endpoints that have probably cached the longest known shared part
+// of a prompt.
+func (grp *group) holdersOf(parts []wick.PromptPart) []*endpoint {
+	for idx := len(parts) - 2; idx >= 0; idx-- {
+		if ends := grp.holders[parts[idx].ID]; len(ends) > 0 {
+			return ends
+		}
+	}
+	return nil
+}
+
+// addHolder remembers that an endpoint caches the shared parts of a prompt.
+func (grp *group) addHolder(end *endpoint, parts []wick.PromptPart) {
+	if grp.holders == nil || len(grp.holders) > maxHeldParts {
+		grp.holders = make(map[string][]*endpoint)
+	}
+	for idx := 0; idx+1 < len(parts); idx++ {
+		ends := grp.holders[parts[idx].ID]
+		if contains(ends, end) {
+			continue
+		}
+		if len(ends) == maxHolders {
+			// The oldest holder is forgotten.
+			copy(ends, ends[1:])
+			ends[len(ends)-1] = end
+			continue
+		}
+		grp.holders[parts[idx].ID] = append(ends, end)
+	}
+}
+
+func contains(ends []*endpoint, end *endpoint) bool {
+	for _, other := range ends {
+		if other == end {
+			return true
+		}
+	}
+	return false
+}
