--- a/internal/perf/learn_test.go
+++ b/internal/perf/learn_test.go
@@ -28,15 +28,16 @@
 	return que.freeAt - at + fixedMillis + que.rnd.Float64()*5
 }
 
-// observe runs a number of requests of three lengths at a utilization, and returns
+// observe runs requests of three lengths at a utilization, and returns
 // the learner of an entry that sees each fifth of them. A fraction of them goes to
 // an engine that is ten times as slow, and that of wrong has been cached elsewhere.
-func observe(requests int, rate, utilization, slow, wrong float64) *Learner {
+func observe(rate, utilization, slow, wrong float64) *Learner {
 	lengths := []wick.Tokens{800, 2300, 7000}
 	mean := 0.0
 	for _, tokens := range lengths {
 		mean += float64(tokens) / rate / float64(len(lengths))
 	}
+	const requests = 500
 	rnd := rand.New(rand.NewPCG(1, 2))
 	sound, bad := queue{rnd: rnd, rate: rate}, queue{rnd: rnd, rate: rate / 10}
 	lrn := &Learner{}
@@ -74,14 +75,14 @@
 func TestPrefillRate(t *testing.T) {
 	for _, rate := range []float64{20, 36, 112, 250} {
 		t.Run(fmt.Sprintf("%.0f tokens per ms", rate), func(t *testing.T) {
-			assertNear(t, observe(500, rate, 0.25, 0, 0).Engine(start).PrefillRate, rate, 0.15)
+			assertNear(t, observe(rate, 0.25, 0, 0).Engine(start).PrefillRate, rate, 0.15)
 		})
 	}
 	t.Run("slow endpoint", func(t *testing.T) {
-		assertNear(t, observe(500, 100, 0.2, 0.1, 0).Engine(start).PrefillRate, 100, 0.25)
+		assertNear(t, observe(100, 0.2, 0.1, 0).Engine(start).PrefillRate, 100, 0.25)
 	})
 	t.Run("prompts cached elsewhere", func(t *testing.T) {
-		assertNear(t, observe(500, 100, 0.2, 0, 0.1).Engine(start).PrefillRate, 100, 0.25)
+		assertNear(t, observe(100, 0.2, 0, 0.1).Engine(start).PrefillRate, 100, 0.25)
 	})
 }
 
@@ -127,8 +128,8 @@
 // TestFollowsChange guards against an estimate that stays when all endpoints have
 // been replaced by others.
 func TestFollowsChange(t *testing.T) {
-	lrn := observe(500, 30, 0.2, 0, 0)
-	for _, smp := range observe(500, 120, 0.2, 0, 0).starts {
+	lrn := observe(30, 0.2, 0, 0)
+	for _, smp := range observe(120, 0.2, 0, 0).starts {
 		lrn.AddStart(smp)
 	}
 	assertNear(t, lrn.Engine(start).PrefillRate, 120, 0.15)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -355,7 +355,7 @@
 	grp.eps[end.bke.ID] = end
 	grp.all = append(grp.all, end)
 	grp.byZone[end.bke.Zone] = append(grp.byZone[end.bke.Zone], end)
-	grp.ring.add(end)
+	grp.ring = grp.ring.with(end)
 }
 
 // drop removes an endpoint, unless it is nil, and notifies its runs.
@@ -368,7 +368,7 @@
 	delete(grp.eps, end.bke.ID)
 	grp.all = without(grp.all, end)
 	grp.byZone[end.bke.Zone] = without(grp.byZone[end.bke.Zone], end)
-	grp.ring.remove(end)
+	grp.ring = grp.ring.without(end)
 }
 
 // without returns a list without an endpoint. It does not keep the order.
--- a/internal/pool/ring.go
+++ b/internal/pool/ring.go
@@ -27,18 +27,20 @@
 	return cmp.Or(cmp.Compare(one.hash, two.hash), cmp.Compare(one.end.bke.ID, two.end.bke.ID))
 }
 
-// add adds an endpoint.
-func (rng *ring) add(end *endpoint) {
+// with returns the ring with an endpoint added. It may use the same memory.
+func (rng ring) with(end *endpoint) ring {
 	pnt := ringPoint{end.hash, end}
-	idx, _ := slices.BinarySearchFunc(*rng, pnt, comparePoints)
-	*rng = slices.Insert(*rng, idx, pnt)
+	idx, _ := slices.BinarySearchFunc(rng, pnt, comparePoints)
+	return slices.Insert(rng, idx, pnt)
 }
 
-// remove removes an endpoint.
-func (rng *ring) remove(end *endpoint) {
-	if idx, ok := slices.BinarySearchFunc(*rng, ringPoint{end.hash, end}, comparePoints); ok {
-		*rng = slices.Delete(*rng, idx, idx+1)
+// without returns the ring without an endpoint. It may use the same memory.
+func (rng ring) without(end *endpoint) ring {
+	idx, ok := slices.BinarySearchFunc(rng, ringPoint{end.hash, end}, comparePoints)
+	if !ok {
+		return rng
 	}
+	return slices.Delete(rng, idx, idx+1)
 }
 
 // preferred returns the first and the second endpoint for a key among those that
--- a/internal/pool/sample_test.go
+++ b/internal/pool/sample_test.go
@@ -27,7 +27,7 @@
 func TestSample(t *testing.T) {
 	const prompts, requests = 300, 6000
 	rnd := rand.New(rand.NewPCG(1, 2))
-	var pools []*Pool
+	pools := make([]*Pool, 0, len(manyZones))
 	for _, zone := range manyZones {
 		pools = append(pools, newLargePool(zone))
 	}
@@ -110,7 +110,7 @@
 	ends := make([]*endpoint, manyEndpoints)
 	for idx := range ends {
 		ends[idx] = newEndpoint(backend(idx, "a"))
-		rng.add(ends[idx])
+		rng = rng.with(ends[idx])
 	}
 	before := make([]*endpoint, keys)
 	counts := make(map[wick.VMID]int)
@@ -131,9 +131,9 @@
 			t.Errorf("%s of %s moved %d of %d keys", what, want.bke.ID, moved, keys)
 		}
 	}
-	rng.remove(ends[7])
+	rng = rng.without(ends[7])
 	assertMoved("removal", ends[7])
-	rng.add(ends[7])
+	rng = rng.with(ends[7])
 	for key := range keys {
 		if rng.preferred(fmt.Sprint("k", key), all)[0] != before[key] {
 			t.Fatal("the assignment depends on the order in which endpoints joined")
--- a/internal/relay/hostile_test.go
+++ b/internal/relay/hostile_test.go
@@ -190,7 +190,7 @@
 			}
 		}
 	})
-	rly.addEndpoint("e1", func(req *http.Request, con net.Conn, _ int) {
+	rly.addEndpoint("e1", func(_ *http.Request, con net.Conn, _ int) {
 		beginStream(con, "id: 1\ndata: sound\n\n")
 		endStream(con)
 	})
