plain: each call of a plain service has a connection of its own

Change: calls use connections that no other call has used. TestReusedConnection asked for an unknown outcome when a kept connection closes at its second request; such a call now has its own connection and a known outcome. It asks for that, and for an unknown outcome and no repetition when the connection closes at the first request.

Ruled out: counting only echoed ids, which many plain services don't send. Cost: a connection per call.

--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -70,6 +70,9 @@
 	ans, err := cli.HTTP.Exchange(ctx, wire.Call{
 		Method: call.Method, URL: "http://" + vm.Address + call.Path,
 		Header: requestHeader(call), Body: call.Body, NoRetry: true, StallTimeout: cli.ReplyTimeout,
+		// Plain services need not echo the attempt, so only a connection that no
+		// other call has used tells whose answer it is.
+		CloseConn: true,
 	}, maxBytes)
 	if err != nil {
 		return wick.PlainReply{}, err
--- a/internal/plain/plain_test.go
+++ b/internal/plain/plain_test.go
@@ -221,12 +221,22 @@
 			cli := plain.Client{}
 			_, err := cli.Call(t.Context(), vm, call(method))
 			checkSentinel(t, err, nil)
+			// The second call has a connection of its own, so its outcome is known.
 			_, err = cli.Call(t.Context(), vm, call(method))
-			checkSentinel(t, err, wick.ErrUnknownOutcome)
+			checkSentinel(t, err, nil)
 			if raw.Requests() != 2 {
 				t.Errorf("%d requests, want 2", raw.Requests())
 			}
 		})
+		t.Run("closed after the request/"+method, func(t *testing.T) {
+			raw, vm := startServer(t, func(con *fake.RawConn) { con.Request() }, serveOnce(okReply))
+			cli := plain.Client{}
+			_, err := cli.Call(t.Context(), vm, call(method))
+			checkSentinel(t, err, wick.ErrUnknownOutcome)
+			if raw.Requests() != 1 {
+				t.Errorf("%d requests, want 1", raw.Requests())
+			}
+		})
 		t.Run("closed while idle/"+method, func(t *testing.T) {
 			raw, vm := startServer(t, serveOnce(okReply))
 			cli := plain.Client{}
