--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -154,6 +154,7 @@
 	client        wire.Client
 	leases        *lease.Keeper
 	informants    informants
+	outage        feed.Outage
 	relay         *relay.Server
 	ready         *readyServer
 	admin         admin.Server
@@ -182,6 +183,9 @@
 	edg.rollouts = newRollouts(edg)
 	edg.orders = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.VersionOrder, Handler: feed.Each(edg.rollouts.handleOrder)}
 	edg.moves = &feed.Follower{Store: cfg.Store, Kind: wick.KindMove, Handler: feed.Each(edg.rollouts.handleRecord), Active: edg.rollouts.anyInProgress}
+	for _, fol := range []*feed.Follower{edg.config, edg.backends, edg.members, edg.orders} {
+		fol.Outage = &edg.outage
+	}
 	edg.leases = lease.NewKeeper(cfg.Store, cfg.ID, cfg.Incarnation,
 		func() []wick.Member { return edg.roster.Members(time.Now(), memberTimeout) },
 		edg.eligibleDuties,
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -80,6 +80,8 @@
 	// CurrentLists excludes lists from stale reads, for kinds whose removed objects
 	// must not come back.
 	CurrentLists bool
+	// Outage is shared by the followers of one store; nil if this is the only one.
+	Outage *Outage
 	// Active reports whether the kind is needed at present; nil is always.
 	Active func() bool
 
@@ -161,7 +163,7 @@
 			continue
 		}
 		log.WithError(err).WithField("kind", fol.Kind).Debug("feed: read failed")
-		retry.Sleep(ctx, retry.Backoff(failures, backoffBase, backoffLimit))
+		fol.Outage.wait(ctx, retry.Backoff(failures, backoffBase, backoffLimit))
 		failures++
 	}
 }
@@ -174,12 +176,14 @@
 		fol.answered.Store(now.UnixNano())
 		if since := fol.failing.Swap(0); since != 0 {
 			fol.recovered.Store(now.UnixNano())
+			fol.Outage.end()
 			log.WithFields(logrus.Fields{"kind": fol.Kind, "after": now.Sub(unixTime(since)).String()}).Info(logs.MsgStoreRecovered)
 		}
 		return
 	}
 	metrics.GetOrRegisterCounter("feed.failures", nil).Inc(1)
 	if fol.failing.CompareAndSwap(0, now.UnixNano()) {
+		fol.Outage.begin()
 		log.WithError(err).WithField("kind", fol.Kind).Warn(logs.MsgStoreLost)
 	}
 }
