edge, lease: steps of the control duty end with the lease

Cause: the holder checked its lease and then called the platform; a process that was paused in between sent the call afterwards. With the guard of wire (the first byte is not written after the deadline) a deadline closes all of it but the pause between that check and the write.

Change: usage reports, scale orders and steps of moves run with a context that ends with the lease.

--- a/internal/edge/informants_test.go
+++ b/internal/edge/informants_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -78,6 +79,29 @@
 	}
 }
 
+// TestWithinLease guards against a call of the control duty that is sent after the lease
+// has run out, for instance because the process was paused after it had checked it.
+func TestWithinLease(t *testing.T) {
+	sit := newSite(t, 1, wick.Quota{})
+	edg := sit.edges[0]
+	sit.await("the duty is held", func() bool { _, ok := edg.controlFence(time.Now()); return ok })
+	_ = edg.withinLease(t.Context(), func(ctx context.Context) error {
+		until, ok := ctx.Deadline()
+		if left := time.Until(until); !ok || left <= 0 || left > leaseTiming.Expiry {
+			t.Errorf("deadline %v from now (%v), want at most %v", left, ok, leaseTiming.Expiry)
+		}
+		return nil
+	})
+	sit.stops[0]()
+	<-sit.exited[0]
+	_ = edg.withinLease(t.Context(), func(ctx context.Context) error {
+		if ctx.Err() == nil {
+			t.Error("a step may send without the lease")
+		}
+		return nil
+	})
+}
+
 // TestPollSchedule guards against polls of idle endpoints as often as of busy ones:
 // each costs the endpoint a call (tsagaan-dulaan-grown, quiet-1: 29,000 for 11,700
 // requests).
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -104,7 +104,7 @@
 		if !ok {
 			continue
 		}
-		if err := rpt.Step(ctx, fence, time.Now()); err != nil {
+		if err := edg.withinLease(ctx, func(ctx context.Context) error { return rpt.Step(ctx, fence, time.Now()) }); err != nil {
 			log.WithError(err).WithField("fence", fence).Warn("edge: usage report failed")
 			retry.Sleep(ctx, usageInterval)
 		}
@@ -153,6 +153,14 @@
 	return fence, fence == firstFence || now.Sub(since) >= edg.cfg.Bounds.HandoverDelay
 }
 
+// withinLease runs a step of the control duty with a context that ends with the lease.
+// A call of the step is not sent after that, even if the process was paused in between.
+func (edg *Edge) withinLease(ctx context.Context, step func(ctx context.Context) error) error {
+	ctx, cancel := context.WithDeadline(ctx, edg.leases.ValidUntil(DutyControl))
+	defer cancel()
+	return step(ctx)
+}
+
 // windowCounts sums the counts of a usage window over all entries.
 func (edg *Edge) windowCounts(num uint64) map[wick.Customer]int {
 	out := make(map[wick.Customer]int)
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -212,6 +212,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	ctx, endLease := context.WithDeadline(ctx, rls.edg.leases.ValidUntil(DutyControl))
+	defer endLease()
 	perSecond := rls.requestRate(rol.ord.Service, now)
 	mov := wick.Move{
 		Name: string(rol.id()), Service: rol.ord.Service, To: rol.ord.Target, Deadline: rol.receivedAt.Add(rol.ord.Within),
--- a/internal/edge/scale.go
+++ b/internal/edge/scale.go
@@ -115,7 +115,7 @@
 		return
 	}
 	eng := sca.edg.pool.Engine(ord.Service)
-	err := sca.edg.cfg.Duties.Scale(ctx, fence, ord)
+	err := sca.edg.withinLease(ctx, func(ctx context.Context) error { return sca.edg.cfg.Duties.Scale(ctx, fence, ord) })
 	ent := log.WithFields(logrus.Fields{
 		"service": ord.Service, "zone": ord.Zone, "count": ord.Count, "reclaimable": ord.Reclaimable, "fence": fence,
 		"live": sta.Live[ord.Zone], "need": plr.Desired(), "found": sta.InitialCount, "work": sta.Load,
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -244,6 +244,18 @@
 	return lea.acquiredAt, ok
 }
 
+// ValidUntil returns when the lease of a duty expires unless it is renewed, the zero
+// time if this entry does not hold it.
+func (kee *Keeper) ValidUntil(duty wick.Duty) time.Time {
+	kee.mu.Lock()
+	lea := kee.leases[duty]
+	kee.mu.Unlock()
+	if lea == nil {
+		return time.Time{}
+	}
+	return lea.validUntil()
+}
+
 // Holds returns the fencing token of a duty, and whether this entry holds its
 // lease now.
 func (kee *Keeper) Holds(duty wick.Duty) (wick.Fence, bool) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -118,6 +118,17 @@
 	return lea.rec.Fence, lea.state == Held && lea.clk.Now().Sub(lea.renewedAt) < lea.expiry
 }
 
+// validUntil returns when the lease expires unless it is renewed, the zero time if it
+// is not held.
+func (lea *Lease) validUntil() time.Time {
+	if _, ok := lea.Holds(); !ok {
+		return time.Time{}
+	}
+	lea.mu.Lock()
+	defer lea.mu.Unlock()
+	return lea.renewedAt.Add(lea.expiry)
+}
+
 // Step acquires a free or expired lease or renews a held one, and returns the
 // resulting state. After Lost, the next Step starts from Free.
 func (lea *Lease) Step(ctx context.Context) (State, error) {
