edge, roster: the poller of a zone publishes the records of its zone

Cause: every entry wrote its record each 2 s: 59 of the store's calls a second at 118 entries, and the part of them that grows with the fleet.

The newest record of an entry counts, wherever it stands; a relaying process takes over what the one before it relayed, so that the counts of ended entries stay. What is divided by demand still follows from what the store has.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -154,6 +154,7 @@
 	client        wire.Client
 	leases        *lease.Keeper
 	informants    informants
+	relayed       relayedRecords
 	outage        feed.Outage
 	relay         *relay.Server
 	ready         *readyServer
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -242,7 +242,7 @@
 		}
 	}
 	sit.await("the counts are published", func() bool {
-		rec, err := sit.edges[0].roster.ReadOwn(t.Context())
+		rec, _, err := sit.edges[0].roster.ReadOwn(t.Context())
 		sum := 0
 		for _, counts := range rec.Started {
 			sum += counts["c"]
@@ -406,7 +406,7 @@
 		t.Error("the entry does not exit within its grace period")
 	}
 	// A later record without the flag would make the entry an owner of reserves.
-	if rec, err := sit.edges[0].roster.ReadOwn(t.Context()); err != nil || !rec.Leaving {
+	if rec, _, err := sit.edges[0].roster.ReadOwn(t.Context()); err != nil || !rec.Leaving {
 		t.Errorf("leaving flag in the entry's last record: %v (%v)", rec.Leaving, err)
 	}
 }
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -92,11 +92,15 @@
 // isLoadPoller reports whether this entry is the one of its availability zone that
 // polls endpoints.
 func (edg *Edge) isLoadPoller() bool {
-	mems := place.Within(edg.cfg.Zone, edg.roster.Members(time.Now(), memberTimeout))
-	first, ok := place.First(string(edg.cfg.Zone), mems)
+	first, ok := edg.zonePoller(edg.roster.Members(time.Now(), memberTimeout))
 	return ok && first.ID == edg.cfg.ID
 }
 
+// zonePoller returns the entry that polls the endpoints of this availability zone.
+func (edg *Edge) zonePoller(mems []wick.Member) (wick.Member, bool) {
+	return place.First(string(edg.cfg.Zone), place.Within(edg.cfg.Zone, mems))
+}
+
 // pollLoads polls the model endpoints of this availability zone.
 func (edg *Edge) pollLoads(ctx context.Context, schedule pollSchedule) loadNotice {
 	var ntc loadNotice
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
-	"github.com/wagtailwick/wagtailwick/internal/roster"
 	"github.com/wagtailwick/wagtailwick/internal/usage"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -29,57 +27,6 @@
 	finalCountTimeout = 20 * time.Second
 )
 
-// restoreCounts loads the usage counts of an earlier process of this entry,
-// before its record is overwritten.
-func (edg *Edge) restoreCounts(ctx context.Context) {
-	for failures := 0; ctx.Err() == nil; failures++ {
-		rctx, cancel := context.WithTimeout(ctx, storeTimeout)
-		rec, err := edg.roster.ReadOwn(rctx)
-		cancel()
-		if err == nil {
-			edg.tally.Restore(rec.Started)
-			edg.initialCounts.restore(rec.InitialEndpoints)
-			log.WithFields(logrus.Fields{"incarnation": rec.Incarnation, "windows": len(rec.Started)}).Info("edge: usage counts restored")
-			return
-		}
-		if errors.Is(err, wick.ErrNotFound) || errors.Is(err, wick.ErrInvalid) {
-			return
-		}
-		log.WithError(err).Debug("edge: failed to read own record")
-		retry.Sleep(ctx, retry.Backoff(failures, allocationInterval, storeTimeout))
-	}
-}
-
-// publishLoop periodically writes the entry's record.
-func (edg *Edge) publishLoop(ctx context.Context) {
-	edg.restoreCounts(ctx)
-	for retry.Sleep(ctx, edg.memberInterval()) {
-		if err := edg.publish(ctx); err != nil {
-			log.WithError(err).Debug("edge: failed to write own record")
-		}
-	}
-}
-
-// publish writes the entry's record.
-func (edg *Edge) publish(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	// It is computed before the counts are read, so that those of the windows up
-	// to it are final.
-	through := usage.FinalThrough(time.Now(), edg.cfg.Bounds.UsageWindow)
-	peerAddr := ""
-	if edg.peers.Load() != nil {
-		peerAddr = edg.cfg.PeerAddr
-	}
-	return edg.roster.Publish(ctx, roster.Record{ //nolint:wrapcheck // our own package
-		ID: edg.cfg.ID, Incarnation: edg.cfg.Incarnation, Zone: edg.cfg.Zone, Peer: peerAddr,
-		Beat: edg.heartbeat.Add(1), Leaving: edg.ready.draining.Load(),
-		Demand: edg.quotas.book.Demand(time.Now()), Started: edg.tally.Counts(), CompleteThrough: through,
-		Work: edg.pool.WorkRate(time.Now()), Requests: edg.pool.RequestRate(time.Now()), InitialEndpoints: edg.initialCounts.copy(),
-		Engines: edg.pool.Engines(time.Now()), Occupied: edg.pool.Occupied(time.Now()), Evidence: edg.rollouts.evidence(),
-	})
-}
-
 // allocationLoop periodically recomputes what this entry derives from all entries'
 // records: its parts of the quotas and of the retry budget, and the performance of
 // the endpoints.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -79,6 +79,7 @@
 	trn.Handle(wick.MsgLeaving, edg.handleLeavingNotice)
 	trn.Handle(wick.MsgBundlePush, edg.handlePlanNotice)
 	trn.Handle(wick.MsgLoad, edg.handleLoadNotice)
+	trn.Handle(wick.MsgRecord, edg.handleRecord)
 	return trn, nil
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -62,10 +62,31 @@
 	return wick.Member{ID: rec.ID, Incarnation: rec.Incarnation, Zone: rec.Zone, Address: rec.Peer, State: wick.EntryServing}
 }
 
-// An observation is a record with its revision and the local time of its last
-// change.
+// IsNewer reports whether the record was published after another one of its entry.
+func (rec *Record) IsNewer(old *Record) bool {
+	if rec.Incarnation != old.Incarnation {
+		return rec.Incarnation > old.Incarnation
+	}
+	return rec.Beat > old.Beat
+}
+
+// A document is the object that an entry publishes: its own record and those that it
+// relays for other entries.
+type document struct {
+	Record
+	Relayed []Record `json:"relayed,omitempty"`
+}
+
+// An observation is a record, the name of the object that it was read from, and the
+// local time of its last change.
 type observation struct {
-	rec Record
+	rec    Record
+	source string
+	at     time.Time
+}
+
+// A version is the revision of an object with the local time of its last change.
+type version struct {
 	rev wick.Revision
 	at  time.Time
 }
@@ -76,8 +97,10 @@
 	key wick.ObjectKey
 
 	mu      sync.Mutex
-	records map[string]observation
-	// rev is the revision of the entry's own record, 0 if unknown.
+	records map[wick.EntryID]observation
+	// objects holds the version of each object by name.
+	objects map[string]version
+	// rev is the revision of the entry's own object, 0 if unknown.
 	rev wick.Revision
 }
 
@@ -85,21 +108,21 @@
 func New(sto wick.Store, id wick.EntryID) *Roster {
 	return &Roster{
 		sto: sto, key: wick.ObjectKey{Kind: wick.KindMember, Name: string(id)},
-		records: make(map[string]observation),
+		records: make(map[wick.EntryID]observation), objects: make(map[string]version),
 	}
 }
 
 // Replace replaces all records by those of a list. Unchanged records keep the
-// time of their last change.
+// time of their last change. A record that was relayed stays until Purge.
 func (ros *Roster) Replace(objs []wick.Object) {
+	listed := make(map[string]bool, len(objs))
+	for idx := range objs {
+		listed[objs[idx].Key.Name] = true
+	}
 	ros.mu.Lock()
-	old := ros.records
-	ros.records = make(map[string]observation, len(objs))
-	for name, obs := range old {
-		for idx := range objs {
-			if objs[idx].Key.Name == name {
-				ros.records[name] = obs
-			}
+	for name := range ros.objects {
+		if !listed[name] {
+			ros.remove(name)
 		}
 	}
 	ros.mu.Unlock()
@@ -108,32 +131,82 @@
 	}
 }
 
-// Change applies a change to one record. It ignores malformed records and stale
+// remove removes an object and the record of its own entry, if that was read from it.
+// ros.mu must be held.
+func (ros *Roster) remove(name string) {
+	delete(ros.objects, name)
+	if ros.records[wick.EntryID(name)].source == name {
+		delete(ros.records, wick.EntryID(name))
+	}
+}
+
+// Change applies a change to one object. It ignores malformed objects and stale
 // revisions.
 func (ros *Roster) Change(obj wick.Object) {
 	ros.mu.Lock()
 	defer ros.mu.Unlock()
+	name := obj.Key.Name
 	if obj.Deleted {
-		delete(ros.records, obj.Key.Name)
+		ros.remove(name)
 		return
 	}
-	var rec Record
-	if err := json.Unmarshal(obj.Data, &rec); err != nil {
-		log.WithError(err).WithField("record", obj.Key.Name).Warn("roster: cannot decode record")
+	var doc document
+	if err := json.Unmarshal(obj.Data, &doc); err != nil {
+		log.WithError(err).WithField("record", name).Warn("roster: cannot decode record")
 		return
 	}
-	if obs, ok := ros.records[obj.Key.Name]; ok && obs.rev >= obj.Revision {
+	if ver, ok := ros.objects[name]; ok && ver.rev >= obj.Revision {
 		return
 	}
-	ros.records[obj.Key.Name] = observation{rec: rec, rev: obj.Revision, at: time.Now()}
+	now := time.Now()
+	ros.objects[name] = version{obj.Revision, now}
+	ros.observe(&doc.Record, name, now)
+	for idx := range doc.Relayed {
+		ros.observe(&doc.Relayed[idx], name, now)
+	}
+}
+
+// observe applies a record unless a newer one of its entry is known. ros.mu must be
+// held.
+func (ros *Roster) observe(rec *Record, source string, now time.Time) {
+	if rec.ID == "" {
+		return
+	}
+	old, ok := ros.records[rec.ID]
+	switch {
+	case !ok || rec.IsNewer(&old.rec):
+	case old.rec.IsNewer(rec) || old.source != source || string(rec.ID) != source:
+		return
+	}
+	ros.records[rec.ID] = observation{rec: *rec, source: source, at: now}
+}
+
+// Find returns the record of an entry, and false if there is none.
+func (ros *Roster) Find(id wick.EntryID) (Record, bool) {
+	ros.mu.Lock()
+	defer ros.mu.Unlock()
+	obs, ok := ros.records[id]
+	return obs.rec, ok
+}
+
+// Purge removes relayed records that have not changed for longer than age. Others are
+// removed with their objects.
+func (ros *Roster) Purge(now time.Time, age time.Duration) {
+	ros.mu.Lock()
+	defer ros.mu.Unlock()
+	for id, obs := range ros.records {
+		if obs.source != string(id) && now.Sub(obs.at) > age {
+			delete(ros.records, id)
+		}
+	}
 }
 
 // Settled does nothing, as records are independent of each other.
 func (ros *Roster) Settled() {}
 
-// Publish writes the entry's own record.
-func (ros *Roster) Publish(ctx context.Context, rec Record) error {
-	data, err := json.Marshal(rec)
+// Publish writes the entry's own record and those that it relays.
+func (ros *Roster) Publish(ctx context.Context, rec Record, relayed ...Record) error {
+	data, err := json.Marshal(document{rec, relayed})
 	if err != nil {
 		return eris.Wrap(err, "roster: encode")
 	}
@@ -155,21 +228,21 @@
 	return nil
 }
 
-// ReadOwn reads the record that the entry's previous process published. The error
-// wraps wick.ErrNotFound if there is none.
-func (ros *Roster) ReadOwn(ctx context.Context) (Record, error) {
+// ReadOwn reads the record that the entry's previous process published, and those that
+// it relayed. The error wraps wick.ErrNotFound if there is none.
+func (ros *Roster) ReadOwn(ctx context.Context) (own Record, relayed []Record, err error) {
 	obj, err := ros.sto.Get(ctx, ros.key)
 	if err != nil {
-		return Record{}, eris.Wrap(err, "roster: read")
+		return Record{}, nil, eris.Wrap(err, "roster: read")
 	}
-	var rec Record
-	if err := json.Unmarshal(obj.Data, &rec); err != nil {
-		return Record{}, eris.Wrapf(wick.ErrInvalid, "roster: own record: %v", err)
+	var doc document
+	if err := json.Unmarshal(obj.Data, &doc); err != nil {
+		return Record{}, nil, eris.Wrapf(wick.ErrInvalid, "roster: own record: %v", err)
 	}
 	ros.mu.Lock()
 	defer ros.mu.Unlock()
 	ros.rev = obj.Revision
-	return rec, nil
+	return doc.Record, doc.Relayed, nil
 }
 
 func (ros *Roster) overwrite(ctx context.Context, data []byte) (wick.Revision, error) {
@@ -211,15 +284,15 @@
 	return ros.Alive(time.Time{}, 0, true)
 }
 
-// Stale returns the keys and revisions of records that have not changed for
+// Stale returns the keys and revisions of objects that have not changed for
 // longer than age.
 func (ros *Roster) Stale(now time.Time, age time.Duration) map[wick.ObjectKey]wick.Revision {
 	ros.mu.Lock()
 	defer ros.mu.Unlock()
 	out := make(map[wick.ObjectKey]wick.Revision)
-	for name, obs := range ros.records {
-		if now.Sub(obs.at) > age {
-			out[wick.ObjectKey{Kind: wick.KindMember, Name: name}] = obs.rev
+	for name, ver := range ros.objects {
+		if now.Sub(ver.at) > age {
+			out[wick.ObjectKey{Kind: wick.KindMember, Name: name}] = ver.rev
 		}
 	}
 	return out
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -73,3 +73,79 @@
 		t.Errorf("%d records, want 0", got)
 	}
 }
+
+func assertBeat(t *testing.T, ros *Roster, id wick.EntryID, want uint64) {
+	t.Helper()
+	if rec, ok := ros.Find(id); !ok || rec.Beat != want {
+		t.Errorf("record of %s: %+v (%v), want beat %d", id, rec, ok, want)
+	}
+}
+
+// TestRelayed guards against records of other entries that hide newer ones, are lost with
+// the entry's own old object, or count as changes although they have not.
+func TestRelayed(t *testing.T) {
+	sto := &fake.Store{}
+	one, two := New(sto, "one"), New(sto, "two")
+	publish(t, two, Record{ID: "two", Beat: 1})
+	refresh(t, sto, one)
+	assertBeat(t, one, "two", 1)
+
+	relay := func(beat, relayed uint64) {
+		t.Helper()
+		if err := one.Publish(t.Context(), Record{ID: "one", Beat: beat}, Record{ID: "two", Beat: relayed}); err != nil {
+			t.Fatal(err)
+		}
+		refresh(t, sto, one)
+	}
+	relay(1, 4)
+	assertBeat(t, one, "two", 4)
+	relay(2, 3)
+	assertBeat(t, one, "two", 4)
+	if obj, err := sto.Get(t.Context(), wick.ObjectKey{Kind: wick.KindMember, Name: "two"}); err != nil {
+		t.Fatal(err)
+	} else if err := sto.Delete(t.Context(), obj.Key, obj.Revision); err != nil {
+		t.Fatal(err)
+	}
+	relay(3, 4)
+	assertBeat(t, one, "two", 4)
+	publish(t, two, Record{ID: "two", Beat: 6})
+	refresh(t, sto, one)
+	assertBeat(t, one, "two", 6)
+
+	t.Run("own and relayed after a restart", func(t *testing.T) {
+		own, relayed, err := New(sto, "one").ReadOwn(t.Context())
+		if err != nil || own.Beat != 3 || len(relayed) != 1 || relayed[0].Beat != 4 {
+			t.Errorf("%+v, %+v, %v", own, relayed, err)
+		}
+	})
+	t.Run("ended", func(t *testing.T) {
+		relay(4, 9)
+		now := time.Now()
+		one.Purge(now, time.Minute)
+		assertBeat(t, one, "two", 9)
+		one.Purge(now.Add(2*time.Minute), time.Minute)
+		if _, ok := one.Find("two"); ok {
+			t.Error("a record that has not changed for long is kept")
+		}
+		assertBeat(t, one, "one", 4)
+	})
+}
+
+// TestRelayedAge guards against an entry that counts as alive because its last record is
+// published again and again.
+func TestRelayedAge(t *testing.T) {
+	sto := &fake.Store{}
+	one := New(sto, "one")
+	for beat := range uint64(5) {
+		if err := one.Publish(t.Context(), Record{ID: "one", Beat: beat + 1}, Record{ID: "two", Beat: 7}); err != nil {
+			t.Fatal(err)
+		}
+		refresh(t, sto, one)
+		if beat == 0 {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	if got := one.Alive(time.Now(), 15*time.Millisecond, false); len(got) != 1 || got[0].ID != "one" {
+		t.Errorf("alive: %+v, want one only", got)
+	}
+}
--- a/pkg/wick/peers.go
+++ b/pkg/wick/peers.go
@@ -21,6 +21,7 @@
 	MsgVMList         MessageType = "vmList"
 	MsgQuota          MessageType = "quota"
 	MsgLoad           MessageType = "load"
+	MsgRecord         MessageType = "record"
 )
 
 // MaxMessageBytes is the largest message between entries.
