edge, pool: an endpoint that was removed and is listed again gets requests again; docs

Cause, found on reading the diff: the notice of a removed endpoint marked its incarnation as leaving for good, and was repeated for 4 s; one that was listed again after an outage of its own path to the store would have been lost at the entries that had read its return before a late notice. Entries that poll no zone never forgot the endpoints that they had found leaving.

Change: removed endpoints are marked as gone for 3 s, within which the entry reads the removal itself; a poller stops repeating one that is listed again; old ones are forgotten on each addition.

Measured: TestGone, TestInformants.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -82,7 +82,7 @@
 		lapsed := hdl.afterOutage(now)
 		vid := wick.VMID(obj.Key.Name)
 		if born, ok := hdl.edg.pool.Incarnation(vid); ok && !lapsed {
-			hdl.newlyLeaving = append(hdl.newlyLeaving, leavingEndpoint{ID: vid, Born: born})
+			hdl.newlyLeaving = append(hdl.newlyLeaving, leavingEndpoint{ID: vid, Born: born, Gone: true})
 		}
 		hdl.edg.pool.Unlist(vid, lapsed, now)
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: obj.Key.Name, "revision": obj.Revision, "lapsed": lapsed}).Info(logs.MsgEndpointGone)
@@ -97,6 +97,9 @@
 		hdl.newlyLeaving = append(hdl.newlyLeaving, leavingEndpoint{ID: bke.ID, Born: bke.Born})
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: bke.ID, "revision": obj.Revision, "leavesIn": bke.LeavesIn.String()}).Info(logs.MsgEndpointLeaving)
 	}
+	if !bke.Leaving {
+		hdl.edg.informants.returned(bke.ID)
+	}
 	hdl.edg.pool.Set(bke, now)
 }
 
--- a/internal/edge/informants.go
+++ b/internal/edge/informants.go
@@ -58,21 +58,40 @@
 	if inf.leftAt == nil {
 		inf.leftAt = make(map[leavingEndpoint]time.Time)
 	}
+	inf.forgetLeft(now)
 	for _, end := range ends {
 		inf.leftAt[end] = now
 	}
 }
 
-// recentlyLeft returns the endpoints that left within leftRetention.
-func (inf *informants) recentlyLeft(now time.Time) []leavingEndpoint {
+// returned records that an endpoint is listed again.
+func (inf *informants) returned(vid wick.VMID) {
 	inf.mu.Lock()
 	defer inf.mu.Unlock()
-	var out []leavingEndpoint
+	for end := range inf.leftAt {
+		if end.ID == vid && end.Gone {
+			delete(inf.leftAt, end)
+		}
+	}
+}
+
+// forgetLeft removes the endpoints that left more than leftRetention ago. inf.mu must be
+// held.
+func (inf *informants) forgetLeft(now time.Time) {
 	for end, at := range inf.leftAt {
 		if now.Sub(at) > leftRetention {
 			delete(inf.leftAt, end)
-			continue
 		}
+	}
+}
+
+// recentlyLeft returns the endpoints that left within leftRetention.
+func (inf *informants) recentlyLeft(now time.Time) []leavingEndpoint {
+	inf.mu.Lock()
+	defer inf.mu.Unlock()
+	inf.forgetLeft(now)
+	out := make([]leavingEndpoint, 0, len(inf.leftAt))
+	for end := range inf.leftAt {
 		out = append(out, end)
 	}
 	return out
--- a/internal/edge/informants_test.go
+++ b/internal/edge/informants_test.go
@@ -34,6 +34,18 @@
 			t.Errorf("%d endpoints repeated, want none", len(got))
 		}
 	})
+	t.Run("endpoint that returns", func(t *testing.T) {
+		inf.left([]leavingEndpoint{{ID: "i-2", Born: 1, Gone: true}, {ID: "i-3", Born: 1}}, now)
+		inf.returned("i-2")
+		inf.returned("i-3")
+		if got := inf.recentlyLeft(now); len(got) != 1 || got[0].ID != "i-3" {
+			t.Errorf("%v repeated, want i-3, which was listed as leaving", got)
+		}
+		inf.left(nil, now.Add(time.Minute))
+		if len(inf.leftAt) != 0 {
+			t.Errorf("%d endpoints are kept for good", len(inf.leftAt))
+		}
+	})
 	t.Run("plan", func(t *testing.T) {
 		for _, tst := range []struct {
 			ver   wick.PlanVersion
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -30,6 +30,9 @@
 type leavingEndpoint struct {
 	ID   wick.VMID `cbor:"1,keyasint"`
 	Born int64     `cbor:"2,keyasint"`
+	// Gone is set if the endpoint was removed from the registry without having been
+	// listed as leaving. It may be listed again.
+	Gone bool `cbor:"3,keyasint,omitempty"`
 }
 
 // broadcastLeaving notifies the other entries of leaving endpoints. The entries
@@ -109,9 +112,17 @@
 	return struct{}{}, nil
 }
 
+// goneTime is how long an endpoint that another entry found removed gets no requests.
+// Within it this entry reads the removal itself, if the endpoint is not listed again.
+const goneTime = 3 * time.Second
+
 // markLeft marks endpoints that another entry found leaving or removed.
 func (edg *Edge) markLeft(from wick.EntryID, ends []leavingEndpoint) {
 	for _, end := range ends {
+		if end.Gone {
+			edg.pool.MarkGone(end.ID, end.Born, time.Now().Add(goneTime))
+			continue
+		}
 		if edg.pool.MarkLeaving(end.ID, end.Born) {
 			log.WithField(logs.FieldEndpoint, end.ID).WithField("from", from).Info(logs.MsgEndpointLeavingReported)
 		}
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -41,6 +41,9 @@
 	// graceUntil is set while the endpoint is not listed after an outage of the
 	// store. Until then it is chosen only as a last resort.
 	graceUntil time.Time
+	// goneUntil is until when the endpoint counts as removed from the registry,
+	// although this entry has not read the removal yet.
+	goneUntil time.Time
 	// leavesAt is when a leaving endpoint terminates, if known.
 	leavesAt time.Time
 	inFlight int
@@ -85,7 +88,7 @@
 
 func (end *endpoint) availability(now time.Time) availability {
 	switch {
-	case end.bke.Leaving:
+	case end.bke.Leaving, now.Before(end.goneUntil):
 		return unavailable
 	case !end.graceUntil.IsZero() && now.After(end.graceUntil):
 		return unavailable
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -167,6 +167,21 @@
 	return true
 }
 
+// MarkGone marks an incarnation of an endpoint as removed until a time. Its runs are
+// notified like those of a leaving endpoint.
+func (pl *Pool) MarkGone(vid wick.VMID, incarnation int64, until time.Time) {
+	grp := pl.groupOfVM(vid)
+	if grp == nil {
+		return
+	}
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	if end := grp.eps[vid]; end != nil && end.bke.Born == incarnation {
+		end.goneUntil = until
+		end.notifyLeaving()
+	}
+}
+
 // Report records a load report of an endpoint.
 func (pl *Pool) Report(vid wick.VMID, rep Report) {
 	grp := pl.groupOfVM(vid)
--- a/internal/pool/sample_test.go
+++ b/internal/pool/sample_test.go
@@ -100,6 +100,24 @@
 	}
 }
 
+// TestGone guards against requests to an endpoint that another entry has found removed,
+// and against an endpoint that is lost for good although it is listed again.
+func TestGone(t *testing.T) {
+	pl := newPool("a", "a")
+	until := start.Add(time.Second)
+	pl.MarkGone("e0", 7, until)
+	assertPicked(t, pick(t, pl, Query{}), "e0")
+	running := pick(t, pl, Query{Exclude: []wick.VMID{"e1"}})
+	pl.MarkGone("e0", 0, until)
+	assertPicked(t, pick(t, pl, Query{}), "e1")
+	select {
+	case <-running.Leaving:
+	default:
+		t.Error("a running request is not notified that its endpoint is gone")
+	}
+	assertPicked(t, pick(t, pl, Query{Now: until, Exclude: []wick.VMID{"e1"}}), "e0")
+}
+
 // TestRing guards against an assignment of prompts that changes as a whole when one
 // endpoint joins or leaves, which would lose all prompt caches, and against one that
 // prefers few endpoints.
