edge: pollers write the records of their zone each 2 s

Each write of a zone's records is decoded by every entry, 6.1 ms for 20 records of 40 customers (97 KB, benchmark of roster.Change), and pollers wrote each second where entries had written each 2 s.

Change: pollers write at the interval of all entries (2 s from 12 entries on); entries still send each second, so that counts arrive in time, and write by themselves when 5 records are not confirmed.

--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -76,10 +76,11 @@
 	}
 }
 
-// publishInterval returns the interval between two publications. Those that a poller
-// relays are cheap, and those that it writes serve its whole zone.
+// publishInterval returns the interval between two publications. Records that another
+// entry relays go to it often, but each write of records is read and decoded by all
+// entries.
 func (edg *Edge) publishInterval() time.Duration {
-	if _, ok := edg.relayTarget(); ok || edg.relayed.count() > 0 {
+	if _, ok := edg.relayTarget(); ok {
 		return minMemberInterval
 	}
 	return edg.memberInterval()
@@ -148,7 +149,7 @@
 
 // maxUnconfirmedBeats is the number of records after the last confirmed one from which
 // an entry writes its record itself.
-const maxUnconfirmedBeats = 3
+const maxUnconfirmedBeats = 5
 
 // sendRecord sends the record to the poller of the zone and reports whether the poller
 // keeps publishing this entry's records.
