relay: lost answers of prompts are logged with their parts and progress

The lines of a lost answer did not tell whether requests that end an endpoint have something in common, whether the endpoint had begun to answer, or how long it had worked on them.

Change: parts, received, firstEventAgoMs and sentMs in the lines relay: no reply and relay: answer broke off. Logic is unchanged.

--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -64,7 +64,7 @@
 	body, err := req.readBody(att.rep)
 	if err != nil {
 		otc = req.classifyError(ctx, err)
-		req.logIncomplete(logs.MsgResponseAborted, att.tgt, otc, err)
+		att.logIncomplete(logs.MsgResponseAborted, otc, err)
 		return nil, otc
 	}
 	return &bufferedReply{rep: att.rep, body: body}, otc
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -34,6 +34,8 @@
 	note   wick.ReplyMeta
 	// firstEventAt is when the first event was received, zero before.
 	firstEventAt time.Time
+	// received counts the events that were received.
+	received int
 	// progressAt is when the last part of the answer was received, or else when
 	// the request was sent.
 	progressAt time.Time
@@ -116,7 +118,7 @@
 	})
 	if err != nil {
 		otc = req.classifyError(ctx, err)
-		req.logIncomplete(logs.MsgNoReply, tgt, otc, lossCause(ctx, err))
+		att.logIncomplete(logs.MsgNoReply, otc, lossCause(ctx, err))
 		return att, otc
 	}
 	att.rep = rep
@@ -156,15 +158,34 @@
 	att.wdg.markReceived(att.progressAt)
 }
 
-// logIncomplete logs an attempt without a complete reply, with its cause.
-func (req *request) logIncomplete(msg string, tgt *target, otc outcome, err error) {
+// logIncomplete logs an attempt without a complete reply, with its cause. For a model
+// request it logs the prompt's parts and how far the answer had got, since an endpoint
+// that fails because of a request fails on its prompt.
+func (att *attempt) logIncomplete(msg string, otc outcome, err error) {
 	if otc == outcomeCancelled {
 		return
 	}
-	req.logEvent(msg, logrus.Fields{
-		logs.FieldEnding: otc.String(), logs.FieldEndpoint: tgt.Backend.ID, "address": tgt.Backend.Address,
-		logs.FieldError: err.Error(),
-	})
+	fld := logrus.Fields{
+		logs.FieldEnding: otc.String(), logs.FieldEndpoint: att.tgt.Backend.ID, "address": att.tgt.Backend.Address,
+		logs.FieldError: err.Error(), "sentMs": time.Since(att.sentAt).Milliseconds(),
+	}
+	if parts := att.req.params.Parts; len(parts) > 0 {
+		fld["parts"] = partIDs(parts)
+		fld["received"] = att.received
+		if !att.firstEventAt.IsZero() {
+			fld["firstEventAgoMs"] = time.Since(att.firstEventAt).Milliseconds()
+		}
+	}
+	att.req.logEvent(msg, fld)
+}
+
+// partIDs returns the ids of a prompt's parts in order.
+func partIDs(parts []wick.PromptPart) []string {
+	out := make([]string, len(parts))
+	for idx := range parts {
+		out[idx] = parts[idx].ID
+	}
+	return out
 }
 
 // logBadReply logs a refusal, or a reply that doesn't belong to the request.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -135,11 +135,11 @@
 		case errors.Is(err, io.EOF) && !spl.hasPartial():
 			return outcomeReply
 		case errors.Is(err, io.EOF):
-			fwd.req.logIncomplete(logs.MsgResponseAborted, att.tgt, outcomeLost, io.ErrUnexpectedEOF)
+			att.logIncomplete(logs.MsgResponseAborted, outcomeLost, io.ErrUnexpectedEOF)
 			return outcomeLost
 		default:
 			otc := fwd.req.classifyError(ctx, err)
-			fwd.req.logIncomplete(logs.MsgResponseAborted, att.tgt, otc, lossCause(ctx, err))
+			att.logIncomplete(logs.MsgResponseAborted, otc, lossCause(ctx, err))
 			return otc
 		}
 	}
@@ -151,6 +151,7 @@
 	if evt.id != "" && fwd.lastEventID != "" && !isAfter(evt.id, fwd.lastEventID) {
 		return true
 	}
+	att.received++
 	if att.firstEventAt.IsZero() {
 		att.firstEventAt = time.Now()
 		if fwd.out == nil {
