edge: requests with one prompt part end endpoint after endpoint, known red

Nothing links the end of an endpoint to the prompts that it had begun to answer, and a lost request is sent to a second endpoint.

--- /dev/null
+++ b/internal/edge/crash_test.go
@@ -0,0 +1,132 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// dialProber reports an endpoint that accepts connections as alive.
+type dialProber struct{}
+
+func (dialProber) ProbeRun(context.Context, wick.Backend, wick.RequestID) (bool, error) {
+	return true, nil
+}
+
+func (dialProber) ProbeIncarnation(ctx context.Context, bke wick.Backend) (bool, error) {
+	con, err := new(net.Dialer).DialContext(ctx, "tcp", bke.Address)
+	if err != nil {
+		return false, eris.Wrap(wick.ErrUnavailable, err.Error())
+	}
+	return true, con.Close()
+}
+
+// deadly is the part of a prompt that ends the endpoints of a crashSite.
+const deadly = "deadly"
+
+// A crashSite is a site whose endpoints end as soon as they begin to answer a prompt
+// with the part deadly, while that is set.
+type crashSite struct {
+	*site
+	active atomic.Bool
+	// ended counts the endpoints that have ended.
+	ended atomic.Int32
+	mu    sync.Mutex
+	// deadlyAt lists when requests with the deadly part reached endpoints.
+	deadlyAt []time.Time
+}
+
+func newCrashSite(t *testing.T, edges, endpoints int) *crashSite {
+	t.Helper()
+	sit := &crashSite{site: newSite(t, 0, wick.Quota{})}
+	sit.active.Store(true)
+	sit.prober = dialProber{}
+	sit.put("plan", "next", 0, wick.Plan{
+		Version: 2,
+		Routes: []wick.RoutePlan{{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: wick.RouteStream, MaxAttempts: 2, Resumable: true,
+			Splits: []wick.Split{{Service: "m", Weight: 1}},
+		}},
+		Services:  []wick.ServicePlan{{Name: "m", Model: true}},
+		Customers: []wick.CustomerPlan{{Name: "c", Keys: []wick.CallerKey{"k"}}},
+	})
+	for num := range endpoints {
+		sit.addEndpoint(num)
+	}
+	for num := range edges {
+		sit.start(num, edges)
+	}
+	sit.awaitReady()
+	return sit
+}
+
+func (sit *crashSite) addEndpoint(num int) {
+	var srv *httptest.Server
+	srv = httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if sit.active.Load() && strings.Contains(req.Header.Get("X-Parts"), deadly) {
+			sit.mu.Lock()
+			sit.deadlyAt = append(sit.deadlyAt, time.Now())
+			sit.mu.Unlock()
+			sit.ended.Add(1)
+			srv.Listener.Close()
+			go srv.CloseClientConnections()
+			panic(http.ErrAbortHandler)
+		}
+		wri.Header().Set("X-Id", req.Header.Get("X-Id"))
+		fmt.Fprint(wri, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	}))
+	sit.Cleanup(srv.Close)
+	sit.put("backend", fmt.Sprint("m-", num), 0, wick.Backend{
+		ID: wick.VMID(fmt.Sprint("m-", num)), Service: "m", Zone: "z", Address: srv.Listener.Addr().String(), Slots: 8, Born: 1,
+	})
+}
+
+// sendPrompt sends a prompt with its parts to an edge and returns the status.
+func (sit *crashSite) sendPrompt(num int, id, parts string) int {
+	sit.Helper()
+	status, _ := sit.send(num, "/", id, "X-Parts", parts)
+	return status
+}
+
+// deadlySince counts the requests with the deadly part that reached endpoints.
+func (sit *crashSite) deadlySince(at time.Time) int {
+	sit.mu.Lock()
+	defer sit.mu.Unlock()
+	num := 0
+	for _, one := range sit.deadlyAt {
+		if one.After(at) {
+			num++
+		}
+	}
+	return num
+}
+
+// TestPromptPartEndsEndpoints guards against requests of one kind that end one endpoint
+// after the other: each was sent to a second endpoint like any lost request, and nothing
+// linked the crashes to the part of the prompt that they share. Requests that share only
+// the part before it must be served.
+func TestPromptPartEndsEndpoints(t *testing.T) {
+	const crashesAllowed, furtherAllowed, requests = 5, 3, 14
+	sit := newCrashSite(t, 2, 2*requests+2)
+	for num := range requests {
+		sit.sendPrompt(num%2, fmt.Sprint("deadly", num), fmt.Sprintf("shared:100,%s:10,own%d:5", deadly, num))
+		if status := sit.sendPrompt(num%2, fmt.Sprint("sound", num), fmt.Sprintf("shared:100,other:10,own%d:5", num)); status != http.StatusOK {
+			t.Errorf("request %d that shares only the first part: status %d, want 200", num, status)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	if num := sit.ended.Load(); num > crashesAllowed+furtherAllowed {
+		t.Errorf("%d endpoints ended by %d requests with one part, want at most %d", num, requests, crashesAllowed+furtherAllowed)
+	}
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -49,7 +50,14 @@
 type testDialect struct{}
 
 func (testDialect) ReadRequest(hdr http.Header) wick.RequestMeta {
-	return wick.RequestMeta{ID: wick.RequestID(hdr.Get("X-Id")), Key: wick.CallerKey(hdr.Get("X-Key")), Deadline: 3 * time.Second}
+	met := wick.RequestMeta{ID: wick.RequestID(hdr.Get("X-Id")), Key: wick.CallerKey(hdr.Get("X-Key")), Deadline: 3 * time.Second}
+	for _, text := range strings.Split(hdr.Get("X-Parts"), ",") {
+		if id, num, ok := strings.Cut(text, ":"); ok {
+			tokens, _ := strconv.Atoi(num)
+			met.Parts = append(met.Parts, wick.PromptPart{ID: id, Tokens: wick.Tokens(tokens)})
+		}
+	}
+	return met
 }
 
 func (testDialect) WriteDispatch(hdr http.Header, dsp wick.Dispatch) {
@@ -96,6 +104,8 @@
 	stops  []context.CancelFunc
 	exited []chan error
 	edges  []*Edge
+	// prober is that of all edges, nil for none.
+	prober wick.RunProber
 	// slowDelay is the endpoint's delay for paths with "slow".
 	slowDelay time.Duration
 	// received holds the ids of the requests that reached the endpoint.
@@ -169,7 +179,7 @@
 func (sit *site) start(num, edges int) {
 	cfg := Config{
 		ID: wick.EntryID(fmt.Sprint("edge", num)), Incarnation: 1, Zone: "z", Store: sit.sto, Dialect: testDialect{},
-		Catalog: testCatalog{}, Duties: sit.duties, Kinds: Kinds{Plan: "plan", Backend: "backend", VersionOrder: "order"},
+		Catalog: testCatalog{}, Prober: sit.prober, Duties: sit.duties, Kinds: Kinds{Plan: "plan", Backend: "backend", VersionOrder: "order"},
 		CallerAddr: freeAddr(sit.T), ReadyAddr: freeAddr(sit.T), AdminAddr: freeAddr(sit.T), PeerAddr: freeAddr(sit.T),
 		MaxConnections: 100,
 		Bounds: Bounds{
@@ -186,7 +196,8 @@
 	sit.Cleanup(stop)
 }
 
-func (sit *site) send(num int, path, id string) (int, string) {
+// send sends a request with further headers, names and values in turn.
+func (sit *site) send(num int, path, id string, hdr ...string) (int, string) {
 	sit.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -196,6 +207,9 @@
 	}
 	req.Host = "h"
 	req.Header = http.Header{"X-Id": {id}, "X-Key": {"k"}}
+	for idx := 0; idx+1 < len(hdr); idx += 2 {
+		req.Header.Set(hdr[idx], hdr[idx+1])
+	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
