crash, edge, relay: prompts whose parts end endpoints are blocked at all entries

Cause: an end of an endpoint was never linked to the prompts that it had begun to answer; a lost request went to a second endpoint at once, and no entry saw enough of the crashes.

Change: internal/crash collects what was in flight, before its answer had progressed, at endpoints that ended; entries tell each other. Sets of parts that the crashes have in common are blocked, and tried again by one entry after 20 s, then after twice as long. An entry is ready after it has read the records of the others.

Ruled out: load and cold endpoints (docs/incidents/deadly-part.md); blocking single parts, which refuses the sound prompts behind the same first part; a fixed number of crashes, which refused sound prompts in simulations with many crashes without a cause.

Evidence: TestPromptPartEndsEndpoints failed with 28 endpoints before.

--- a/internal/cause/diagnose.go
+++ b/internal/cause/diagnose.go
@@ -37,6 +37,8 @@
 		fnd.diagnoseNoEndpoint(last)
 	case logs.ReasonEndpointsRefused:
 		fnd.setCausef(EndpointsFull, "all endpoints tried rejected the request or were unreachable: %s", list(last.Endpoints))
+	case logs.ReasonPromptBlocked:
+		fnd.setCausef(PromptBlocked, "the prompt has parts that ended endpoints and are blocked")
 	case logs.ReasonNoPlan:
 		fnd.setCausef(EntryStarting, "%s had not loaded a plan yet", last.Process)
 	case logs.ReasonStalePlan:
--- a/internal/edge/crash_test.go
+++ b/internal/edge/crash_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailwick/wagtailwick/internal/crash"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -112,21 +113,85 @@
 	return num
 }
 
+// Bounds agreed with the users: how many requests with a deadly part may reach endpoints
+// later than lateAfter after the fifth crash.
+const (
+	freeCrashes = 5
+	lateAfter   = 3 * time.Second
+	lateAllowed = 3
+)
+
+// sendDeadly sends requests with the deadly part to the edges in turn, and beside each a
+// sound one that shares its first part, and asserts that these are answered.
+func (sit *crashSite) sendDeadly(edges, requests int) {
+	sit.Helper()
+	for num := range requests {
+		sit.sendPrompt(num%edges, fmt.Sprint("deadly", num), fmt.Sprintf("shared:100,%s:10,own%d:5", deadly, num))
+		if status := sit.sendPrompt(num%edges, fmt.Sprint("sound", num), fmt.Sprintf("shared:100,other:10,own%d:5", num)); status != http.StatusOK {
+			sit.Errorf("request %d that shares only the first part: status %d, want 200", num, status)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// assertContained asserts that hardly any request with the deadly part reached an
+// endpoint once the entries could know it.
+func (sit *crashSite) assertContained() {
+	sit.Helper()
+	if len(sit.deadlyAt) < freeCrashes {
+		return
+	}
+	if num := sit.deadlySince(sit.deadlyAt[freeCrashes-1].Add(lateAfter)); num > lateAllowed {
+		sit.Errorf("%d requests with the deadly part reached endpoints %v after the fifth crash, want at most %d", num, lateAfter, lateAllowed)
+	}
+}
+
 // TestPromptPartEndsEndpoints guards against requests of one kind that end one endpoint
 // after the other: each was sent to a second endpoint like any lost request, and nothing
 // linked the crashes to the part of the prompt that they share. Requests that share only
 // the part before it must be served.
 func TestPromptPartEndsEndpoints(t *testing.T) {
-	const crashesAllowed, furtherAllowed, requests = 5, 3, 14
+	const requests = 26
 	sit := newCrashSite(t, 2, 2*requests+2)
-	for num := range requests {
-		sit.sendPrompt(num%2, fmt.Sprint("deadly", num), fmt.Sprintf("shared:100,%s:10,own%d:5", deadly, num))
-		if status := sit.sendPrompt(num%2, fmt.Sprint("sound", num), fmt.Sprintf("shared:100,other:10,own%d:5", num)); status != http.StatusOK {
-			t.Errorf("request %d that shares only the first part: status %d, want 200", num, status)
-		}
-		time.Sleep(300 * time.Millisecond)
+	sit.sendDeadly(2, requests)
+	sit.assertContained()
+}
+
+// TestLateEntryKnowsBlockedPrompts guards against an entry that starts after the crashes
+// and sends the prompts that end endpoints once more.
+func TestLateEntryKnowsBlockedPrompts(t *testing.T) {
+	const late = 2
+	sit := newCrashSite(t, late, 30)
+	sit.sendDeadly(late, 8)
+	ended := sit.ended.Load()
+	sit.start(late, late+1)
+	sit.await("the new entry serves", func() bool {
+		return sit.isReady(late) && sit.sendPrompt(late, "sound", "shared:100,other:10,own:5") == http.StatusOK
+	})
+	if status := sit.sendPrompt(late, "again", "shared:100,"+deadly+":10,own:5"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d of a blocked prompt at the new entry, want 503", status)
+	}
+	if num := sit.ended.Load(); num != ended {
+		t.Errorf("%d more endpoints ended by the new entry", num-ended)
+	}
+}
+
+// TestLostAnswerOfRunningEndpoint guards against prompts that are blocked since their
+// answers were lost, although the endpoints went on: only their ends count.
+func TestLostAnswerOfRunningEndpoint(t *testing.T) {
+	edg := New(Config{ID: "edge0", Prober: dialProber{}, Bounds: Bounds{Entries: 1}})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	pro := crash.Prompt{Shared: crash.Parts{"part"}, Own: "own"}
+	for num := range 6 {
+		bke := wick.Backend{ID: wick.VMID(fmt.Sprint("i-", num)), Address: lis.Addr().String()}
+		edg.crashes.Lost(bke, pro)
+		time.Sleep(200 * time.Millisecond)
 	}
-	if num := sit.ended.Load(); num > crashesAllowed+furtherAllowed {
-		t.Errorf("%d endpoints ended by %d requests with one part, want at most %d", num, requests, crashesAllowed+furtherAllowed)
+	if nws := edg.crashes.tracker.Record(time.Now()); !nws.IsEmpty() {
+		t.Errorf("evidence %+v, although all endpoints run", nws)
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -155,6 +155,7 @@
 	leases        *lease.Keeper
 	informants    informants
 	relayed       relayedRecords
+	crashes       crashes
 	outage        feed.Outage
 	relay         *relay.Server
 	ready         *readyServer
@@ -179,9 +180,10 @@
 		Store: cfg.Store, Kind: cfg.Kinds.Backend, Handler: &backendHandler{edg: edg}, WatchTimeout: busyWatchTimeout,
 		Pause: edg.backendInterval, Lagging: cfg.StaleReads, MayLag: edg.informed, CurrentLists: true,
 	}
-	edg.members = &feed.Follower{Store: cfg.Store, Kind: wick.KindMember, Handler: edg.roster, Pause: edg.memberInterval, WatchTimeout: busyWatchTimeout}
+	edg.members = &feed.Follower{Store: cfg.Store, Kind: wick.KindMember, Handler: &memberHandler{edg.roster, edg}, Pause: edg.memberInterval, WatchTimeout: busyWatchTimeout, CurrentLists: true}
 	edg.members.Lagging, edg.members.MayLag = cfg.StaleReads, edg.allowStale
 	edg.rollouts = newRollouts(edg)
+	edg.crashes = crashes{edg: edg, wake: make(chan struct{}, 1)}
 	edg.orders = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.VersionOrder, Handler: feed.Each(edg.rollouts.handleOrder)}
 	edg.moves = &feed.Follower{Store: cfg.Store, Kind: wick.KindMove, Handler: feed.Each(edg.rollouts.handleRecord), Active: edg.rollouts.anyInProgress}
 	for _, fol := range []*feed.Follower{edg.config, edg.backends, edg.members, edg.orders} {
@@ -272,7 +274,7 @@
 	var grp errgroup.Group
 	for _, loop := range []func(context.Context){
 		edg.config.Run, edg.backends.Run, edg.members.Run, edg.publishLoop, edg.allocationLoop, edg.peerLoop,
-		edg.orders.Run, edg.moves.Run, edg.rollouts.run, edg.loadLoop,
+		edg.orders.Run, edg.moves.Run, edg.rollouts.run, edg.loadLoop, edg.crashes.run,
 	} {
 		grp.Go(func() error { loop(loopCtx); return nil })
 	}
@@ -309,7 +311,7 @@
 	}
 	edg.relay = relay.New(relay.Config{
 		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
-		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Prober: edg.cfg.Prober, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
+		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Prober: edg.cfg.Prober, Crashes: &edg.crashes, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
 		PlanConfirmed: edg.planConfirmed,
 		RegistryAge:   func() time.Duration { return time.Since(edg.backends.LastSuccess()) },
 	})
@@ -323,6 +325,7 @@
 	edg.admin.Gather = edg.updateGauges
 	edg.admin.Add("pool", func() any { return edg.pool.Summaries() })
 	edg.admin.Add("leases", func() any { return edg.leases.Dump() })
+	edg.admin.Add("crashes", func() any { return edg.crashes.tracker.Record(time.Now()) })
 	edg.admin.Add("members", func() any { return edg.roster.All() })
 	return eris.Wrap(edg.admin.Start(edg.cfg.AdminAddr), "edge")
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -54,7 +54,7 @@
 	for _, text := range strings.Split(hdr.Get("X-Parts"), ",") {
 		if id, num, ok := strings.Cut(text, ":"); ok {
 			tokens, _ := strconv.Atoi(num)
-			met.Parts = append(met.Parts, wick.PromptPart{ID: id, Tokens: wick.Tokens(tokens)})
+			met.Parts = append(met.Parts, wick.PromptPart{ID: wick.PartID(id), Tokens: wick.Tokens(tokens)})
 		}
 	}
 	return met
@@ -101,9 +101,11 @@
 	sto    *fake.Store
 	duties *testDuties
 	addrs  []string
-	stops  []context.CancelFunc
-	exited []chan error
-	edges  []*Edge
+	// readyAddrs are the addresses of the readiness checks.
+	readyAddrs []string
+	stops      []context.CancelFunc
+	exited     []chan error
+	edges      []*Edge
 	// prober is that of all edges, nil for none.
 	prober wick.RunProber
 	// slowDelay is the endpoint's delay for paths with "slow".
@@ -193,9 +195,20 @@
 	sit.edges = append(sit.edges, edg)
 	go func() { exited <- edg.Run(ctx) }()
 	sit.addrs, sit.stops, sit.exited = append(sit.addrs, cfg.CallerAddr), append(sit.stops, stop), append(sit.exited, exited)
+	sit.readyAddrs = append(sit.readyAddrs, cfg.ReadyAddr)
 	sit.Cleanup(stop)
 }
 
+// isReady reports whether an edge tells the load balancer that it is ready.
+func (sit *site) isReady(num int) bool {
+	res, err := http.Get("http://" + sit.readyAddrs[num])
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
 // send sends a request with further headers, names and values in turn.
 func (sit *site) send(num int, path, id string, hdr ...string) (int, string) {
 	sit.Helper()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/logs"
+	"github.com/wagtailwick/wagtailwick/internal/roster"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -43,6 +44,19 @@
 // Settled does nothing: plan changes are not batched.
 func (hdl *planHandler) Settled() {}
 
+// A memberHandler applies changes of the entries' records.
+type memberHandler struct {
+	*roster.Roster
+	edg *Edge
+}
+
+// Settled adopts what the other entries tell in their records. Only then may callers come:
+// they could send prompts that the others have blocked.
+func (hdl *memberHandler) Settled() {
+	hdl.edg.crashes.adoptRecords(time.Now())
+	hdl.edg.ready.setMembersLoaded()
+}
+
 // outageGracePeriod is how long after an outage of the store a missing record is
 // attributed to the outage, in which the endpoint could not renew it.
 const outageGracePeriod = 1500 * time.Millisecond
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -101,7 +101,7 @@
 		Beat: edg.heartbeat.Add(1), Leaving: edg.ready.draining.Load(),
 		Demand: edg.quotas.book.Demand(now), Started: edg.tally.Counts(), CompleteThrough: through,
 		Work: edg.pool.WorkRate(now), Requests: edg.pool.RequestRate(now), InitialEndpoints: edg.initialCounts.copy(),
-		Engines: edg.pool.Engines(now), Occupied: edg.pool.Occupied(now), Evidence: edg.rollouts.evidence(),
+		Engines: edg.pool.Engines(now), Occupied: edg.pool.Occupied(now), Evidence: edg.rollouts.evidence(), Crashes: edg.crashes.record(now),
 	}
 }
 
--- a/internal/edge/ready.go
+++ b/internal/edge/ready.go
@@ -16,9 +16,9 @@
 // A readyServer serves the readiness check of the load balancer. It replies on
 // every path.
 type readyServer struct {
-	// plan and backends are set once the first plan and the first list of
-	// endpoints are loaded, draining when the entry drains.
-	plan, backends, draining atomic.Bool
+	// plan, backends and members are set once the first plan and the first lists of
+	// endpoints and of entries are loaded, draining when the entry drains.
+	plan, backends, members, draining atomic.Bool
 }
 
 func newReadyServer(ctx context.Context, addr string) (*readyServer, error) {
@@ -43,10 +43,11 @@
 
 func (rds *readyServer) setPlanLoaded()     { rds.plan.Store(true) }
 func (rds *readyServer) setBackendsLoaded() { rds.backends.Store(true) }
+func (rds *readyServer) setMembersLoaded()  { rds.members.Store(true) }
 func (rds *readyServer) setDraining()       { rds.draining.Store(true) }
 
 func (rds *readyServer) ready() bool {
-	return rds.plan.Load() && rds.backends.Load() && !rds.draining.Load()
+	return rds.plan.Load() && rds.backends.Load() && rds.members.Load() && !rds.draining.Load()
 }
 
 func (rds *readyServer) handle(_ context.Context, rct *app.RequestContext) {
--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -29,6 +29,9 @@
 	MsgStoreRecovered          = "feed: store answers again"
 	MsgLinesDropped            = "logs: lines dropped"
 	MsgVersionStopped          = "edge: version stopped here"
+	MsgEndpointEnded           = "edge: endpoint ended"
+	MsgPartsBlocked            = "edge: parts of prompts blocked"
+	MsgPartsAllowed            = "edge: parts of prompts allowed again"
 )
 
 // Values of FieldReason: why a request was refused, failed or cut off.
@@ -39,6 +42,7 @@
 	ReasonNoCustomer       = "unknownKey"
 	ReasonDraining         = "draining"
 	ReasonQuota            = "quota"
+	ReasonPromptBlocked    = "promptBlocked"
 	ReasonNoEndpoint       = "noEndpoint"
 	ReasonEndpointsRefused = "endpointsRefused"
 	ReasonOutcomeUnknown   = "outcomeUnknown"
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -50,7 +50,7 @@
 	wick.MsgStop: true, wick.MsgLeaving: true, wick.MsgEvidence: true,
 	wick.MsgClaim: true, wick.MsgClaimResult: true, wick.MsgStreamCopy: true,
 	wick.MsgStreamFetch: true, wick.MsgStreamTakeover: true, wick.MsgVMList: true,
-	wick.MsgQuota: true, wick.MsgLoad: true, wick.MsgRecord: true,
+	wick.MsgQuota: true, wick.MsgLoad: true, wick.MsgRecord: true, wick.MsgCrash: true,
 }
 
 // Encode encodes the body of a message.
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -58,14 +58,14 @@
 	backoffUntil time.Time
 	report       Report
 	// cachedParts maps a prompt part that is probably cached to its last use.
-	cachedParts map[string]time.Time
+	cachedParts map[wick.PartID]time.Time
 	// leaving is closed when the endpoint leaves, is removed or is replaced.
 	leaving  chan struct{}
 	notified bool
 }
 
 func newEndpoint(bke wick.Backend) *endpoint {
-	return &endpoint{bke: bke, hash: xxhash.Sum64String(string(bke.ID)), cachedParts: make(map[string]time.Time), leaving: make(chan struct{})}
+	return &endpoint{bke: bke, hash: xxhash.Sum64String(string(bke.ID)), cachedParts: make(map[wick.PartID]time.Time), leaving: make(chan struct{})}
 }
 
 func (end *endpoint) notifyLeaving() {
@@ -117,7 +117,7 @@
 // recordPrompt marks the shared parts of a prompt as cached at the endpoint.
 func (end *endpoint) recordPrompt(parts []wick.PromptPart, now time.Time) {
 	if len(end.cachedParts) > maxCachedParts {
-		end.cachedParts = make(map[string]time.Time)
+		end.cachedParts = make(map[wick.PartID]time.Time)
 	}
 	for idx := 0; idx+1 < len(parts); idx++ {
 		end.cachedParts[parts[idx].ID] = now
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -193,7 +193,7 @@
 	if len(que.Parts) < 2 {
 		return [2]*endpoint{}
 	}
-	return grp.ring.preferred(que.Parts[len(que.Parts)-2].ID, func(end *endpoint) bool {
+	return grp.ring.preferred(string(que.Parts[len(que.Parts)-2].ID), func(end *endpoint) bool {
 		return !end.bke.Leaving && (que.ExceptVersion == "" || end.bke.Version != que.ExceptVersion)
 	})
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -41,7 +41,7 @@
 	byZone map[wick.Zone][]*endpoint
 	ring   ring
 	// holders lists endpoints that have probably cached a prompt part.
-	holders map[string][]*endpoint
+	holders map[wick.PartID][]*endpoint
 	// requestRate measures the number of this entry's requests, modelRate that of
 	// its model requests, prefillRate their prompt tokens to process and
 	// outputRate their tokens to generate.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -212,9 +212,9 @@
 				pl.Set(backend(idx, wick.Zone("abcdef"[idx%6:idx%6+1])), start)
 			}
 			que := Query{Service: service, Model: true, Now: start, InputTokens: 900, Parts: make([]wick.PromptPart, 3)}
-			ids := make([]string, 1<<12)
+			ids := make([]wick.PartID, 1<<12)
 			for idx := range ids {
-				ids[idx] = strconv.Itoa(idx)
+				ids[idx] = wick.PartID(strconv.Itoa(idx))
 			}
 			b.ReportAllocs()
 			for num := 0; b.Loop(); num++ {
--- a/internal/pool/sample.go
+++ b/internal/pool/sample.go
@@ -77,7 +77,7 @@
 // addHolder remembers that an endpoint caches the shared parts of a prompt.
 func (grp *group) addHolder(end *endpoint, parts []wick.PromptPart) {
 	if grp.holders == nil || len(grp.holders) > maxHeldParts {
-		grp.holders = make(map[string][]*endpoint)
+		grp.holders = make(map[wick.PartID][]*endpoint)
 	}
 	for idx := 0; idx+1 < len(parts); idx++ {
 		ends := grp.holders[parts[idx].ID]
--- a/internal/pool/sample_test.go
+++ b/internal/pool/sample_test.go
@@ -37,7 +37,7 @@
 	for range requests {
 		now = now.Add(time.Millisecond)
 		prompt := rnd.IntN(prompts)
-		parts := []wick.PromptPart{{ID: fmt.Sprint("p", prompt), Tokens: 6000}, {ID: "own", Tokens: 2000}}
+		parts := []wick.PromptPart{{ID: wick.PartID(fmt.Sprint("p", prompt)), Tokens: 6000}, {ID: "own", Tokens: 2000}}
 		asg := pick(t, pools[rnd.IntN(len(pools))], Query{Model: true, Parts: parts, InputTokens: 8000, Now: now})
 		if endpointsOf[prompt] == nil {
 			endpointsOf[prompt] = make(map[wick.VMID]bool)
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -48,6 +48,7 @@
 		act := req.retries.next(otc, req.acquireRetry)
 		if act == actRetry {
 			req.logEvent(logs.MsgRetried, logrus.Fields{"after": otc.String()})
+			req.awaitFate(ctx)
 			continue
 		}
 		req.conclude(act, lastReply)
@@ -64,7 +65,7 @@
 	body, err := req.readBody(att.rep)
 	if err != nil {
 		otc = req.classifyError(ctx, err)
-		att.logIncomplete(logs.MsgResponseAborted, otc, err)
+		att.recordIncomplete(logs.MsgResponseAborted, otc, err)
 		return nil, otc
 	}
 	return &bufferedReply{rep: att.rep, body: body}, otc
@@ -96,11 +97,14 @@
 // picked: with the last complete reply if there is one, otherwise with the
 // refusal that matches the attempts so far.
 func (req *request) concludeNoEndpoint(lastReply *bufferedReply, err error) {
+	var blocked *blockedError
 	switch {
 	case lastReply != nil:
 		req.conclude(actDeliver, lastReply)
 	case req.retries.possibleRuns > 0:
 		req.fail(refusalOutcomeUnknown)
+	case errors.As(err, &blocked):
+		req.refuse(refusalPromptBlocked.withRetryAfter(blocked.retryAfter))
 	case req.retries.attempts > 0:
 		req.refuse(refusalAllRefused)
 	default:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/crash"
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/plan"
@@ -80,8 +81,8 @@
 	Choose(svc wick.Service, route wick.RouteName, now time.Time) Choice
 }
 
-// A Config holds the dependencies of a Server. All fields but Prober are
-// required.
+// A Config holds the dependencies of a Server. All fields but Prober
+// and Crashes are required.
 type Config struct {
 	Listener net.Listener
 	// MaxConnections bounds the callers' open connections.
@@ -93,6 +94,7 @@
 	Versions       Versions
 	Mover          wick.Mover
 	Prober         wick.RunProber
+	Crashes        Crashes
 	Budget         *retry.Budget
 	Client         *wire.Client
 	Meter          Meter
@@ -123,6 +125,9 @@
 
 // New returns a server that accepts connections once Serve is called.
 func New(cfg Config) *Server {
+	if cfg.Crashes == nil {
+		cfg.Crashes = noCrashes{}
+	}
 	srv := &Server{cfg: cfg, routineLogs: logs.NewSampler(routineLogsPerSecond), buffers: byteBudget{limit: maxBufferedBytes}}
 	srv.lis = &httpio.Listener{
 		Listener: cfg.Listener, Limit: int64(cfg.MaxConnections), ReadTimeout: readTimeout,
@@ -174,6 +179,11 @@
 	tried []wick.VMID
 	// header is a copy of the caller's end-to-end headers.
 	header http.Header
+	// prompt is that of a model request.
+	prompt crash.Prompt
+	// fate is closed once it is known whether the endpoint of the last attempt has
+	// ended; nil if that need not be awaited.
+	fate <-chan struct{}
 	// metered is set once the meter has counted the request.
 	metered bool
 	// buffered is the memory held for the replies of endpoints.
@@ -193,6 +203,7 @@
 	hdr := endToEndHeader(rct)
 	req := &request{srv: srv, rct: rct, header: hdr, arrived: now, buffered: reservation{bud: &srv.buffers}}
 	req.params = srv.cfg.Dialect.ReadRequest(hdr)
+	req.prompt = crash.NewPrompt(req.params.Parts)
 	if rfl, ok := req.admit(ctx, now); !ok {
 		req.writeRefusal(logs.MsgRefused, rfl)
 		return
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -36,6 +36,9 @@
 	firstEventAt time.Time
 	// received counts the events that were received.
 	received int
+	// survived is set once the endpoint is known to have survived the prompt, incomplete
+	// if its connection ended before its answer did.
+	survived, incomplete bool
 	// progressAt is when the last part of the answer was received, or else when
 	// the request was sent.
 	progressAt time.Time
@@ -50,9 +53,17 @@
 	choice Choice
 }
 
+// A blockedError reports that the prompt of a request must not be sent to an endpoint.
+type blockedError struct{ retryAfter time.Duration }
+
+func (*blockedError) Error() string { return "prompt is blocked, since it ends endpoints" }
+
 // pick picks an endpoint for the next attempt, which continues an earlier answer
 // if resumed is set.
 func (req *request) pick(resumed bool) (*target, error) {
+	if vdc := req.srv.cfg.Crashes.Check(req.prompt); vdc.Blocked {
+		return nil, &blockedError{vdc.RetryAfter}
+	}
 	now := time.Now()
 	choice := req.srv.cfg.Versions.Choose(req.service, req.match.Route.Name, now)
 	que := pool.Query{
@@ -118,7 +129,7 @@
 	})
 	if err != nil {
 		otc = req.classifyError(ctx, err)
-		att.logIncomplete(logs.MsgNoReply, otc, lossCause(ctx, err))
+		att.recordIncomplete(logs.MsgNoReply, otc, lossCause(ctx, err))
 		return att, otc
 	}
 	att.rep = rep
@@ -158,13 +169,14 @@
 	att.wdg.markReceived(att.progressAt)
 }
 
-// logIncomplete logs an attempt without a complete reply, with its cause. For a model
+// recordIncomplete logs an attempt without a complete reply, with its cause. For a model
 // request it logs the prompt's parts and how far the answer had got, since an endpoint
 // that fails because of a request fails on its prompt.
-func (att *attempt) logIncomplete(msg string, otc outcome, err error) {
+func (att *attempt) recordIncomplete(msg string, otc outcome, err error) {
 	if otc == outcomeCancelled {
 		return
 	}
+	att.incomplete = true
 	fld := logrus.Fields{
 		logs.FieldEnding: otc.String(), logs.FieldEndpoint: att.tgt.Backend.ID, "address": att.tgt.Backend.Address,
 		logs.FieldError: err.Error(), "sentMs": time.Since(att.sentAt).Milliseconds(),
@@ -180,8 +192,8 @@
 }
 
 // partIDs returns the ids of a prompt's parts in order.
-func partIDs(parts []wick.PromptPart) []string {
-	out := make([]string, len(parts))
+func partIDs(parts []wick.PromptPart) []wick.PartID {
+	out := make([]wick.PartID, len(parts))
 	for idx := range parts {
 		out[idx] = parts[idx].ID
 	}
@@ -219,6 +231,7 @@
 	if att.rep != nil {
 		att.rep.Close()
 	}
+	att.reportCrash(otc)
 	now := time.Now()
 	att.tgt.Done(att.poolResult(otc, now), now)
 	if att.tgt.choice.Done != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -50,6 +50,7 @@
 		act := req.retries.next(otc, req.acquireRetry)
 		if act == actRetry {
 			req.logEvent(logs.MsgRetried, logrus.Fields{"after": otc.String(), "lastEvent": fwd.lastEventID})
+			req.awaitFate(ctx)
 			continue
 		}
 		fwd.conclude(act, fwd.lastReply)
@@ -135,11 +136,11 @@
 		case errors.Is(err, io.EOF) && !spl.hasPartial():
 			return outcomeReply
 		case errors.Is(err, io.EOF):
-			att.logIncomplete(logs.MsgResponseAborted, outcomeLost, io.ErrUnexpectedEOF)
+			att.recordIncomplete(logs.MsgResponseAborted, outcomeLost, io.ErrUnexpectedEOF)
 			return outcomeLost
 		default:
 			otc := fwd.req.classifyError(ctx, err)
-			att.logIncomplete(logs.MsgResponseAborted, otc, lossCause(ctx, err))
+			att.recordIncomplete(logs.MsgResponseAborted, otc, lossCause(ctx, err))
 			return otc
 		}
 	}
@@ -171,6 +172,7 @@
 		return false
 	}
 	fwd.eventCount++
+	att.noteProgress(time.Now())
 	if evt.id != "" {
 		fwd.lastEventID = evt.id
 	}
--- a/internal/relay/watchdog_test.go
+++ b/internal/relay/watchdog_test.go
@@ -19,6 +19,10 @@
 	result func(num int) (bool, error)
 }
 
+func (prb *testProber) ProbeIncarnation(context.Context, wick.Backend) (bool, error) {
+	return true, nil
+}
+
 func (prb *testProber) ProbeRun(context.Context, wick.Backend, wick.RequestID) (bool, error) {
 	prb.mu.Lock()
 	defer prb.mu.Unlock()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/canary"
+	"github.com/wagtailwick/wagtailwick/internal/crash"
 	"github.com/wagtailwick/wagtailwick/internal/perf"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -55,6 +56,9 @@
 	// Occupied is the share of their slots that this entry's requests occupy,
 	// summed over the endpoints of each service.
 	Occupied map[wick.Service]float64 `json:"occupied,omitempty"`
+	// Crashes holds the parts of prompts that are blocked and this entry's last
+	// evidence; nil if there is neither.
+	Crashes *crash.News `json:"crashes,omitempty"`
 }
 
 // Member returns the entry as a peer.
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -6,10 +6,13 @@
 	"time"
 )
 
+// A PartID identifies a segment of prompts.
+type PartID string
+
 // A PromptPart is one segment of a model request's prompt. Requests share
 // segments, and endpoints cache them as prefixes.
 type PromptPart struct {
-	ID     string
+	ID     PartID
 	Tokens Tokens
 }
 
@@ -82,11 +85,15 @@
 	ReadLoad(ctx context.Context, bke Backend) (BackendLoad, error)
 }
 
-// A RunProber checks whether a model endpoint may still produce output for a
-// request: it runs the request, or has requests waiting. The error wraps
+// A RunProber checks what became of a request's endpoint. Errors wrap
 // ErrUnavailable when the endpoint did not respond.
 type RunProber interface {
+	// ProbeRun reports whether a model endpoint may still produce output for a
+	// request: it runs the request, or has requests waiting.
 	ProbeRun(ctx context.Context, bke Backend, rid RequestID) (working bool, err error)
+	// ProbeIncarnation reports whether the same incarnation of the endpoint still
+	// runs. It returns false if the endpoint has restarted since.
+	ProbeIncarnation(ctx context.Context, bke Backend) (same bool, err error)
 }
 
 // A ReplyMeta holds the fields parsed from the headers of an endpoint's reply.
--- a/pkg/wick/peers.go
+++ b/pkg/wick/peers.go
@@ -22,6 +22,7 @@
 	MsgQuota          MessageType = "quota"
 	MsgLoad           MessageType = "load"
 	MsgRecord         MessageType = "record"
+	MsgCrash          MessageType = "crash"
 )
 
 // MaxMessageBytes is the largest message between entries.
