platform, pool, edge: limits that endpoints name are read, logged and passed on

Neither logs nor metrics showed that an endpoint limits its requests, nor which entry knew it.

Change: answers and load reports carry the limit; pollers pass it on with the loads; log lines, gauge and counters. The choice of endpoints is unchanged.

--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -41,14 +41,16 @@
 // updatePoolGauges sets the gauges of each service's endpoints.
 func (edg *Edge) updatePoolGauges() {
 	for svc, zones := range edg.pool.Summaries() {
-		live, leaving, inFlight := 0, 0, 0
+		live, leaving, inFlight, limited := 0, 0, 0, 0
 		for _, sum := range zones {
 			live, leaving, inFlight = live+sum.Live, leaving+sum.Leaving, inFlight+sum.InFlight
+			limited += sum.Limited
 		}
 		prefix := "pool." + string(svc)
 		setGauge(prefix+".live", int64(live))
 		setGauge(prefix+".leaving", int64(leaving))
 		setGauge(prefix+".inFlight", int64(inFlight))
+		setGauge(prefix+".limited", int64(limited))
 	}
 }
 
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -48,6 +48,9 @@
 	Running int         `cbor:"2,keyasint"`
 	Waiting int         `cbor:"3,keyasint"`
 	Next    wick.Tokens `cbor:"4,keyasint"`
+	// Limit is the request rate that the endpoint allows all entries, if HasLimit is set.
+	Limit    float64 `cbor:"5,keyasint,omitempty"`
+	HasLimit bool    `cbor:"6,keyasint,omitempty"`
 }
 
 // loadLoop polls the load of the model endpoints in this entry's availability
@@ -135,7 +138,7 @@
 					log.WithError(err).WithField("endpoint", bke.ID).Debug("edge: failed to poll load")
 					return nil
 				}
-				ntc.Loads = append(ntc.Loads, endpointLoad{bke.ID, load.Running, load.Waiting, load.NextTokens})
+				ntc.Loads = append(ntc.Loads, endpointLoad{bke.ID, load.Running, load.Waiting, load.NextTokens, load.Limit.PerSecond, load.Limit.Set})
 				return nil
 			})
 		}
@@ -149,7 +152,10 @@
 	now := time.Now()
 	for _, load := range ntc.Loads {
 		edg.pool.Report(load.ID, pool.Report{
-			At: now, Load: wick.BackendLoad{Running: load.Running, Waiting: load.Waiting, NextTokens: load.Next},
+			At: now, Load: wick.BackendLoad{
+				Running: load.Running, Waiting: load.Waiting, NextTokens: load.Next,
+				Limit: wick.RateLimit{Set: load.HasLimit, PerSecond: max(load.Limit, 0)},
+			},
 		})
 	}
 }
--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -29,6 +29,8 @@
 	MsgStoreRecovered          = "feed: store answers again"
 	MsgLinesDropped            = "logs: lines dropped"
 	MsgVersionStopped          = "edge: version stopped here"
+	MsgEndpointLimit           = "pool: endpoint names a limit"
+	MsgEndpointUnlimited       = "pool: endpoint names no limit any more"
 	MsgEndpointEnded           = "edge: endpoint ended"
 	MsgPartsBlocked            = "edge: parts of prompts blocked"
 	MsgPartsAllowed            = "edge: parts of prompts allowed again"
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -57,6 +57,7 @@
 	// backoffUntil is the end of the endpoint's ejection or refusal backoff.
 	backoffUntil time.Time
 	report       Report
+	limit        limiter
 	// cachedParts maps a prompt part that is probably cached to its last use.
 	cachedParts map[wick.PartID]time.Time
 	// leaving is closed when the endpoint leaves, is removed or is replaced.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -192,6 +192,7 @@
 	defer grp.mu.Unlock()
 	if end := grp.eps[vid]; end != nil {
 		end.report = rep
+		end.setLimit(rep.Load.Limit, rep.At)
 	}
 }
 
@@ -269,6 +270,8 @@
 	InFlight int `json:"inFlight"`
 	// Spot counts the live endpoints that are reclaimable.
 	Spot int `json:"spot"`
+	// Limited counts the live endpoints that limit their requests.
+	Limited int `json:"limited"`
 }
 
 // Summaries returns the counts by service and zone.
@@ -324,6 +327,9 @@
 		sum := out[end.bke.Zone]
 		sum.Service, sum.Zone = svc, end.bke.Zone
 		sum.InFlight += end.inFlight
+		if end.limit.Set && !end.bke.Leaving {
+			sum.Limited++
+		}
 		switch {
 		case end.bke.Leaving:
 			sum.Leaving++
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -121,6 +121,9 @@
 		dsp.Customer = req.match.Customer.Name
 	}
 	req.srv.cfg.Dialect.WriteDispatch(hdr, dsp)
+	if tgt.Limited() {
+		metrics.GetOrRegisterCounter("relay.sentLimited."+sendWay(&dsp, req.retries.attempts), nil).Inc(1)
+	}
 	rep, err := req.srv.cfg.Client.Do(ctx, wire.Call{
 		Method: string(req.rct.Method()), URL: "http://" + tgt.Backend.Address,
 		Host: string(req.rct.Request.Header.Host()), Target: string(req.rct.Request.Header.RequestURI()),
@@ -134,6 +137,9 @@
 	}
 	att.rep = rep
 	att.note = req.srv.cfg.Dialect.ReadReply(rep.Status, rep.Header)
+	if !req.isStray(att.note) {
+		tgt.SetLimit(att.note.Limit, time.Now())
+	}
 	defer func() {
 		if otc == outcomeLost || otc == outcomeRefused {
 			req.logBadReply(att, otc)
@@ -154,6 +160,19 @@
 	}
 }
 
+// sendWay returns how a request comes to an endpoint, for metrics: as its first attempt,
+// as a further one, or as a run that is moved.
+func sendWay(dsp *wick.Dispatch, attempts int) string {
+	switch {
+	case dsp.Snapshot != "":
+		return "moved"
+	case attempts > 0:
+		return "again"
+	default:
+		return "first"
+	}
+}
+
 // isStray reports whether a reply may be that of another request. One without an id
 // is accepted only on a connection that no other request has used.
 func (req *request) isStray(note wick.ReplyMeta) bool {
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -78,6 +78,8 @@
 	Running, Waiting int
 	// NextTokens is the prompt length of the first waiting request.
 	NextTokens Tokens
+	// Limit is the request rate that the endpoint allows.
+	Limit RateLimit
 }
 
 // A LoadReader reads the load of model endpoints. Errors wrap ErrUnavailable.
@@ -105,6 +107,17 @@
 	NotExecuted bool
 	// Authentic is set when the reply carries the endpoint's signature.
 	Authentic bool
+	// Limit is the request rate that the endpoint allows.
+	Limit RateLimit
+}
+
+// A RateLimit is the request rate that an endpoint allows all entries together. Its zero
+// value is no limit.
+type RateLimit struct {
+	// Set is set if the endpoint names a limit.
+	Set bool
+	// PerSecond is not negative.
+	PerSecond float64
 }
 
 // A Dialect reads and writes the headers of requests and replies.
