pool, relay, edge: the entries together keep the limits that endpoints name

Cause: the limit did not count in the choice of an endpoint, and no entry knew what the others send.

Change: a token bucket for each limited endpoint with this entry's part of the rate, which follows the entries' published rates; a low limit is used by some entries only. Requests wait for their turn up to half of their latency objective, else they are refused at once.

--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -37,6 +37,7 @@
 	NoEndpoint         Kind = "noEndpoint"
 	StoreUnreachable   Kind = "storeAway"
 	EndpointsFull      Kind = "endpointsFull"
+	EndpointsLimited   Kind = "endpointsLimited"
 	PromptBlocked      Kind = "promptBlocked"
 	EndpointLost       Kind = "endpointLost"
 	EndpointLeft       Kind = "endpointLeft"
--- a/internal/cause/diagnose.go
+++ b/internal/cause/diagnose.go
@@ -39,6 +39,8 @@
 		fnd.setCausef(EndpointsFull, "all endpoints tried rejected the request or were unreachable: %s", list(last.Endpoints))
 	case logs.ReasonPromptBlocked:
 		fnd.setCausef(PromptBlocked, "the prompt has parts that ended endpoints and are blocked")
+	case logs.ReasonEndpointsLimited:
+		fnd.setCausef(EndpointsLimited, "all endpoints of %s were at the limits that they name", last.Service)
 	case logs.ReasonNoPlan:
 		fnd.setCausef(EntryStarting, "%s had not loaded a plan yet", last.Process)
 	case logs.ReasonStalePlan:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -168,6 +168,7 @@
 // New returns an Edge, which serves once Run is called.
 func New(cfg Config) *Edge {
 	edg := &Edge{cfg: cfg, pool: pool.New(cfg.Zone), roster: roster.New(cfg.Store, cfg.ID)}
+	edg.pool.SetNewLimitShare(1 / float64(max(cfg.Bounds.Entries, 1)))
 	edg.budget = retry.Budget{Ratio: retryMargin * cfg.Bounds.RetryRatio, Capacity: edg.retryCapacity(cfg.Bounds.Entries)}
 	trm := quota.Tolerance{Overshoot: cfg.Bounds.QuotaOvershoot, Slack: cfg.Bounds.QuotaSlack, Window: cfg.Bounds.QuotaWindow}
 	edg.quotas = quotas{edg: edg, book: quota.Allocation{Tolerance: trm}, reserve: quota.Reserve{Tolerance: trm}}
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -33,6 +33,7 @@
 func (edg *Edge) allocationLoop(ctx context.Context) {
 	for {
 		edg.quotas.allocate(time.Now())
+		edg.shareLimits(time.Now())
 		edg.adoptRecords(time.Now())
 		if !retry.Sleep(ctx, allocationInterval) {
 			return
--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -45,6 +45,7 @@
 	ReasonDraining         = "draining"
 	ReasonQuota            = "quota"
 	ReasonPromptBlocked    = "promptBlocked"
+	ReasonEndpointsLimited = "endpointsLimited"
 	ReasonNoEndpoint       = "noEndpoint"
 	ReasonEndpointsRefused = "endpointsRefused"
 	ReasonOutcomeUnknown   = "outcomeUnknown"
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -51,6 +51,9 @@
 	OnlyVersion, ExceptVersion wick.ModelVersion
 	// Exclude lists endpoints that the request was already sent to.
 	Exclude []wick.VMID
+	// MaxWait is how long the request may wait until an endpoint that limits its
+	// requests may be sent one more.
+	MaxWait time.Duration
 	Now     time.Time
 }
 
@@ -69,6 +72,8 @@
 	Leaving <-chan struct{}
 	// Band is the load band of the endpoint when it was chosen.
 	Band wick.LoadBand
+	// Wait is the time until the request may be sent, at most the query's MaxWait.
+	Wait time.Duration
 
 	grp     *group
 	end     *endpoint
@@ -77,8 +82,9 @@
 	once    sync.Once
 }
 
-// Pick assigns an endpoint to a request. The error wraps wick.ErrNotFound when no
-// endpoint of the service is available. The caller must call Done on the result.
+// Pick assigns an endpoint to a request. The error is a *LimitedError when all endpoints
+// are at their limits, and wraps wick.ErrNotFound when no endpoint of the service is
+// available. The caller must call Done on the result.
 func (pl *Pool) Pick(que Query) (*Assignment, error) {
 	grp := pl.groupOfService(que.Service)
 	if grp == nil {
@@ -89,9 +95,12 @@
 	preferred := grp.preferredFor(&que)
 	end := grp.best(&que, preferred, pl.zone)
 	if end == nil {
+		if after, ok := grp.nextTurn(&que); ok {
+			return nil, &LimitedError{Service: que.Service, RetryAfter: after}
+		}
 		return nil, eris.Wrapf(wick.ErrNotFound, "pool: no endpoint of %s is available", que.Service)
 	}
-	asg := &Assignment{Backend: end.bke, Leaving: end.leaving, grp: grp, end: end}
+	asg := &Assignment{Backend: end.bke, Leaving: end.leaving, Wait: end.limit.take(que.Now), grp: grp, end: end}
 	asg.Band = loadBand(end)
 	end.inFlight++
 	grp.requestRate.add(1, que.Now)
@@ -135,7 +144,11 @@
 		if avail == unavailable || avail < bestAvail || end.removed || !que.matches(end) {
 			continue
 		}
-		cost := grp.cost(end, que, preferred)
+		wait := end.limit.wait(que.Now)
+		if wait > que.MaxWait {
+			continue
+		}
+		cost := grp.cost(end, que, preferred) + float64(wait)/float64(time.Millisecond)
 		if end.bke.Zone != zone {
 			cost += crossZoneMillis
 		}
@@ -201,10 +214,11 @@
 // Duplicate returns a second assignment to the same endpoint, for a run that
 // continues there although the endpoint is leaving. Its Leaving channel is never
 // closed.
-func (asg *Assignment) Duplicate() *Assignment {
+func (asg *Assignment) Duplicate(now time.Time) *Assignment {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
 	asg.end.inFlight++
+	asg.end.limit.take(now)
 	return &Assignment{Backend: asg.Backend, Leaving: make(chan struct{}), Band: asg.Band, grp: asg.grp, end: asg.end}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -25,11 +25,13 @@
 	groups map[wick.Service]*group
 	// groupByVM maps an endpoint to its group.
 	groupByVM map[wick.VMID]*group
+	// limitShare is the initial limitShare of new groups.
+	limitShare float64
 }
 
 // New returns an empty pool for an entry in a zone.
 func New(zone wick.Zone) *Pool {
-	return &Pool{zone: zone, groups: make(map[wick.Service]*group), groupByVM: make(map[wick.VMID]*group)}
+	return &Pool{zone: zone, limitShare: 1, groups: make(map[wick.Service]*group), groupByVM: make(map[wick.VMID]*group)}
 }
 
 // A group holds the endpoints of one service.
@@ -53,6 +55,8 @@
 	// this entry's own observation of it.
 	engine  perf.Engine
 	learner perf.Learner
+	// limitShare is this entry's part of a limit that an endpoint begins to name.
+	limitShare float64
 }
 
 // Set adds or updates an endpoint.
@@ -60,7 +64,7 @@
 	pl.mu.Lock()
 	grp := pl.groups[bke.Service]
 	if grp == nil {
-		grp = &group{eps: make(map[wick.VMID]*endpoint), byZone: make(map[wick.Zone][]*endpoint)}
+		grp = &group{limitShare: pl.limitShare, eps: make(map[wick.VMID]*endpoint), byZone: make(map[wick.Zone][]*endpoint)}
 		pl.groups[bke.Service] = grp
 	}
 	old := pl.groupByVM[bke.ID]
@@ -192,7 +196,7 @@
 	defer grp.mu.Unlock()
 	if end := grp.eps[vid]; end != nil {
 		end.report = rep
-		end.setLimit(rep.Load.Limit, rep.At)
+		end.setLimit(rep.Load.Limit, grp.limitShare, rep.At)
 	}
 }
 
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/logs"
+	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/internal/wire"
 )
 
@@ -28,7 +29,7 @@
 func (req *request) serveBuffered(ctx context.Context) {
 	var lastReply *bufferedReply
 	for {
-		tgt, err := req.pick(false)
+		tgt, err := req.pick(ctx, false)
 		if err != nil {
 			req.concludeNoEndpoint(lastReply, err)
 			return
@@ -98,6 +99,7 @@
 // refusal that matches the attempts so far.
 func (req *request) concludeNoEndpoint(lastReply *bufferedReply, err error) {
 	var blocked *blockedError
+	var limited *pool.LimitedError
 	switch {
 	case lastReply != nil:
 		req.conclude(actDeliver, lastReply)
@@ -105,6 +107,10 @@
 		req.fail(refusalOutcomeUnknown)
 	case errors.As(err, &blocked):
 		req.refuse(refusalPromptBlocked.withRetryAfter(blocked.retryAfter))
+	case errors.Is(err, errCallerLeft):
+		req.finishWithoutReply(actDrop)
+	case errors.As(err, &limited):
+		req.refuse(refusalLimited.withRetryAfter(limited.RetryAfter))
 	case req.retries.attempts > 0:
 		req.refuse(refusalAllRefused)
 	default:
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -86,7 +86,7 @@
 	case err == nil:
 		// The run was stopped, but its memory was not copied: it continues on
 		// the same endpoint.
-		hof.tgt, hof.cpy = &target{Assignment: att.tgt.Duplicate(), choice: Choice{}}, cpy
+		hof.tgt, hof.cpy = &target{Assignment: att.tgt.Duplicate(time.Now()), choice: Choice{}}, cpy
 	}
 	tgt.release()
 }
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -38,6 +38,7 @@
 	refusalDraining       = refusal{503, logs.ReasonDraining, executedNo, 50 * time.Millisecond}
 	refusalQuota          = refusal{429, logs.ReasonQuota, executedNo, 0}
 	refusalPromptBlocked  = refusal{503, logs.ReasonPromptBlocked, executedNo, 0}
+	refusalLimited        = refusal{503, logs.ReasonEndpointsLimited, executedNo, 0}
 	refusalNoEndpoint     = refusal{503, logs.ReasonNoEndpoint, executedNo, 300 * time.Millisecond}
 	refusalAllRefused     = refusal{503, logs.ReasonEndpointsRefused, executedNo, 200 * time.Millisecond}
 	refusalOutcomeUnknown = refusal{502, logs.ReasonOutcomeUnknown, executedUnknown, 0}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -45,8 +46,10 @@
 }
 
 func (testDialect) ReadReply(_ int, hdr http.Header) wick.ReplyMeta {
+	limit, err := strconv.ParseFloat(hdr.Get("X-Limit"), 64)
 	return wick.ReplyMeta{
 		Request: wick.RequestID(hdr.Get("X-Id")), NotExecuted: hdr.Get("X-Refused") != "", Authentic: hdr.Get("X-Seal") != "",
+		Limit: wick.RateLimit{Set: err == nil, PerSecond: limit},
 	}
 }
 
@@ -189,9 +192,18 @@
 // post sends a request and returns the status and body, and the error of
 // reading the body.
 func (rly *testRelay) post(path string, hdr ...string) (int, string, error) {
+	rly.Helper()
+	res := rly.request(path, hdr...)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(body), err
+}
+
+// request sends a request with further headers, names and values in turn.
+func (rly *testRelay) request(path string, hdr ...string) *http.Response {
 	rly.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
+	rly.Cleanup(cancel)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+rly.addr+path, strings.NewReader("order"))
 	if err != nil {
 		rly.Fatal(err)
@@ -206,9 +218,8 @@
 	if err != nil {
 		rly.Fatal(err)
 	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
-	return res.StatusCode, string(body), err
+	rly.Cleanup(func() { res.Body.Close() })
+	return res
 }
 
 func reply(con net.Conn, req *http.Request, status int, body string) {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -58,17 +58,39 @@
 
 func (*blockedError) Error() string { return "prompt is blocked, since it ends endpoints" }
 
-// pick picks an endpoint for the next attempt, which continues an earlier answer
-// if resumed is set.
-func (req *request) pick(resumed bool) (*target, error) {
+// errCallerLeft reports that the caller closed its connection while its request waited.
+var errCallerLeft = errors.New("caller left")
+
+// pick picks an endpoint for the next attempt, which continues an earlier answer if
+// resumed is set, and waits for the request's turn there.
+func (req *request) pick(ctx context.Context, resumed bool) (*target, error) {
 	if vdc := req.srv.cfg.Crashes.Check(req.prompt); vdc.Blocked {
 		return nil, &blockedError{vdc.RetryAfter}
 	}
+	for {
+		tgt, err := req.choose(resumed)
+		if err != nil {
+			return nil, err
+		}
+		req.tried = append(req.tried, tgt.Backend.ID)
+		if tgt.awaitTurn(ctx) {
+			return tgt, nil
+		}
+		tgt.release()
+		if ctx.Err() != nil {
+			return nil, errCallerLeft
+		}
+	}
+}
+
+// choose chooses an endpoint and a version.
+func (req *request) choose(resumed bool) (*target, error) {
 	now := time.Now()
 	choice := req.srv.cfg.Versions.Choose(req.service, req.match.Route.Name, now)
 	que := pool.Query{
 		Service: req.service, Model: len(req.params.Parts) > 0, Parts: req.params.Parts, InputTokens: req.params.InputTokens,
-		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersion: choice.Except, Exclude: req.tried, Resumed: resumed, Now: now,
+		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersion: choice.Except, Exclude: req.tried, Resumed: resumed,
+		MaxWait: req.maxTurnWait(now), Now: now,
 	}
 	asg, err := req.srv.cfg.Pool.Pick(que)
 	if err != nil && choice.Fallback {
@@ -81,7 +103,6 @@
 		}
 		return nil, err //nolint:wrapcheck // our own package
 	}
-	req.tried = append(req.tried, asg.Backend.ID)
 	return &target{Assignment: asg, choice: choice}, nil
 }
 
@@ -101,6 +122,7 @@
 // release returns a target to the pool that no request was sent to.
 func (tgt *target) release() {
 	now := time.Now()
+	tgt.Unsent()
 	tgt.Done(pool.ResultCancelled, now)
 	if tgt.choice.Done != nil {
 		tgt.choice.Done(wick.VersionSample{Excluded: true, At: now})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -41,7 +41,7 @@
 func (req *request) serveStream(ctx context.Context) {
 	fwd := &forwarder{req: req, lastEventID: req.params.LastEventID}
 	for {
-		tgt, err := req.pick(fwd.lastEventID != "")
+		tgt, err := req.pick(ctx, fwd.lastEventID != "")
 		if err != nil {
 			fwd.concludeNoEndpoint(fwd.lastReply, err)
 			return
