canary, relay: a version that is slow compared with the old one is bad

Cause: versions were judged by failed and late answers only. The answers were in time, and slow endpoints of the old version had late ones too.

Change: the pace of answers is compared with the old version's by route, in a sequential test of its own; its reference is known before the order.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -67,6 +67,8 @@
 	completed, bad, failed uint64
 	crashes                map[wick.VMID]time.Time
 	counters               *counterSet
+	// paces counts slow answers in place of bad ones.
+	paces *counterSet
 }
 
 // A Judge is a wick.VersionChooser that collects evidence and stops bad versions. Use
@@ -82,6 +84,8 @@
 	trials map[wick.Service]*trial
 	// stops is grow-only.
 	stops map[wick.MoveID]Stop
+	// paces are those of the versions in force by service.
+	paces map[wick.Service]paceSet
 	// newStops queues the stops that this entry issued and has not yet returned.
 	newStops []Stop
 }
@@ -92,7 +96,7 @@
 func New(self wick.EntryID, inc wick.Incarnation, chk *invar.Checker) *Judge {
 	return &Judge{
 		self: self, inc: inc, checker: chk,
-		trials: make(map[wick.Service]*trial), stops: make(map[wick.MoveID]Stop),
+		trials: make(map[wick.Service]*trial), stops: make(map[wick.MoveID]Stop), paces: make(map[wick.Service]paceSet),
 	}
 }
 
@@ -103,7 +107,7 @@
 	defer jdg.mu.Unlock()
 	tri := jdg.trials[mov.Service]
 	if tri == nil || tri.move.ID != mov.ID {
-		tri = &trial{crashes: make(map[wick.VMID]time.Time), counters: newCounterSet()}
+		tri = &trial{crashes: make(map[wick.VMID]time.Time), counters: newCounterSet(), paces: newCounterSet()}
 		jdg.trials[mov.Service] = tri
 	}
 	tri.move = mov
@@ -161,15 +165,21 @@
 	}
 	failed := smp.Out.Err != nil
 	bad := failed || smp.Out.Late
-	tri.counters.add(Cell{Zone: smp.Zone, Route: route, Band: smp.Band, Window: window(smp.At)}, candidate, bad)
+	cell := Cell{Zone: smp.Zone, Route: route, Band: smp.Band, Window: window(smp.At)}
+	tri.counters.add(cell, candidate, bad)
+	if slow, known := jdg.paces[tri.move.Service].isSlow(route, smp.Out.Pace); known {
+		tri.paces.add(cell, candidate, slow)
+	}
+	if !candidate {
+		jdg.observe(tri.move.Service, route, smp)
+	}
 	if !candidate {
 		return
 	}
 	tri.completed++
-	if !bad {
-		return
+	if bad {
+		tri.bad++
 	}
-	tri.bad++
 	if failed {
 		tri.failed++
 	}
@@ -181,6 +191,25 @@
 	}
 }
 
+// Observe records the outcome of an attempt while no move of the service is in progress,
+// so that the pace of the old version is known when one begins.
+func (jdg *Judge) Observe(svc wick.Service, route string, smp wick.VersionSample) {
+	jdg.mu.Lock()
+	defer jdg.mu.Unlock()
+	jdg.observe(svc, route, smp)
+}
+
+// observe is Observe with jdg.mu held.
+func (jdg *Judge) observe(svc wick.Service, route string, smp wick.VersionSample) {
+	if smp.Excluded || smp.Out.Err != nil {
+		return
+	}
+	if jdg.paces[svc] == nil {
+		jdg.paces[svc] = make(paceSet)
+	}
+	jdg.paces[svc].add(route, smp.Out.Pace)
+}
+
 // repeatsCrash reports whether a broken connection belongs to a crash of the
 // same endpoint that is counted already.
 func (tri *trial) repeatsCrash(smp wick.VersionSample) bool {
@@ -208,7 +237,7 @@
 			return fmt.Sprintf("first %d requests all failed or were late", tri.completed)
 		}
 	}
-	return tri.counters.judge(window(now)).Reason
+	return tri.judge(window(now)).Reason
 }
 
 // stop adds a stop and returns true if it is new; local marks a stop issued by
@@ -261,7 +290,7 @@
 	if tri == nil {
 		return Evidence{}, false
 	}
-	return Evidence{Move: tri.move.ID, Entry: jdg.self, Incarnation: jdg.inc, Counts: tri.counters.newest()}, true
+	return Evidence{Move: tri.move.ID, Entry: jdg.self, Incarnation: jdg.inc, Counts: tri.counters.newest(), Paces: tri.paces.newest()}, true
 }
 
 // Merge merges the counters of another entry.
@@ -270,7 +299,9 @@
 	defer jdg.mu.Unlock()
 	for _, tri := range jdg.trials {
 		if tri.move.ID == evi.Move && evi.Entry != jdg.self {
-			tri.counters.merge(evi)
+			src := source{entry: evi.Entry, inc: evi.Incarnation}
+			tri.counters.merge(src, evi.Counts)
+			tri.paces.merge(src, evi.Paces)
 		}
 	}
 }
@@ -284,7 +315,7 @@
 	if tri == nil {
 		return Verdict{}
 	}
-	ver := tri.counters.judge(window(now))
+	ver := tri.judge(window(now))
 	if ver.Reason != "" {
 		jdg.stop(Stop{
 			Move: tri.move.ID, Service: svc, Version: tri.move.To, Reason: ver.Reason, By: jdg.self, At: now,
--- a/internal/canary/counters.go
+++ b/internal/canary/counters.go
@@ -58,6 +58,8 @@
 	Entry       wick.EntryID     `cbor:"entry" json:"entry"`
 	Incarnation wick.Incarnation `cbor:"incarnation" json:"incarnation"`
 	Counts      []CellCount      `cbor:"counts" json:"counts"`
+	// Paces counts slow answers in place of bad ones.
+	Paces []CellCount `cbor:"paces,omitempty" json:"paces,omitempty"`
 }
 
 // A source is one incarnation of an entry. Counters of different incarnations
@@ -137,8 +139,7 @@
 
 // merge keeps the maximum of each counter, which makes it idempotent and
 // commutative: duplicate, late and reordered messages are harmless.
-func (cst *counterSet) merge(evi Evidence) {
-	src := source{entry: evi.Entry, inc: evi.Incarnation}
+func (cst *counterSet) merge(src source, counts []CellCount) {
 	cells := cst.sources[src]
 	if cells == nil {
 		if len(cst.sources) >= maxEntries {
@@ -147,7 +148,7 @@
 		cells = make(map[Cell]Count)
 		cst.sources[src] = cells
 	}
-	for _, cct := range evi.Counts {
+	for _, cct := range counts {
 		old, ok := cells[cct.Cell]
 		if !ok && len(cells) >= maxCells {
 			expire(cells, cct.Cell.Window)
--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -188,6 +188,19 @@
 	}
 }
 
+// judge judges the candidate by its failed and late answers and by its pace. A slow
+// version is bad although its answers are in time; but pace varies more than that, so a
+// version need not be proved by it.
+func (tri *trial) judge(now int64) Verdict {
+	ver := tri.counters.judge(now)
+	pace := tri.paces.judge(now)
+	if ver.Reason == "" && pace.Reason != "" {
+		ver.Reason, ver.Level = "slow: "+pace.Reason, pace.Level
+	}
+	ver.Proved = ver.Proved && pace.Level < maxProvedLevel
+	return ver
+}
+
 // judge runs the sequential test: the likelihood ratio, in each group, of a
 // version that degrades a share of responses against one equal to the old
 // version, averaged over effects, onsets (for a later degradation) and slices.
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -144,13 +144,14 @@
 		ord = rol.ord
 	}
 	rls.mu.Unlock()
+	observe := func(smp wick.VersionSample) { rls.jdg.Observe(svc, string(route), smp) }
 	switch {
 	case rol == nil:
-		return relay.Choice{}
+		return relay.Choice{Done: observe}
 	case ord.State == wick.OrderDone:
-		return relay.Choice{Only: ord.Target, Fallback: true}
+		return relay.Choice{Only: ord.Target, Fallback: true, Done: observe}
 	case ord.State == wick.OrderRolledBack:
-		return relay.Choice{Except: ord.Target}
+		return relay.Choice{Except: ord.Target, Done: observe}
 	}
 	vch := rls.jdg.Choose(wick.RouteQuery{Service: svc, Route: string(route), Now: now})
 	cho := relay.Choice{Except: ord.Target, Done: vch.Done}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -293,6 +293,7 @@
 		smp.Out.FirstToken = now.Sub(att.sentAt)
 	}
 	smp.Out.Late = att.req.late(smp.Out.FirstToken)
+	smp.Out.Pace = att.pace(otc, now)
 	smp.Out.Cancelled = otc == outcomeCancelled
 	switch otc {
 	case outcomeServerError, outcomeTimeout:
@@ -304,6 +305,24 @@
 	return smp
 }
 
+// minPaceEvents is the number of events of a stream from which its pace is known.
+const minPaceEvents = 4
+
+// pace returns the mean time between the events of a complete stream, or the time to a
+// complete answer of another route; 0 if there was none.
+func (att *attempt) pace(otc outcome, now time.Time) time.Duration {
+	switch {
+	case otc != outcomeReply:
+		return 0
+	case att.req.match.Route.Kind != wick.RouteStream:
+		return now.Sub(att.sentAt)
+	case att.received < minPaceEvents:
+		return 0
+	default:
+		return now.Sub(att.firstEventAt) / time.Duration(att.received-1)
+	}
+}
+
 var errEndpointFailed = errors.New("relay: the endpoint failed or timed out")
 
 // poolResult returns the outcome for the pool. An attempt that its caller or the
--- a/pkg/wick/serve.go
+++ b/pkg/wick/serve.go
@@ -15,6 +15,10 @@
 	FirstToken time.Duration
 	// BetweenTokens is the mean time between tokens.
 	BetweenTokens time.Duration
+	// Pace is what versions are compared by: the mean time between the parts of a
+	// stream, or the time to the whole answer of a plain service. It is zero if
+	// unknown.
+	Pace time.Duration
 	// Late is set when the answer missed the service's latency target.
 	Late bool
 	// CachedTokens and PromptTokens are as in Generated.
