edge: an entry that stops a version tells the others at once

Callers saw: requests that went to a bad version seconds after an entry had found it bad.

Cause: stops were logged and not told. Each entry, and the holder of the duty, waited for enough evidence of its own, which comes with the records.

Change: a stop is sent to all entries, who adopt it; the holder then records it.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -95,6 +95,13 @@
 	return sum
 }
 
+// testOrders accepts the states of version orders.
+type testOrders struct{}
+
+func (testOrders) SetState(context.Context, wick.VersionOrder, wick.VersionOrderState) error {
+	return nil
+}
+
 // A site runs edges with a fake store and one endpoint.
 type site struct {
 	*testing.T
@@ -181,7 +188,7 @@
 func (sit *site) start(num, edges int) {
 	cfg := Config{
 		ID: wick.EntryID(fmt.Sprint("edge", num)), Incarnation: 1, Zone: "z", Store: sit.sto, Dialect: testDialect{},
-		Catalog: testCatalog{}, Prober: sit.prober, Duties: sit.duties, Kinds: Kinds{Plan: "plan", Backend: "backend", VersionOrder: "order"},
+		Catalog: testCatalog{}, Prober: sit.prober, Duties: sit.duties, Orders: testOrders{}, Kinds: Kinds{Plan: "plan", Backend: "backend", VersionOrder: "order"},
 		CallerAddr: freeAddr(sit.T), ReadyAddr: freeAddr(sit.T), AdminAddr: freeAddr(sit.T), PeerAddr: freeAddr(sit.T),
 		MaxConnections: 100,
 		Bounds: Bounds{
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -80,6 +80,7 @@
 	trn.Handle(wick.MsgBundlePush, edg.handlePlanNotice)
 	trn.Handle(wick.MsgLoad, edg.handleLoadNotice)
 	trn.Handle(wick.MsgRecord, edg.handleRecord)
+	trn.Handle(wick.MsgStop, edg.rollouts.handleStop)
 	trn.Handle(wick.MsgCrash, edg.crashes.handleNews)
 	return trn, nil
 }
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -11,6 +11,7 @@
 	"github.com/wagtailwick/wagtailwick/internal/invar"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/move"
+	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/internal/relay"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
@@ -206,6 +207,7 @@
 	ver := rls.jdg.Verdict(rol.ord.Service, now)
 	for _, stp := range rls.jdg.DrainStops() {
 		log.WithFields(logrus.Fields{"service": stp.Service, "version": stp.Version, "reason": stp.Reason}).Warn(logs.MsgVersionStopped)
+		go rls.edg.notify(context.WithoutCancel(ctx), wick.MsgStop, stp, rls.edg.reachablePeers())
 	}
 	fence, ok := rls.edg.controlFence(now)
 	if !ok {
@@ -233,6 +235,18 @@
 	rls.recordState(ctx, &rol, rec)
 }
 
+// handleStop stops a version that another entry has stopped.
+func (rls *rollouts) handleStop(_ context.Context, from wick.EntryID, body []byte) (any, error) {
+	var stp canary.Stop
+	if err := peer.Decode(body, &stp); err != nil {
+		return nil, err //nolint:wrapcheck // our own package
+	}
+	if rls.jdg.Stop(stp) {
+		log.WithFields(logrus.Fields{"service": stp.Service, "version": stp.Version, "reason": stp.Reason, "from": from}).Warn(logs.MsgVersionStopped)
+	}
+	return struct{}{}, nil
+}
+
 // requestRate returns a service's requests per second over all entries.
 func (rls *rollouts) requestRate(svc wick.Service, now time.Time) float64 {
 	sum := rls.edg.pool.RequestRate(now)[svc]
