relay: a stream that ends before its first event was broken off

Callers saw: 502 at once, although another endpoint could have answered.

Cause: a reply without a length or chunks ends with its connection. One that ends before any event looked like a complete, empty answer.

Change: it counts as lost, like one that ends inside an event.

Evidence: TestStreamEndsWithConnection/before_the_first failed with 502 after one attempt; the other three cases passed before.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -133,7 +133,7 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && !spl.hasPartial():
+		case errors.Is(err, io.EOF) && !spl.hasPartial() && !fwd.isEmpty(att):
 			return outcomeReply
 		case errors.Is(err, io.EOF):
 			att.recordIncomplete(logs.MsgResponseAborted, outcomeLost, io.ErrUnexpectedEOF)
@@ -146,6 +146,10 @@
 	}
 }
 
+// isEmpty reports whether a reply has ended before its first event. Without a length or
+// chunks that looks like a complete reply.
+func (fwd *forwarder) isEmpty(att *attempt) bool { return att.received == 0 && fwd.lastEventID == "" }
+
 // forwardEvent writes one event to the caller and reports whether the write
 // succeeded. Events that the caller already has are skipped.
 func (fwd *forwarder) forwardEvent(att *attempt, evt event) bool {
