--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -100,7 +100,7 @@
 		rls.orders[ord.Service] = rol
 	}
 	if rol.ord.State != ord.State || rol.ord.Target != ord.Target {
-		log.WithFields(logrus.Fields{"service": ord.Service, "version": ord.Target, "state": ord.State, "within": ord.Within.String()}).Info("edge: version order changed")
+		log.WithFields(logrus.Fields{logs.FieldService: ord.Service, "version": ord.Target, "state": ord.State, "within": ord.Within.String()}).Info("edge: version order changed")
 	}
 	rol.ord = ord
 	rls.updateJudge(rol)
@@ -206,7 +206,7 @@
 func (rls *rollouts) advance(ctx context.Context, rol rollout, now time.Time) {
 	ver := rls.jdg.Verdict(rol.ord.Service, now)
 	for _, stp := range rls.jdg.DrainStops() {
-		log.WithFields(logrus.Fields{"service": stp.Service, "version": stp.Version, "reason": stp.Reason}).Warn(logs.MsgVersionStopped)
+		log.WithFields(logrus.Fields{logs.FieldService: stp.Service, "version": stp.Version, "reason": stp.Reason}).Warn(logs.MsgVersionStopped)
 		go rls.edg.notify(context.WithoutCancel(ctx), wick.MsgStop, stp, rls.edg.reachablePeers())
 	}
 	fence, ok := rls.edg.controlFence(now)
@@ -229,7 +229,7 @@
 		return next, changed || rec.WriteID == ""
 	})
 	if err != nil {
-		log.WithError(err).WithField("service", rol.ord.Service).Warn("edge: failed to advance move")
+		log.WithError(err).WithField(logs.FieldService, rol.ord.Service).Warn("edge: failed to advance move")
 		return
 	}
 	rls.recordState(ctx, &rol, rec)
@@ -242,7 +242,7 @@
 		return nil, err //nolint:wrapcheck // our own package
 	}
 	if rls.jdg.Stop(stp) {
-		log.WithFields(logrus.Fields{"service": stp.Service, "version": stp.Version, "reason": stp.Reason, "from": from}).Warn(logs.MsgVersionStopped)
+		log.WithFields(logrus.Fields{logs.FieldService: stp.Service, "version": stp.Version, "reason": stp.Reason, "from": from}).Warn(logs.MsgVersionStopped)
 	}
 	return struct{}{}, nil
 }
@@ -318,10 +318,10 @@
 		return
 	}
 	if err := rls.edg.cfg.Orders.SetState(ctx, rol.ord, state); err != nil {
-		log.WithError(err).WithField("service", rol.ord.Service).Warn("edge: failed to write state of version order")
+		log.WithError(err).WithField(logs.FieldService, rol.ord.Service).Warn("edge: failed to write state of version order")
 		return
 	}
-	log.WithFields(logrus.Fields{"service": rol.ord.Service, "version": rol.ord.Target, "state": state, "reason": rec.Reason, "evidence": rec.Evidence}).Info("edge: state of version order written")
+	log.WithFields(logrus.Fields{logs.FieldService: rol.ord.Service, "version": rol.ord.Target, "state": state, "reason": rec.Reason, "evidence": rec.Evidence}).Info("edge: state of version order written")
 	rls.mu.Lock()
 	defer rls.mu.Unlock()
 	if cur != nil {
--- a/internal/edge/scale.go
+++ b/internal/edge/scale.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/internal/scale"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
@@ -117,7 +118,7 @@
 	eng := sca.edg.pool.Engine(ord.Service)
 	err := sca.edg.withinLease(ctx, func(ctx context.Context) error { return sca.edg.cfg.Duties.Scale(ctx, fence, ord) })
 	ent := log.WithFields(logrus.Fields{
-		"service": ord.Service, "zone": ord.Zone, "count": ord.Count, "reclaimable": ord.Reclaimable, "fence": fence,
+		logs.FieldService: ord.Service, "zone": ord.Zone, "count": ord.Count, "reclaimable": ord.Reclaimable, "fence": fence,
 		"live": sta.Live[ord.Zone], "need": plr.Desired(), "found": sta.InitialCount, "work": sta.Load,
 		"meanWork": sta.MeanWork.String(), "target": sta.Target.String(), "occupied": sta.Occupied,
 		"prefillRate": eng.PrefillRate, "stepMillis": eng.StepMillis,
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -23,6 +23,7 @@
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		sent := time.Now()
 		res := rly.request("/look/1")
+		res.Body.Close()
 		switch res.StatusCode {
 		case http.StatusOK:
 			served++
