--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -98,7 +98,7 @@
 func (asg *Assignment) SetLimit(lim wick.RateLimit, now time.Time) {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
-	asg.end.setLimit(lim, asg.grp.limitShare, now)
+	asg.end.setLimit(lim, now)
 }
 
 // Limited reports whether the assigned endpoint limits its requests.
@@ -117,16 +117,16 @@
 	}
 }
 
-// setLimit records the limit that an answer or a report names. share is this entry's part
-// of it until SetLimitShare is called. The group's lock must be held.
-func (end *endpoint) setLimit(lim wick.RateLimit, share float64, now time.Time) {
+// setLimit records the limit that an answer or a report names. The group's lock must be
+// held.
+func (end *endpoint) setLimit(lim wick.RateLimit, now time.Time) {
 	lmt := &end.limit
 	switch {
 	case lim.Set && !lmt.Set:
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "perSecond": lim.PerSecond}).Info(logs.MsgEndpointLimit)
 		// The entries begin at random points between two requests, so that the endpoint
 		// is neither unused at first nor asked by all at once.
-		*lmt = limiter{RateLimit: lim, namedAt: now, share: share, tokens: rand.Float64(), refilledAt: now} //nolint:gosec // need not be unpredictable
+		*lmt = limiter{RateLimit: lim, namedAt: now, share: lmt.share, tokens: rand.Float64(), refilledAt: now} //nolint:gosec // need not be unpredictable
 	case lim.Set:
 		if lmt.PerSecond != lim.PerSecond {
 			log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "perSecond": lim.PerSecond}).Info(logs.MsgEndpointLimit)
@@ -135,7 +135,7 @@
 		lmt.RateLimit, lmt.namedAt = lim, now
 	case lmt.Set && now.Sub(lmt.namedAt) > limitMemory:
 		log.WithField(logs.FieldEndpoint, end.bke.ID).Info(logs.MsgEndpointUnlimited)
-		*lmt = limiter{}
+		*lmt = limiter{share: lmt.share}
 	}
 }
 
@@ -165,16 +165,10 @@
 
 // SetLimitShare sets this entry's part of an endpoint's limit.
 func (pl *Pool) SetLimitShare(vid wick.VMID, share float64, now time.Time) {
-	grp := pl.groupOfVM(vid)
-	if grp == nil {
-		return
-	}
-	grp.mu.Lock()
-	defer grp.mu.Unlock()
-	if end := grp.eps[vid]; end != nil {
+	pl.withEndpoint(vid, func(end *endpoint) {
 		end.limit.refill(now)
 		end.limit.share = share
-	}
+	})
 }
 
 // SetNewLimitShare sets this entry's part of the limits that endpoints will name, until
@@ -186,6 +180,11 @@
 	for _, grp := range pl.groups {
 		grp.mu.Lock()
 		grp.limitShare = share
+		for _, end := range grp.all {
+			if !end.limit.Set {
+				end.limit.share = share
+			}
+		}
 		grp.mu.Unlock()
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -126,15 +126,11 @@
 
 // startGrace marks an endpoint as a last resort that expires at until.
 func (pl *Pool) startGrace(vid wick.VMID, until time.Time) {
-	grp := pl.groupOfVM(vid)
-	if grp == nil {
-		return
-	}
-	grp.mu.Lock()
-	defer grp.mu.Unlock()
-	if end := grp.eps[vid]; end != nil && end.graceUntil.IsZero() {
-		end.graceUntil = until
-	}
+	pl.withEndpoint(vid, func(end *endpoint) {
+		if end.graceUntil.IsZero() {
+			end.graceUntil = until
+		}
+	})
 }
 
 // Incarnation returns the start of an endpoint's incarnation, and false if the
@@ -174,30 +170,20 @@
 // MarkGone marks an incarnation of an endpoint as removed until a time. Its runs are
 // notified like those of a leaving endpoint.
 func (pl *Pool) MarkGone(vid wick.VMID, incarnation int64, until time.Time) {
-	grp := pl.groupOfVM(vid)
-	if grp == nil {
-		return
-	}
-	grp.mu.Lock()
-	defer grp.mu.Unlock()
-	if end := grp.eps[vid]; end != nil && end.bke.Born == incarnation {
-		end.goneUntil = until
-		end.notifyLeaving()
-	}
+	pl.withEndpoint(vid, func(end *endpoint) {
+		if end.bke.Born == incarnation {
+			end.goneUntil = until
+			end.notifyLeaving()
+		}
+	})
 }
 
 // Report records a load report of an endpoint.
 func (pl *Pool) Report(vid wick.VMID, rep Report) {
-	grp := pl.groupOfVM(vid)
-	if grp == nil {
-		return
-	}
-	grp.mu.Lock()
-	defer grp.mu.Unlock()
-	if end := grp.eps[vid]; end != nil {
+	pl.withEndpoint(vid, func(end *endpoint) {
 		end.report = rep
-		end.setLimit(rep.Load.Limit, grp.limitShare, rep.At)
-	}
+		end.setLimit(rep.Load.Limit, rep.At)
+	})
 }
 
 // groupOfVM returns the group of an endpoint, or nil.
@@ -207,6 +193,20 @@
 	return pl.groupByVM[vid]
 }
 
+// withEndpoint calls a function with an endpoint, if it is known, while its group's lock is
+// held.
+func (pl *Pool) withEndpoint(vid wick.VMID, call func(end *endpoint)) {
+	grp := pl.groupOfVM(vid)
+	if grp == nil {
+		return
+	}
+	grp.mu.Lock()
+	defer grp.mu.Unlock()
+	if end := grp.eps[vid]; end != nil {
+		call(end)
+	}
+}
+
 func (pl *Pool) groupOfService(svc wick.Service) *group {
 	pl.mu.RLock()
 	defer pl.mu.RUnlock()
@@ -263,32 +263,6 @@
 	return out
 }
 
-// A Summary counts the endpoints of a service in a zone.
-type Summary struct {
-	Service wick.Service `json:"service"`
-	Zone    wick.Zone    `json:"zone"`
-	// Live endpoints accept new requests, Leaving ones do not.
-	Live    int `json:"live"`
-	Leaving int `json:"leaving"`
-	// InFlight counts this entry's requests in flight.
-	InFlight int `json:"inFlight"`
-	// Spot counts the live endpoints that are reclaimable.
-	Spot int `json:"spot"`
-	// Limited counts the live endpoints that limit their requests.
-	Limited int `json:"limited"`
-}
-
-// Summaries returns the counts by service and zone.
-func (pl *Pool) Summaries() map[wick.Service]map[wick.Zone]Summary {
-	pl.mu.RLock()
-	defer pl.mu.RUnlock()
-	out := make(map[wick.Service]map[wick.Zone]Summary, len(pl.groups))
-	for svc, grp := range pl.groups {
-		out[svc] = grp.summary(svc)
-	}
-	return out
-}
-
 // WorkRate returns the estimated endpoint time that this entry's requests use at each
 // service, in seconds per second.
 func (pl *Pool) WorkRate(now time.Time) map[wick.Service]float64 {
@@ -323,30 +297,6 @@
 	return out
 }
 
-func (grp *group) summary(svc wick.Service) map[wick.Zone]Summary {
-	grp.mu.Lock()
-	defer grp.mu.Unlock()
-	out := make(map[wick.Zone]Summary)
-	for _, end := range grp.eps {
-		sum := out[end.bke.Zone]
-		sum.Service, sum.Zone = svc, end.bke.Zone
-		sum.InFlight += end.inFlight
-		if end.limit.Set && !end.bke.Leaving {
-			sum.Limited++
-		}
-		switch {
-		case end.bke.Leaving:
-			sum.Leaving++
-		case end.bke.Reclaimable:
-			sum.Live, sum.Spot = sum.Live+1, sum.Spot+1
-		default:
-			sum.Live++
-		}
-		out[end.bke.Zone] = sum
-	}
-	return out
-}
-
 func (grp *group) set(bke wick.Backend, now time.Time) {
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
@@ -354,6 +304,7 @@
 	if end == nil || end.bke.Born != bke.Born || end.bke.Address != bke.Address || end.bke.Zone != bke.Zone {
 		grp.drop(end)
 		end = newEndpoint(bke)
+		end.limit.share = grp.limitShare
 		grp.add(end)
 	}
 	// An incarnation that is leaving never returns to service.
