crash: one evaluation compares a bounded number of crashes, parts and sets

Cause: found on reading: after many endpoints have ended with many prompts in flight, each message with news cost 1 to 2 s of processor time (256 crashes of 64 prompts).

Change: the newest 32 crashes count, the parts at the most of them are examined, and 32 sets for each; survivals in one message are bounded; evaluations are 100 ms apart.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -23,9 +23,11 @@
 	maxEndings   = 256
 	maxPrompts   = 64
 	maxSurvivals = 1 << 14
+	// maxSurvivalNews bounds the survivals in one message.
+	maxSurvivalNews = 128
 	// evaluationInterval is the least time between two evaluations of what other entries
 	// tell, who all tell it at once when many endpoints end.
-	evaluationInterval = 50 * time.Millisecond
+	evaluationInterval = 100 * time.Millisecond
 )
 
 // An Ending identifies an endpoint's incarnation that has ended.
@@ -111,7 +113,8 @@
 	trk.mu.Lock()
 	defer trk.mu.Unlock()
 	edn := trk.endings[end]
-	if edn != nil && !edn.void || slices.ContainsFunc(pro.Shared, func(part wick.PartID) bool { return trk.suspects[part] }) {
+	told := len(trk.outbox.Survivals) < maxSurvivalNews
+	if told && (edn != nil && !edn.void || slices.ContainsFunc(pro.Shared, func(part wick.PartID) bool { return trk.suspects[part] })) {
 		trk.outbox.Survivals = append(trk.outbox.Survivals, Survival{Ending: end, Prompt: pro, AgeMillis: now.Sub(began).Milliseconds()})
 	}
 	trk.survive(end, pro, began, now)
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -39,8 +40,13 @@
 	exposure     = time.Second
 	// maxHazard bounds the estimate where nearly all endpoints end.
 	maxHazard = 0.9
-	// maxCompared bounds the prompts that are compared to find their common parts.
+	// These bound the work of one evaluation: the crashes that count, the newest ones; the
+	// parts that are examined, those at the most crashes; the prompts that are compared to
+	// find their common parts, and the sets that result.
+	maxEvidence = 32
+	maxExamined = 8
 	maxCompared = 24
+	maxSets     = 32
 )
 
 // A suspicion is one crash with those shared parts of its prompts that have not survived
@@ -86,10 +92,7 @@
 	evi := trk.evidence(now)
 	var best finding
 	disputed := false
-	for part, num := range countCrashes(evi) {
-		if num < minFurtherCrashes {
-			continue
-		}
+	for _, part := range mostPresent(countCrashes(evi)) {
 		fnd, ok := trk.find(evi, part, now)
 		switch {
 		case !ok:
@@ -129,7 +132,22 @@
 		}
 	}
 	slices.SortFunc(out, func(one, two suspicion) int { return one.at.Compare(two.at) })
-	return out
+	return out[max(len(out)-maxEvidence, 0):]
+}
+
+// mostPresent returns the parts that were present at the most crashes, and at enough to be
+// a cause.
+func mostPresent(counts map[wick.PartID]int) []wick.PartID {
+	var out []wick.PartID
+	for part, num := range counts {
+		if num >= minFurtherCrashes {
+			out = append(out, part)
+		}
+	}
+	slices.SortFunc(out, func(one, two wick.PartID) int {
+		return cmp.Or(cmp.Compare(counts[two], counts[one]), cmp.Compare(one, two))
+	})
+	return out[:min(len(out), maxExamined)]
 }
 
 // isExplained reports whether a prompt of a blocked set was present at an ending. Sets
@@ -285,7 +303,7 @@
 	var prompts []Parts
 	for idx := len(evi) - 1; idx >= 0 && len(prompts) < maxCompared; idx-- {
 		for _, pro := range evi[idx].prompts {
-			if slices.Contains(pro.Shared, part) {
+			if len(prompts) < maxCompared && slices.Contains(pro.Shared, part) {
 				prompts = append(prompts, pro.Shared)
 			}
 		}
@@ -295,7 +313,7 @@
 	for idx, one := range prompts {
 		for _, two := range prompts[idx+1:] {
 			set := one.intersect(two)
-			if key := set.key(); !seen[key] {
+			if key := set.key(); !seen[key] && len(out) < maxSets {
 				seen[key] = true
 				out = append(out, set)
 			}
