--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -128,7 +128,7 @@
 		now = now.Add(time.Second)
 		trk.AddEnding(Ending{Endpoint: wick.VMID(fmt.Sprint("x", now.Unix(), idx))}, []Prompt{pro}, now)
 	}
-	return now.Add(settleTime)
+	return now.Add(SettleTime)
 }
 
 func assertBlocked(t *testing.T, trk *Tracker, pro Prompt, now time.Time, want bool) {
--- a/internal/crash/mass_test.go
+++ b/internal/crash/mass_test.go
@@ -26,7 +26,7 @@
 		trk.addPrompts(Ending{Endpoint: wick.VMID(fmt.Sprint("e", num))}, prompts, now, now)
 		trk.mu.Unlock()
 	}
-	return trk, now.Add(settleTime)
+	return trk, now.Add(SettleTime)
 }
 
 // evaluateAll evaluates all evidence anew.
--- a/internal/crash/sim_test.go
+++ b/internal/crash/sim_test.go
@@ -222,7 +222,7 @@
 		}
 		run.attempt++
 		if smt.trackers[run.entry].IsSuspected(run.pro) {
-			smt.later(confirmAfter+settleTime, func() { smt.send(run) })
+			smt.later(confirmAfter+SettleTime, func() { smt.send(run) })
 			continue
 		}
 		smt.send(run)
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -26,9 +26,9 @@
 	endingProbeDelay = 100 * time.Millisecond
 	// crashNewsInterval is the least time between two messages with news.
 	crashNewsInterval = 100 * time.Millisecond
-	// crashSettleTime is how long after the end of an endpoint what the other entries
-	// had in flight there may arrive.
-	crashSettleTime = 350 * time.Millisecond
+	// evaluationMargin is the time after the evidence has settled by which it has been
+	// evaluated.
+	evaluationMargin = 50 * time.Millisecond
 )
 
 // crashes tracks the ends of endpoints and the prompts that caused them. It implements
@@ -118,7 +118,7 @@
 	log.WithFields(logrus.Fields{logs.FieldEndpoint: bke.ID, "prompts": prompts}).Info(logs.MsgEndpointEnded)
 	crs.tracker.AddEnding(endingOf(&bke), prompts, time.Now())
 	crs.signal()
-	time.Sleep(crashSettleTime)
+	time.Sleep(crash.SettleTime + evaluationMargin)
 }
 
 // hasEnded reports whether an endpoint's incarnation has ended: it has restarted, or two
