pool: samples include limited endpoints that the entry may use

Cause: with more than 32 endpoints a sample is compared. An entry has a part of the limits of a few endpoints only, and a random sample seldom has one of these, so their capacity was unused and the other endpoints were overloaded.

Change: up to 8 limited endpoints that may be sent a request soon are in each sample.

Evidence: TestLimitedCapacityUsed (118 entries, 166 endpoints, 116 limited): 686 of 1,392 allowed requests before, above 90% now. Smaller services compare all endpoints and are not touched.

--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -98,7 +98,7 @@
 func (asg *Assignment) SetLimit(lim wick.RateLimit, now time.Time) {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
-	asg.end.setLimit(lim, now)
+	asg.grp.setLimit(asg.end, lim, now)
 }
 
 // Limited reports whether the assigned endpoint limits its requests.
@@ -117,15 +117,16 @@
 	}
 }
 
-// setLimit records the limit that an answer or a report names. The group's lock must be
-// held.
-func (end *endpoint) setLimit(lim wick.RateLimit, now time.Time) {
+// setLimit records the limit that an answer or a report of an endpoint names. The group's
+// lock must be held.
+func (grp *group) setLimit(end *endpoint, lim wick.RateLimit, now time.Time) {
 	lmt := &end.limit
 	switch {
 	case lim.Set && !lmt.Set:
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "perSecond": lim.PerSecond}).Info(logs.MsgEndpointLimit)
 		// The entries begin at random points between two requests, so that the endpoint
 		// is neither unused at first nor asked by all at once.
+		grp.limited = append(grp.limited, end)
 		*lmt = limiter{RateLimit: lim, namedAt: now, share: lmt.share, tokens: rand.Float64(), refilledAt: now} //nolint:gosec // need not be unpredictable
 	case lim.Set:
 		if lmt.PerSecond != lim.PerSecond {
@@ -135,6 +136,7 @@
 		lmt.RateLimit, lmt.namedAt = lim, now
 	case lmt.Set && now.Sub(lmt.namedAt) > limitMemory:
 		log.WithField(logs.FieldEndpoint, end.bke.ID).Info(logs.MsgEndpointUnlimited)
+		grp.limited = without(grp.limited, end)
 		*lmt = limiter{share: lmt.share}
 	}
 }
@@ -165,7 +167,7 @@
 
 // SetLimitShare sets this entry's part of an endpoint's limit.
 func (pl *Pool) SetLimitShare(vid wick.VMID, share float64, now time.Time) {
-	pl.withEndpoint(vid, func(end *endpoint) {
+	pl.withEndpoint(vid, func(_ *group, end *endpoint) {
 		end.limit.refill(now)
 		end.limit.share = share
 	})
--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -161,3 +161,35 @@
 		t.Error("the limit is still in force")
 	}
 }
+
+// TestLimitedCapacityUsed guards against limited endpoints that are hardly used, while the
+// others are overloaded, where there are so many endpoints that a sample is compared: few
+// of a sample are endpoints that this entry has a part of the limit of (large, capped: 0.39
+// of worth).
+func TestLimitedCapacityUsed(t *testing.T) {
+	const entries, endpoints, limited, perSecond, seconds, demand = 118, 166, 116, 2, 6, 600
+	flt := newLimitedFleet(t, entries, endpoints)
+	rates := make([]float64, entries)
+	for idx := range rates {
+		rates[idx] = 1
+	}
+	for step := range seconds * demand {
+		if step%(demand/2) == 0 {
+			flt.limit(limited, wick.RateLimit{Set: true, PerSecond: perSecond})
+			for num, pl := range flt.pools {
+				for idx := range limited {
+					pl.SetLimitShare(backend(idx, "a").ID, LimitShare(rates, (num+7*idx)%entries, perSecond), flt.now)
+				}
+			}
+		}
+		flt.now = flt.now.Add(time.Second / demand)
+		flt.send(step%entries, Query{Model: true, MaxWait: 500 * time.Millisecond, InputTokens: 3000})
+	}
+	used := 0
+	for idx := range limited {
+		used += len(flt.arrivals[backend(idx, "a").ID])
+	}
+	if allowed := limited * perSecond * seconds; used < allowed*9/10 {
+		t.Errorf("limited endpoints got %d requests of the %d that they allow, want at least nine tenths", used, allowed)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -57,6 +57,8 @@
 	learner perf.Learner
 	// limitShare is this entry's part of a limit that an endpoint begins to name.
 	limitShare float64
+	// limited lists the endpoints that limit their requests.
+	limited []*endpoint
 }
 
 // Set adds or updates an endpoint.
@@ -126,7 +128,7 @@
 
 // startGrace marks an endpoint as a last resort that expires at until.
 func (pl *Pool) startGrace(vid wick.VMID, until time.Time) {
-	pl.withEndpoint(vid, func(end *endpoint) {
+	pl.withEndpoint(vid, func(_ *group, end *endpoint) {
 		if end.graceUntil.IsZero() {
 			end.graceUntil = until
 		}
@@ -170,7 +172,7 @@
 // MarkGone marks an incarnation of an endpoint as removed until a time. Its runs are
 // notified like those of a leaving endpoint.
 func (pl *Pool) MarkGone(vid wick.VMID, incarnation int64, until time.Time) {
-	pl.withEndpoint(vid, func(end *endpoint) {
+	pl.withEndpoint(vid, func(_ *group, end *endpoint) {
 		if end.bke.Born == incarnation {
 			end.goneUntil = until
 			end.notifyLeaving()
@@ -180,9 +182,9 @@
 
 // Report records a load report of an endpoint.
 func (pl *Pool) Report(vid wick.VMID, rep Report) {
-	pl.withEndpoint(vid, func(end *endpoint) {
+	pl.withEndpoint(vid, func(grp *group, end *endpoint) {
 		end.report = rep
-		end.setLimit(rep.Load.Limit, rep.At)
+		grp.setLimit(end, rep.Load.Limit, rep.At)
 	})
 }
 
@@ -193,9 +195,9 @@
 	return pl.groupByVM[vid]
 }
 
-// withEndpoint calls a function with an endpoint, if it is known, while its group's lock is
-// held.
-func (pl *Pool) withEndpoint(vid wick.VMID, call func(end *endpoint)) {
+// withEndpoint calls a function with an endpoint and its group, if it is known, while the
+// group's lock is held.
+func (pl *Pool) withEndpoint(vid wick.VMID, call func(grp *group, end *endpoint)) {
 	grp := pl.groupOfVM(vid)
 	if grp == nil {
 		return
@@ -203,7 +205,7 @@
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
 	if end := grp.eps[vid]; end != nil {
-		call(end)
+		call(grp, end)
 	}
 }
 
@@ -344,6 +346,7 @@
 	delete(grp.eps, end.bke.ID)
 	grp.all = without(grp.all, end)
 	grp.byZone[end.bke.Zone] = without(grp.byZone[end.bke.Zone], end)
+	grp.limited = without(grp.limited, end)
 	grp.ring = grp.ring.without(end)
 }
 
--- a/internal/pool/sample.go
+++ b/internal/pool/sample.go
@@ -14,15 +14,18 @@
 	// remoteSamples that of all zones.
 	localSamples  = 10
 	remoteSamples = 6
+	// limitedSamples is the number of endpoints in a sample that limit their requests and
+	// may be sent one. An entry may use few of these, so random ones seldom are.
+	limitedSamples = 8
 	// maxHolders bounds the endpoints that are remembered to cache a prompt part.
 	maxHolders = 4
 	// maxHeldParts bounds the prompt parts whose holders are remembered.
 	maxHeldParts = 1 << 16
 )
 
-// maxCandidates is the size of a sample: the preferred endpoints, the holders and the
-// random ones.
-const maxCandidates = 2 + maxHolders + localSamples + remoteSamples
+// maxCandidates is the size of a sample: the preferred endpoints, the holders, the random
+// ones and those that limit their requests.
+const maxCandidates = 2 + maxHolders + localSamples + remoteSamples + limitedSamples
 
 // candidates are the endpoints compared for one request. Some may be listed twice.
 type candidates struct {
@@ -60,9 +63,26 @@
 	}
 	cnd.addRandom(grp.byZone[zone], localSamples)
 	cnd.addRandom(grp.all, remoteSamples)
+	grp.addLimited(&cnd, que)
 	return cnd
 }
 
+// addLimited adds endpoints that limit their requests and may be sent one soon, from a
+// random position on.
+func (grp *group) addLimited(cnd *candidates, que *Query) {
+	if len(grp.limited) == 0 {
+		return
+	}
+	at := rand.IntN(len(grp.limited)) //nolint:gosec // need not be unpredictable
+	for step, num := 0, 0; step < len(grp.limited) && num < limitedSamples; step++ {
+		end := grp.limited[(at+step)%len(grp.limited)]
+		if end.limit.wait(que.Now) <= que.MaxWait {
+			cnd.add(end)
+			num++
+		}
+	}
+}
+
 // holdersOf returns endpoints that have probably cached the longest known shared part
 // of a prompt.
 func (grp *group) holdersOf(parts []wick.PromptPart) []*endpoint {
