relay: log why no further attempt was made

A stream that was cut, or a request that failed, showed the same line whether the route, the time left or the retry budget denied another attempt. No decision changes.

--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -71,7 +71,9 @@
 	FieldService   = "service"
 	FieldStatus    = "status"
 	FieldSends     = "sends"
-	FieldError     = "error"
+	// FieldDenied is why no further attempt was made.
+	FieldDenied = "denied"
+	FieldError  = "error"
 	// FieldSuppressed is the number of lines of the same kind that sampling
 	// suppressed since the last one.
 	FieldSuppressed = "leftOut"
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -59,7 +59,17 @@
 
 // acquireRetry reports whether there is time for another attempt and, if so,
 // whether the retry budget grants it.
-func (req *request) acquireRetry() bool { return req.hasTime() && req.srv.cfg.Budget.Take() }
+func (req *request) acquireRetry() bool {
+	switch {
+	case !req.hasTime():
+		req.retries.denied = deniedTime
+	case !req.srv.cfg.Budget.Take():
+		req.retries.denied = deniedBudget
+	default:
+		return true
+	}
+	return false
+}
 
 // bufferReply reads the body of a reply to its end.
 func (req *request) bufferReply(ctx context.Context, att *attempt, otc outcome) (*bufferedReply, outcome) {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -125,6 +125,7 @@
 		{Name: "book", Host: "h", PathPrefix: "/book/", Kind: wick.RouteOnce, MaxAttempts: 1, Timeout: time.Second},
 		{Name: "look", Host: "h", PathPrefix: "/look/", Kind: wick.RouteIdempotent, MaxAttempts: 2, Timeout: time.Second},
 		{Name: "gen", Host: "h", PathPrefix: "/gen/", Kind: wick.RouteStream, MaxAttempts: 2, Timeout: time.Second, Resumable: true},
+		{Name: "long", Host: "h", PathPrefix: "/long/", Kind: wick.RouteStream, MaxAttempts: 2, Timeout: 4 * time.Second, Resumable: true},
 		{Name: "say", Host: "h", PathPrefix: "/say/", Kind: wick.RouteStream, MaxAttempts: 1, Timeout: time.Second},
 	}, Customers: []wick.CustomerPlan{{Name: "c", Keys: []wick.CallerKey{"k"}}}})
 	for idx := range plans.Load().Plan.Routes {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -279,7 +279,11 @@
 // writeRefusal answers with a refusal and logs it.
 func (req *request) writeRefusal(msg string, rfl refusal) {
 	rfl.write(req.rct)
-	req.logEvent(msg, logrus.Fields{logs.FieldReason: rfl.reason, logs.FieldStatus: rfl.status, logs.FieldSends: req.retries.attempts})
+	fld := logrus.Fields{logs.FieldReason: rfl.reason, logs.FieldStatus: rfl.status, logs.FieldSends: req.retries.attempts}
+	if req.retries.denied != "" {
+		fld[logs.FieldDenied] = req.retries.denied
+	}
+	req.logEvent(msg, fld)
 }
 
 // countStart counts the request as started, at most once.
--- a/internal/relay/retrystate.go
+++ b/internal/relay/retrystate.go
@@ -60,8 +60,22 @@
 	attempts, possibleRuns int
 	// failed is set once an endpoint has replied with a server error.
 	failed bool
+	// denied is why no further attempt followed a failed one, "" as long as one did.
+	denied denial
 }
 
+// A denial is the reason for which no further attempt is made, for logs.
+type denial string
+
+const (
+	// deniedRoute means that the route allows no further attempt.
+	deniedRoute denial = "route"
+	// deniedTime means that too little of the deadline is left.
+	deniedTime denial = "time"
+	// deniedBudget means that the retry budget is spent.
+	deniedBudget denial = "retryBudget"
+)
+
 // next records an outcome and returns the action that follows. The retry budget
 // is checked last, since the check spends from it.
 func (rst *retryState) next(otc outcome, budget func() bool) action {
@@ -80,10 +94,14 @@
 		rst.failed = true
 	case outcomeRefused, outcomeNotSent, outcomeLost:
 	}
-	if rst.mayRetry(otc) && budget() {
-		return actRetry
+	if !rst.mayRetry(otc) {
+		rst.denied = deniedRoute
+		return rst.finalAction()
+	}
+	if !budget() {
+		return rst.finalAction()
 	}
-	return rst.finalAction()
+	return actRetry
 }
 
 // mayRetry reports whether the route allows another attempt after an outcome.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -223,5 +223,5 @@
 	fwd.out.Aborted = true
 	fwd.req.rct.SetConnectionClose()
 	metrics.GetOrRegisterCounter(logs.MetricCutOff+reason, nil).Inc(1)
-	fwd.req.logEvent(logs.MsgCutOff, logrus.Fields{logs.FieldReason: reason, "events": fwd.eventCount, "lastEvent": fwd.lastEventID})
+	fwd.req.logEvent(logs.MsgCutOff, logrus.Fields{logs.FieldReason: reason, logs.FieldDenied: fwd.req.retries.denied, "events": fwd.eventCount, "lastEvent": fwd.lastEventID})
 }
