relay: tests that show requests cut at a sound endpoint that is silent

With a spent retry budget, no other endpoint or a prompt blocked meanwhile the stream is cut after 1.0 s although its endpoint continues; before the first event the caller gets 502.

--- a/internal/relay/watchdog_test.go
+++ b/internal/relay/watchdog_test.go
@@ -5,9 +5,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/wagtailwick/wagtailwick/internal/crash"
+	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -161,3 +164,71 @@
 		})
 	}
 }
+
+// A silentProber never answers: the endpoint accepts connections and is silent.
+type silentProber struct{ testProber }
+
+func (prb *silentProber) ProbeRun(ctx context.Context, _ wick.Backend, _ wick.RequestID) (bool, error) {
+	<-ctx.Done()
+	return false, wick.ErrUnavailable
+}
+
+// TestSilentEndpointWithoutAlternative guards against requests that end without an
+// answer (issue 28): a sound endpoint is silent for a while and continues, but the
+// watchdog has ended the attempt before it is known whether a second one is possible.
+func TestSilentEndpointWithoutAlternative(t *testing.T) {
+	const pause = 2200 * time.Millisecond
+	first := []string{"id: 1\ndata: a\n\n"}
+	for _, tst := range []struct {
+		name      string
+		first     []string
+		endpoints int
+		budget    *retry.Budget
+		crashes   Crashes
+	}{
+		{"retry budget spent", first, 2, &retry.Budget{Capacity: 0.5}, noCrashes{}},
+		{"retry budget spent, before the first event", nil, 2, &retry.Budget{Capacity: 0.5}, noCrashes{}},
+		{"no other endpoint", first, 1, &retry.Budget{}, noCrashes{}},
+		{"prompt blocked meanwhile", first, 2, &retry.Budget{}, &blockedLater{}},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			t.Parallel()
+			rly := newTestRelay(t, tst.endpoints, pausingScript(pause, tst.first...))
+			rly.srv.cfg.Prober = &silentProber{}
+			rly.srv.cfg.Budget = tst.budget
+			rly.srv.cfg.Crashes = tst.crashes
+			status, body, err := rly.post("/long/1")
+			if err != nil {
+				t.Error(err)
+			}
+			rly.assert(status, 200, body, "here", 1)
+		})
+	}
+}
+
+// A blockedLater allows the first check of a prompt and blocks the later ones.
+type blockedLater struct {
+	noCrashes
+	checks atomic.Int64
+}
+
+func (blk *blockedLater) Check(crash.Prompt) crash.Verdict {
+	return crash.Verdict{Blocked: blk.checks.Add(1) > 1}
+}
+
+// TestSilentSecond guards against a run that is taken from a sound endpoint which is
+// silent for a second and continues: the run would go on there and elsewhere.
+func TestSilentSecond(t *testing.T) {
+	for name, first := range map[string][]string{"mid-stream": {"id: 1\ndata: a\n\n"}, "before the first event": nil} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rly := newTestRelay(t, 2, pausingScript(1300*time.Millisecond, first...))
+			rly.srv.cfg.Prober = &silentProber{}
+			status, body, err := rly.post("/long/1")
+			if err != nil {
+				t.Error(err)
+			}
+			rly.assert(status, 200, body, "here", 1)
+		})
+	}
+}
