relay: end an attempt at a silent endpoint only with another one secured

Cause: the watchdog cancelled the attempt first, and the retry budget, the choice of an endpoint and the block of prompts were asked afterwards. It also counted only runs, not attempts, when it decided whether to watch. Class of fault: giving up a resource before its replacement is granted. Change: the watchdog secures the other attempt (time, blocks, endpoint without a wait, budget) and cancels only then; otherwise it keeps watching and the caller gets what the endpoint still sends, at the latest until the deadline.

--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -61,6 +61,8 @@
 // whether the retry budget grants it.
 func (req *request) acquireRetry() bool {
 	switch {
+	case req.secured.held():
+		return true
 	case !req.hasTime():
 		req.retries.denied = deniedTime
 	case !req.srv.cfg.Budget.Take():
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -175,6 +175,8 @@
 	// deadline is when the timeout of the caller or the route expires.
 	deadline time.Time
 	retries  retryState
+	// secured is a further attempt that was granted while the current one goes on.
+	secured securedRetry
 	// tried lists the endpoints picked so far. They are not picked again.
 	tried []wick.VMID
 	// header is a copy of the caller's end-to-end headers.
@@ -210,6 +212,7 @@
 	}
 	defer func() { req.recordLatency(time.Since(now)) }()
 	defer req.buffered.release()
+	defer req.secured.release()
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(timeoutGrace))
 	defer cancel()
 	if req.match.Route.Kind == wick.RouteStream {
--- a/internal/relay/retrystate.go
+++ b/internal/relay/retrystate.go
@@ -119,7 +119,10 @@
 // mayRetryAfterLoss reports whether the route would allow another attempt if the
 // outcome of the current one were outcomeLost.
 func (rst *retryState) mayRetryAfterLoss() bool {
-	return rst.rpl.Repeatable() && rst.possibleRuns+1 < max(rst.rpl.MaxAttempts, 1)
+	after := *rst
+	after.attempts++
+	after.possibleRuns++
+	return after.mayRetry(outcomeLost)
 }
 
 // finalAction returns the action when no further attempt is made.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -67,8 +67,12 @@
 	if vdc := req.srv.cfg.Crashes.Check(req.prompt); vdc.Blocked {
 		return nil, &blockedError{vdc.RetryAfter}
 	}
+	if tgt := req.takeSecured(); tgt != nil {
+		req.tried = append(req.tried, tgt.Backend.ID)
+		return tgt, nil
+	}
 	for {
-		tgt, err := req.choose(resumed)
+		tgt, err := req.choose(req.tried, resumed, req.maxTurnWait(time.Now()))
 		if err != nil {
 			return nil, err
 		}
@@ -83,14 +87,15 @@
 	}
 }
 
-// choose chooses an endpoint and a version.
-func (req *request) choose(resumed bool) (*target, error) {
+// choose chooses an endpoint that is not in tried, and a version. The wait for the
+// request's turn there is at most maxWait.
+func (req *request) choose(tried []wick.VMID, resumed bool, maxWait time.Duration) (*target, error) {
 	now := time.Now()
 	choice := req.srv.cfg.Versions.Choose(req.service, req.match.Route.Name, now)
 	que := pool.Query{
 		Service: req.service, Model: len(req.params.Parts) > 0, Parts: req.params.Parts, InputTokens: req.params.InputTokens,
-		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersion: choice.Except, Exclude: req.tried, Resumed: resumed,
-		MaxWait: req.maxTurnWait(now), Now: now,
+		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersion: choice.Except, Exclude: tried, Resumed: resumed,
+		MaxWait: maxWait, Now: now,
 	}
 	asg, err := req.srv.cfg.Pool.Pick(que)
 	if err != nil && choice.Fallback {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -85,6 +85,7 @@
 		if hof == nil || hof.tgt == nil {
 			return otc
 		}
+		fwd.req.secured.release()
 		tgt, cpy = hof.tgt, hof.cpy
 		fwd.req.tried = append(fwd.req.tried, tgt.Backend.ID)
 	}
--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,12 +34,19 @@
 )
 
 // A watchdog cancels an attempt whose endpoint stalls without closing its
-// connection, so that the request can be retried before its deadline.
+// connection, so that the request can be retried before its deadline. It first secures
+// the other attempt: a sound endpoint may be silent for a while, and without another
+// attempt only waiting for it can complete the request.
 type watchdog struct {
 	prober wick.RunProber
 	bke    wick.Backend
 	rid    wick.RequestID
 	cancel context.CancelCauseFunc
+	// secure secures another attempt, or returns false if none is possible.
+	secure func() bool
+	// mu serialises the end of the attempt by stop and by a check.
+	mu      sync.Mutex
+	stopped bool
 	// timer triggers the next check.
 	timer atomic.Pointer[time.Timer]
 	// lastReceived is when data was last received, in Unix nanoseconds.
@@ -55,6 +64,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	wdg := &watchdog{prober: req.srv.cfg.Prober, bke: tgt.Backend, rid: req.params.ID, cancel: cancel}
+	tried := slices.Clone(req.tried)
+	wdg.secure = func() bool { return req.secureRetry(tried, wdg.receivedAny.Load()) }
 	wdg.lastReceived.Store(time.Now().UnixNano())
 	wdg.arm(ctx, silenceTimeout)
 	return ctx, wdg
@@ -75,14 +86,33 @@
 
 // stop stops the watchdog and cancels the attempt's context.
 func (wdg *watchdog) stop() {
-	if wdg != nil {
-		wdg.cancel(nil)
-		wdg.timer.Load().Stop()
+	if wdg == nil {
+		return
 	}
+	wdg.mu.Lock()
+	wdg.stopped = true
+	wdg.mu.Unlock()
+	wdg.cancel(nil)
+	wdg.timer.Load().Stop()
+}
+
+// end cancels the attempt if another one can be secured, and reports whether the attempt
+// has ended.
+func (wdg *watchdog) end(cause error) bool {
+	wdg.mu.Lock()
+	defer wdg.mu.Unlock()
+	if wdg.stopped {
+		return true
+	}
+	if !wdg.secure() {
+		return false
+	}
+	wdg.cancel(cause)
+	return true
 }
 
 // check probes the endpoint once silenceTimeout has passed without data, and
-// cancels the attempt if two consecutive probes fail.
+// cancels the attempt if two consecutive probes fail and another attempt is possible.
 func (wdg *watchdog) check(ctx context.Context) {
 	if ctx.Err() != nil {
 		return
@@ -100,9 +130,11 @@
 	case ctx.Err() != nil:
 	case cause == nil || wdg.lastReceived.Load() != last:
 		wdg.arm(ctx, silenceTimeout)
-	default:
+	case wdg.end(eris.Wrapf(errEndpointSilent, "no data for %v: %v", time.Since(time.Unix(0, last)), cause)):
 		metrics.GetOrRegisterCounter("relay.silentEndpoints", nil).Inc(1)
-		wdg.cancel(eris.Wrapf(errEndpointSilent, "no data for %v: %v", time.Since(time.Unix(0, last)), cause))
+	default:
+		metrics.GetOrRegisterCounter("relay.silentAwaited", nil).Inc(1)
+		wdg.arm(ctx, silenceTimeout)
 	}
 }
 
