relay: a silent second of a sound endpoint doesn't end its run

Cause: a probe without an answer counted like one that was rejected. Change: probes without an answer end an attempt only after 1.6 s of silence; a rejected connection or a report without the run still ends it after two.

--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -24,6 +24,9 @@
 	// probeRetryDelay is the delay between two probes, both of which must fail.
 	// It exceeds the staleness of an endpoint's report.
 	probeRetryDelay = 120 * time.Millisecond
+	// soundSilence is how long a sound endpoint may be silent as a whole: until then
+	// probes without an answer don't show that it has ended.
+	soundSilence = 1600 * time.Millisecond
 )
 
 var (
@@ -31,6 +34,7 @@
 	// when probed, doesn't list the run or doesn't respond.
 	errEndpointSilent = errors.New("endpoint sends no data and does not run the request")
 	errUnknownRun     = errors.New("endpoint does not report the run")
+	errNoProbeAnswer  = errors.New("endpoint does not answer")
 )
 
 // A watchdog cancels an attempt whose endpoint stalls without closing its
@@ -130,6 +134,8 @@
 	case ctx.Err() != nil:
 	case cause == nil || wdg.lastReceived.Load() != last:
 		wdg.arm(ctx, silenceTimeout)
+	case errors.Is(cause, errNoProbeAnswer) && time.Since(time.Unix(0, last)) < soundSilence:
+		wdg.arm(ctx, probeRetryDelay)
 	case wdg.end(eris.Wrapf(errEndpointSilent, "no data for %v: %v", time.Since(time.Unix(0, last)), cause)):
 		metrics.GetOrRegisterCounter("relay.silentEndpoints", nil).Inc(1)
 	default:
@@ -148,13 +154,17 @@
 }
 
 // probe returns an error if the endpoint is unreachable, or doesn't list a run
-// of which it has already sent a part.
+// of which it has already sent a part; errNoProbeAnswer if it is silent.
 func (wdg *watchdog) probe(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	working, err := wdg.prober.ProbeRun(ctx, wdg.bke, wdg.rid)
-	if err == nil && !working && wdg.receivedAny.Load() {
-		err = errUnknownRun
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return errNoProbeAnswer
+	case err == nil && !working && wdg.receivedAny.Load():
+		return errUnknownRun
+	default:
+		return err //nolint:wrapcheck // logged here
 	}
-	return err //nolint:wrapcheck // logged here
 }
