--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -121,6 +121,8 @@
 		req.refuse(refusalPromptBlocked.withRetryAfter(blocked.retryAfter))
 	case errors.Is(err, errCallerLeft):
 		req.finishWithoutReply(actDrop)
+	case errors.Is(err, errTurnExpired):
+		req.finishWithoutReply(actTimeout)
 	case errors.As(err, &limited):
 		req.refuse(refusalLimited.withRetryAfter(limited.RetryAfter))
 	case req.retries.attempts > 0:
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -58,8 +58,13 @@
 
 func (*blockedError) Error() string { return "prompt is blocked, since it ends endpoints" }
 
-// errCallerLeft reports that the caller closed its connection while its request waited.
-var errCallerLeft = errors.New("caller left")
+// Errors of requests that waited for their turn at an endpoint.
+var (
+	// errCallerLeft reports that the caller closed its connection.
+	errCallerLeft = errors.New("caller left")
+	// errTurnExpired reports that the deadline passed.
+	errTurnExpired = errors.New("deadline passed before the request's turn")
+)
 
 // pick picks an endpoint for the next attempt, which continues an earlier answer if
 // resumed is set, and waits for the request's turn there.
@@ -81,7 +86,10 @@
 			return tgt, nil
 		}
 		tgt.release()
-		if ctx.Err() != nil {
+		switch {
+		case errors.Is(ctx.Err(), context.DeadlineExceeded):
+			return nil, errTurnExpired
+		case ctx.Err() != nil:
 			return nil, errCallerLeft
 		}
 	}
