httpio: accept goes on after the process ran out of descriptors

A process that had no file descriptor left for one connection ended as a whole: the server returns from its accept loop on any error, and the entry exits with it. Change: errors of exhaustion are retried after 20 ms and counted.

--- a/internal/httpio/listen.go
+++ b/internal/httpio/listen.go
@@ -4,10 +4,12 @@
 package httpio
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -16,6 +18,9 @@
 // refusalTimeout bounds the write of a refusal to a connection over the limit.
 const refusalTimeout = time.Second
 
+// acceptRetryDelay is the delay after an accept that failed for want of a resource.
+const acceptRetryDelay = 20 * time.Millisecond
+
 // maxConcurrentRefusals bounds the refusals written concurrently.
 const maxConcurrentRefusals = 64
 
@@ -42,10 +47,22 @@
 // OpenConns returns the number of open connections.
 func (lis *Listener) OpenConns() int64 { return lis.open.Load() }
 
+// isExhaustion reports whether an accept failed for want of a resource that other
+// connections will release. A server ends on any error of Accept.
+func isExhaustion(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
 // Accept returns the next connection within the limit.
 func (lis *Listener) Accept() (net.Conn, error) {
 	for {
 		con, err := lis.Listener.Accept()
+		if isExhaustion(err) {
+			metrics.GetOrRegisterCounter("front.acceptsFailed", nil).Inc(1)
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if err != nil {
 			return nil, err //nolint:wrapcheck // hertz compares the error
 		}
