relay: a panic in mid-stream doesn't end the stream as complete

Callers got a stream that looked complete although a panic had ended it after its first event: the last chunk was written all the same. Cause: only the relay's own abort marked the response as aborted; the server finalizes a response whose writer was taken over also after a panic. Change: the recovery marks the response's writer as aborted. Evidence: TestPanicInStream failed before (200 with the first event only looked complete) and passes. No panic is known that does this; found in review.

--- a/internal/relay/panic.go
+++ b/internal/relay/panic.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/httpio"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 )
 
@@ -23,8 +24,11 @@
 		metrics.GetOrRegisterCounter("relay.panics", nil).Inc(1)
 		log.WithFields(logrus.Fields{logs.FieldError: fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("relay: panic in a request")
 		rct.SetConnectionClose()
-		if rct.Response.GetHijackWriter() == nil {
+		switch out := rct.Response.GetHijackWriter().(type) {
+		case nil:
 			refusalOutcomeUnknown.write(rct)
+		case *httpio.AbortWriter:
+			out.Aborted = true
 		}
 		rct.Abort()
 	}()
