relay: a secured attempt that is a trial isn't checked again

Cause: the check of a prompt starts the trial of a block that is due. The watchdog's check started it, cancelled the attempt, and the check before the send found the prompt blocked by that trial. Change: the verdict is kept with the secured attempt and a trial isn't checked again. The check comes after the choice of an endpoint, so that no trial is started where no endpoint is available. Evidence: TestSecuredTrial failed before (unexpected EOF after event 1, one attempt) and passes.

--- a/internal/relay/secure.go
+++ b/internal/relay/secure.go
@@ -11,6 +11,8 @@
 type securedRetry struct {
 	mu  sync.Mutex
 	tgt *target
+	// trial is set if the attempt is the trial of a blocked prompt.
+	trial bool
 }
 
 // take returns the target, nil if there is none, and removes it.
@@ -29,6 +31,13 @@
 	return sec.tgt != nil
 }
 
+// isTrial reports whether there is a target, for the trial of a blocked prompt.
+func (sec *securedRetry) isTrial() bool {
+	sec.mu.Lock()
+	defer sec.mu.Unlock()
+	return sec.tgt != nil && sec.trial
+}
+
 // release returns the target to the pool if there is one.
 func (sec *securedRetry) release() {
 	if tgt := sec.take(); tgt != nil {
@@ -40,20 +49,22 @@
 // once, and reports whether it could. resumed is whether the answer has begun. It is
 // called while the current attempt goes on.
 func (req *request) secureRetry(tried []wick.VMID, resumed bool) bool {
-	if !req.hasTime() || req.srv.cfg.Crashes.Check(req.prompt).Blocked {
+	if !req.hasTime() {
 		return false
 	}
 	tgt, err := req.choose(tried, resumed, 0)
 	if err != nil {
 		return false
 	}
-	if !req.srv.cfg.Budget.Take() {
+	// Checked late, since it starts the trial of a block that is due.
+	vdc := req.srv.cfg.Crashes.Check(req.prompt)
+	if vdc.Blocked || !req.srv.cfg.Budget.Take() {
 		tgt.release()
 		return false
 	}
 	req.secured.mu.Lock()
 	defer req.secured.mu.Unlock()
-	req.secured.tgt = tgt
+	req.secured.tgt, req.secured.trial = tgt, vdc.Trial
 	return true
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -69,8 +69,11 @@
 // pick picks an endpoint for the next attempt, which continues an earlier answer if
 // resumed is set, and waits for the request's turn there.
 func (req *request) pick(ctx context.Context, resumed bool) (*target, error) {
-	if vdc := req.srv.cfg.Crashes.Check(req.prompt); vdc.Blocked {
-		return nil, &blockedError{vdc.RetryAfter}
+	// A second check of a trial would find the prompt blocked by the trial itself.
+	if !req.secured.isTrial() {
+		if vdc := req.srv.cfg.Crashes.Check(req.prompt); vdc.Blocked {
+			return nil, &blockedError{vdc.RetryAfter}
+		}
 	}
 	if tgt := req.takeSecured(); tgt != nil {
 		req.tried = append(req.tried, tgt.Backend.ID)
