relay: a run that is being moved spends no retry

When a zone is reclaimed, many moves queue on one link. Cause: the watchdog went on after the stream had ended for the move, found that its endpoint no longer lists the run, and secured another attempt. Change: the watchdog stops when the stream has ended, before the move is awaited. Evidence: TestSlowHandoffTakesNoRetry failed before (19 retries left of 20) and passes.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -101,6 +101,8 @@
 	hof := fwd.req.startHandoff(watchCtx, att)
 	otc := fwd.forwardEvents(ctx, att)
 	cancel()
+	// A run that was stopped for its move is silent, which shows nothing.
+	att.wdg.stop()
 	<-hof.done
 	if hof.tgt != nil && otc != outcomeLost {
 		// The run completed before it was stopped, or the caller disconnected.
