relay: no endpoint is picked for an attempt that the budget denies

Each pick counts as work that the fleet is sized by, marks the prompt's parts as cached at an endpoint that never reads them, and asks the version order for a choice. Cause: the budget was asked after the endpoint. Change: the budget is looked at first; it is still spent last. Evidence: TestNoPickWithoutRetry failed before (5 choices for one attempt) and passes (1).

--- a/internal/relay/secure.go
+++ b/internal/relay/secure.go
@@ -49,7 +49,7 @@
 // once, and reports whether it could. resumed is whether the answer has begun. It is
 // called while the current attempt goes on.
 func (req *request) secureRetry(tried []wick.VMID, resumed bool) bool {
-	if !req.hasTime() {
+	if !req.hasTime() || req.srv.cfg.Budget.Available() < 1 {
 		return false
 	}
 	tgt, err := req.choose(tried, resumed, 0)
--- a/internal/relay/secure_test.go
+++ b/internal/relay/secure_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/wagtailwick/wagtailwick/internal/crash"
+	"github.com/wagtailwick/wagtailwick/internal/retry"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
 // A trialCrashes lets the second check pass as a trial of a block and blocks the prompt
@@ -32,3 +34,27 @@
 	}
 	rly.assert(status, 200, body, "elsewhere", 2)
 }
+
+// TestNoPickWithoutRetry guards against picks that are counted as load of an endpoint,
+// again with each check of a silent run, although the retry budget allows no attempt.
+func TestNoPickWithoutRetry(t *testing.T) {
+	rly := newTestRelay(t, 2, pausingScript(2500*time.Millisecond, "id: 1\ndata: a\n\n"))
+	rly.srv.cfg.Prober = &testProber{result: func(int) (bool, error) { return false, wick.ErrUnavailable }}
+	rly.srv.cfg.Budget = &retry.Budget{Capacity: 0.5}
+	var vrs countingVersions
+	rly.srv.cfg.Versions = &vrs
+	if status, body, err := rly.post("/long/1"); err != nil || status != 200 {
+		t.Error(status, body, err)
+	}
+	if num := vrs.chosen.Load(); num != 1 {
+		t.Errorf("an endpoint was picked %d times for one attempt", num)
+	}
+}
+
+// A countingVersions counts the choices.
+type countingVersions struct{ chosen atomic.Int64 }
+
+func (cnt *countingVersions) Choose(wick.Service, wick.RouteName, time.Time) Choice {
+	cnt.chosen.Add(1)
+	return Choice{}
+}
