httpio: a refused caller can send the whole of its request

Cause: the connection was closed with unread input, which resets it. Change: after the refusal only the sending side is closed, and input is discarded until the caller closes or a second has passed.

--- a/internal/httpio/listen.go
+++ b/internal/httpio/listen.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,14 +16,15 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// refusalTimeout bounds the write of a refusal to a connection over the limit.
+// refusalTimeout bounds the refusal of a connection over the limit.
 const refusalTimeout = time.Second
 
 // acceptRetryDelay is the delay after an accept that failed for want of a resource.
 const acceptRetryDelay = 20 * time.Millisecond
 
-// maxConcurrentRefusals bounds the refusals written concurrently.
-const maxConcurrentRefusals = 64
+// maxConcurrentRefusals bounds the connections that are refused concurrently, each of
+// which lasts until its caller closes it or refusalTimeout has passed.
+const maxConcurrentRefusals = 256
 
 // A Listener limits the number of open connections. A connection over the limit
 // receives a refusal and is closed.
@@ -98,15 +100,19 @@
 		if con.SetDeadline(time.Now().Add(refusalTimeout)) != nil {
 			return
 		}
-		// Reads the request first: many clients fail on a response that arrives
-		// before it, and closing a connection with unread input may discard the
-		// response.
+		// Reads from the request first: many clients fail on a response that arrives
+		// before it.
 		var buf [4096]byte
 		if _, err := con.Read(buf[:]); err != nil {
 			return
 		}
 		_, _ = fmt.Fprintf(con, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/problem+json\r\n"+
 			"Retry-After: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		// Closing a connection with unread input resets it, and the caller may fail
+		// before it has read the response.
+		if half, ok := con.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+			_, _ = io.Copy(io.Discard, con)
+		}
 	}()
 }
 
