edge, admin: servers go on after the process ran out of descriptors

An entry was never ready again, and got no new callers, once its process had no file descriptor left for one readiness check; the admin server ended likewise. Change: RetryListener does the retries for all of them.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -70,7 +70,7 @@
 	}
 	srv.lis = lis
 	srv.hertz = server.New(
-		server.WithListener(lis),
+		server.WithListener(httpio.RetryListener{Listener: lis}),
 		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(time.Second),
--- a/internal/edge/ready.go
+++ b/internal/edge/ready.go
@@ -11,6 +11,8 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/rotisserie/eris"
+
+	"github.com/wagtailwick/wagtailwick/internal/httpio"
 )
 
 // A readyServer serves the readiness check of the load balancer. It replies on
@@ -27,9 +29,14 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "edge: listen for readiness")
 	}
+	return serveReady(lis), nil
+}
+
+// serveReady answers readiness checks on a listener.
+func serveReady(lis net.Listener) *readyServer {
 	rds := &readyServer{}
 	hrz := server.New(
-		server.WithListener(lis), server.WithTransport(standard.NewTransporter), server.WithDisablePrintRoute(true),
+		server.WithListener(httpio.RetryListener{Listener: lis}), server.WithTransport(standard.NewTransporter), server.WithDisablePrintRoute(true),
 		config.Option{F: func(opt *config.Options) { opt.NoDefaultServerHeader = true }},
 	)
 	hrz.Use(rds.handle)
@@ -38,7 +45,7 @@
 			log.WithError(err).Error("edge: readiness server failed")
 		}
 	}()
-	return rds, nil
+	return rds
 }
 
 func (rds *readyServer) setPlanLoaded()     { rds.plan.Store(true) }
--- a/internal/httpio/listen.go
+++ b/internal/httpio/listen.go
@@ -56,17 +56,27 @@
 		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
 
-// Accept returns the next connection within the limit.
-func (lis *Listener) Accept() (net.Conn, error) {
+// A RetryListener goes on after an accept that failed for want of a resource.
+type RetryListener struct{ net.Listener }
+
+// Accept returns the next connection.
+func (lis RetryListener) Accept() (net.Conn, error) {
 	for {
 		con, err := lis.Listener.Accept()
-		if isExhaustion(err) {
-			metrics.GetOrRegisterCounter("front.acceptsFailed", nil).Inc(1)
-			time.Sleep(acceptRetryDelay)
-			continue
+		if !isExhaustion(err) {
+			return con, err //nolint:wrapcheck // hertz compares the error
 		}
+		metrics.GetOrRegisterCounter("front.acceptsFailed", nil).Inc(1)
+		time.Sleep(acceptRetryDelay)
+	}
+}
+
+// Accept returns the next connection within the limit.
+func (lis *Listener) Accept() (net.Conn, error) {
+	for {
+		con, err := RetryListener{lis.Listener}.Accept()
 		if err != nil {
-			return nil, err //nolint:wrapcheck // hertz compares the error
+			return nil, err
 		}
 		if lis.open.Add(1) <= lis.Limit {
 			// hertz sets a read timeout only from a connection's second request
