crash: two deadly parts behind one sound part are told apart in time

Cause: once one of two deadly parts behind the same sound part is blocked, the crashes at which both were present count as explained, so the other one needs three further crashes. A sound part that had been cleared counted as a likely alternative again for later crashes, which asked for nine.

Change: a set with a part of a blocked set needs two crashes, as a single part of a blocked set did, and crashes that no other part explains rule other parts out once they are too many for chance.

--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -18,9 +18,10 @@
 	// probability that they were there by chance.
 	minCrashes     = 3
 	maxCoincidence = 1e-6
-	// minFurtherCrashes and maxFurtherCoincidence are the same for parts of a blocked
-	// set, if the prompts have no other part in common: more prompts than the blocked
-	// ones end endpoints.
+	// minFurtherCrashes and maxFurtherCoincidence are the same for sets near a blocked
+	// one, if the prompts have no other part in common: more prompts than the blocked
+	// ones end endpoints. So many crashes that no other part explains also rule out that
+	// other parts explain the rest.
 	minFurtherCrashes     = 2
 	maxFurtherCoincidence = 1e-3
 	// minAlternatives is the number of other parts that it takes to explain the same
@@ -184,6 +185,15 @@
 	return false
 }
 
+// isNearBlock reports whether a set lies in a larger blocked set, or has several parts one
+// of which does: prompts with that part have ended endpoints. trk.mu must be held.
+func (trk *Tracker) isNearBlock(set Parts) bool {
+	if len(set) == 1 {
+		return trk.inBlock(set)
+	}
+	return slices.ContainsFunc(set, func(part wick.PartID) bool { return trk.inBlock(Parts{part}) })
+}
+
 // countCrashes counts the separate crashes that each part was present at.
 func countCrashes(evi []suspicion) map[wick.PartID]int {
 	counts := make(map[wick.PartID]int)
--- a/internal/crash/finding.go
+++ b/internal/crash/finding.go
@@ -19,6 +19,9 @@
 	// alternatives is the number of other parts that it takes to explain all of the
 	// crashes.
 	alternatives int
+	// exclusive is the number of separate crashes that no other part of the prompts
+	// explains.
+	exclusive int
 }
 
 // isStronger reports whether a finding goes before another one: the one with more
@@ -60,17 +63,25 @@
 		return false
 	}
 	needed, coincidence := minCrashes, maxCoincidence
-	if trk.inBlock(fnd.parts) && fnd.own == "" && fnd.alternatives >= minFurtherCrashes {
+	if trk.isNearBlock(fnd.parts) && fnd.own == "" && fnd.alternatives >= minFurtherCrashes {
 		needed, coincidence = minFurtherCrashes, maxFurtherCoincidence
 	}
-	needed = max(needed, int(math.Ceil(math.Log(coincidence)/math.Log(trk.hazard(fnd.parts, now)))))
-	if fnd.alternatives < minAlternatives {
+	hazard := trk.hazard(fnd.parts, now)
+	needed = max(needed, crashesFor(coincidence, hazard))
+	alone := max(minFurtherCrashes, crashesFor(maxFurtherCoincidence, hazard))
+	if fnd.alternatives < minAlternatives && fnd.exclusive < alone {
 		// Of so many crashes one of the alternatives explains enough to be blocked.
 		needed = fnd.alternatives*(max(needed, minDisputedCrashes)-1) + 1
 	}
 	return fnd.crashes >= needed
 }
 
+// crashesFor returns the number of crashes at which a prompt is present by chance with at
+// most the given probability.
+func crashesFor(coincidence, hazard float64) int {
+	return int(math.Ceil(math.Log(coincidence) / math.Log(hazard)))
+}
+
 // hazard estimates the probability that a prompt is lost in a crash that has nothing to
 // do with it, from the recent crashes that no prompt with a set of parts was present at.
 // trk.mu must be held.
@@ -133,6 +144,7 @@
 	fnd := finding{parts: set}
 	owns := make(map[wick.PartID]bool)
 	var others []Parts
+	var exclusiveAt time.Time
 	for idx := range evi {
 		var rest Parts
 		present := false
@@ -148,6 +160,10 @@
 			continue
 		}
 		others = append(others, rest)
+		if len(rest) == 0 && (fnd.exclusive == 0 || evi[idx].at.Sub(exclusiveAt) >= crashSpacing) {
+			fnd.exclusive++
+			exclusiveAt = evi[idx].at
+		}
 		if fnd.crashes == 0 || evi[idx].at.Sub(fnd.at) >= crashSpacing {
 			fnd.crashes++
 			fnd.at = evi[idx].at
