crash: one request that is sent again and again is blocked by itself

Cause: a part counts as sound once some endpoint has survived it.

Change: a prompt that was present at enough separate crashes and has not survived since is blocked with its last part, before wider sets are examined. It explains its crashes; two further ones by other prompts with its parts suffice to block these.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -44,6 +44,8 @@
 	endings map[Ending]*ending
 	// survived is when an endpoint last began an answer to a part that it survived.
 	survived map[wick.PartID]time.Time
+	// survivedOwn is the same for the last parts of prompts that were lost.
+	survivedOwn map[wick.PartID]time.Time
 	// suspects holds the parts that one more crash may block.
 	suspects map[wick.PartID]bool
 	// answering is when each endpoint was last seen to survive a prompt.
@@ -96,6 +98,7 @@
 		pro.Shared = pro.Shared[:min(len(pro.Shared), maxParts)]
 		if len(pro.Shared) > 0 && len(edn.prompts) < maxPrompts && !slices.ContainsFunc(edn.prompts, pro.equal) {
 			edn.prompts = append(edn.prompts, pro)
+			trk.watchOwn(pro.Own)
 		}
 	}
 	for _, blk := range trk.blocks {
@@ -114,7 +117,7 @@
 	defer trk.mu.Unlock()
 	edn := trk.endings[end]
 	told := len(trk.outbox.Survivals) < maxSurvivalNews
-	if told && (edn != nil && !edn.void || slices.ContainsFunc(pro.Shared, func(part wick.PartID) bool { return trk.suspects[part] })) {
+	if told && (edn != nil && !edn.void || trk.isSuspected(pro)) {
 		trk.outbox.Survivals = append(trk.outbox.Survivals, Survival{Ending: end, Prompt: pro, AgeMillis: now.Sub(began).Milliseconds()})
 	}
 	trk.survive(end, pro, began, now)
@@ -133,6 +136,9 @@
 			trk.survived[part] = began
 		}
 	}
+	if at, ok := trk.survivedOwn[pro.Own]; ok && began.After(at) {
+		trk.survivedOwn[pro.Own] = began
+	}
 	for _, blk := range trk.blocks {
 		if !blk.lifted && began.After(blk.base) && blk.matches(pro) {
 			trk.lift(blk, now)
@@ -150,7 +156,12 @@
 func (trk *Tracker) IsSuspected(pro Prompt) bool {
 	trk.mu.Lock()
 	defer trk.mu.Unlock()
-	return slices.ContainsFunc(pro.Shared, func(part wick.PartID) bool { return trk.suspects[part] })
+	return trk.isSuspected(pro)
+}
+
+// isSuspected is IsSuspected with trk.mu held.
+func (trk *Tracker) isSuspected(pro Prompt) bool {
+	return trk.suspects[pro.Own] || slices.ContainsFunc(pro.Shared, func(part wick.PartID) bool { return trk.suspects[part] })
 }
 
 // purge forgets what is older than retention. trk.mu must be held.
@@ -163,6 +174,9 @@
 	for len(trk.endings) > maxEndings {
 		delete(trk.endings, trk.oldestEnding())
 	}
+	if len(trk.endings) == 0 {
+		trk.survivedOwn = nil
+	}
 	trk.purgeBlocks(now)
 }
 
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -31,7 +31,10 @@
 func behindPopularPart(num int) Prompt { return bad(num, "popular1", "!a") }
 func behindManyParts(num int) Prompt   { return bad(num, wick.PartID(fmt.Sprint("rare", num%89)), "!a") }
 func alone(num int) Prompt             { return bad(num, "!a") }
-func twoBehindOnePart(num int) Prompt  { return bad(num, "rare7", wick.PartID(fmt.Sprint("!", num%2))) }
+func oneRequest(int) Prompt            { return Prompt{Shared: Parts{"popular1"}, Own: "!a"} }
+func oneRareRequest(int) Prompt        { return Prompt{Shared: Parts{"popular1", "rare7"}, Own: "!a"} }
+
+func twoBehindOnePart(num int) Prompt { return bad(num, "rare7", wick.PartID(fmt.Sprint("!", num%2))) }
 
 // assertContained asserts that deadly requests were stopped in time and sound ones were
 // not refused with them.
@@ -66,6 +69,8 @@
 		"two behind one part":   {5, 12, 25, 1.5, twoBehindOnePart, 0},
 		"behind a popular part": {5, 9, 25, 1, behindPopularPart, 0},
 		"beside other crashes":  {5, 12, 25, 1, behindOnePart, 0.2},
+		"one request":           {5, 12, 25, 1, oneRequest, 0},
+		"one request, rare":     {5, 12, 25, 0.45, oneRareRequest, 0.1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range *simSeeds {
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -66,18 +66,28 @@
 	trk.suspects = nil
 	for part, num := range countCrashes(trk.evidence(now)) {
 		if num >= minCrashes-1 || num >= minFurtherCrashes-1 && trk.inBlock(Parts{part}) {
-			if trk.suspects == nil {
-				trk.suspects = make(map[wick.PartID]bool)
-			}
-			trk.suspects[part] = true
+			trk.suspect(part)
 		}
 	}
 	trk.dirty = false
+	for _, fnd := range trk.repeated(now) {
+		if fnd.crashes >= minCrashes-1 {
+			trk.suspect(fnd.own)
+		}
+	}
 	for _, edn := range trk.endings {
 		trk.dirty = trk.dirty || !edn.settled(now)
 	}
 }
 
+// suspect adds a part to the suspects. trk.mu must be held.
+func (trk *Tracker) suspect(part wick.PartID) {
+	if trk.suspects == nil {
+		trk.suspects = make(map[wick.PartID]bool)
+	}
+	trk.suspects[part] = true
+}
+
 // evaluateIfDue evaluates new evidence, but not more often than each evaluationInterval.
 // trk.mu must be held.
 func (trk *Tracker) evaluateIfDue(now time.Time) {
@@ -86,9 +96,13 @@
 	}
 }
 
-// blockNext blocks the set of parts with the most evidence, and returns false if there
-// is not enough for any. trk.mu must be held.
+// blockNext blocks a prompt that ends endpoints by itself, or else the set of parts with
+// the most evidence. It returns false if there is not enough for any. trk.mu must be held.
 func (trk *Tracker) blockNext(now time.Time) bool {
+	if fnd, ok := trk.findRepeated(now); ok {
+		trk.block(fnd, now)
+		return true
+	}
 	evi := trk.evidence(now)
 	var best finding
 	disputed := false
@@ -117,10 +131,7 @@
 // must be held.
 func (trk *Tracker) evidence(now time.Time) []suspicion {
 	var out []suspicion
-	for _, edn := range trk.endings {
-		if edn.void || !edn.settled(now) || trk.isExplained(edn) {
-			continue
-		}
+	for _, edn := range trk.unexplained(now) {
 		sus := suspicion{at: edn.at}
 		for _, pro := range edn.prompts {
 			if left := trk.withoutSurvivors(pro.Shared, edn.at); len(left) > 0 {
@@ -131,10 +142,22 @@
 			out = append(out, sus)
 		}
 	}
-	slices.SortFunc(out, func(one, two suspicion) int { return one.at.Compare(two.at) })
 	return out[max(len(out)-maxEvidence, 0):]
 }
 
+// unexplained returns the settled endings that no blocked set explains, in order of time.
+// trk.mu must be held.
+func (trk *Tracker) unexplained(now time.Time) []*ending {
+	var out []*ending
+	for _, edn := range trk.endings {
+		if !edn.void && edn.settled(now) && !trk.isExplained(edn) {
+			out = append(out, edn)
+		}
+	}
+	slices.SortFunc(out, func(one, two *ending) int { return one.at.Compare(two.at) })
+	return out
+}
+
 // mostPresent returns the parts that were present at the most crashes, and at enough to be
 // a cause.
 func mostPresent(counts map[wick.PartID]int) []wick.PartID {
@@ -155,7 +178,7 @@
 func (trk *Tracker) isExplained(edn *ending) bool {
 	for _, blk := range trk.blocks {
 		inForce := !blk.lifted || !edn.at.After(blk.base)
-		if inForce && blk.own == "" && blk.matchesAny(edn.prompts) {
+		if inForce && blk.matchesAny(edn.prompts) {
 			return true
 		}
 	}
@@ -174,11 +197,12 @@
 	return out
 }
 
-// inBlock reports whether a set is blocked together with further parts. trk.mu must be
-// held.
+// inBlock reports whether a set is blocked together with further parts, or in one prompt.
+// trk.mu must be held.
 func (trk *Tracker) inBlock(prt Parts) bool {
 	for _, blk := range trk.blocks {
-		if !blk.lifted && blk.own == "" && len(blk.parts) > len(prt) && blk.parts.includes(prt) {
+		larger := blk.own != "" || len(blk.parts) > len(prt)
+		if !blk.lifted && larger && blk.parts.includes(prt) {
 			return true
 		}
 	}
--- a/internal/crash/finding.go
+++ b/internal/crash/finding.go
@@ -66,7 +66,7 @@
 	if trk.isNearBlock(fnd.parts) && fnd.own == "" && fnd.alternatives >= minFurtherCrashes {
 		needed, coincidence = minFurtherCrashes, maxFurtherCoincidence
 	}
-	hazard := trk.hazard(fnd.parts, now)
+	hazard := trk.hazard(&block{parts: fnd.parts}, now)
 	needed = max(needed, crashesFor(coincidence, hazard))
 	alone := max(minFurtherCrashes, crashesFor(maxFurtherCoincidence, hazard))
 	if fnd.alternatives < minAlternatives && fnd.exclusive < alone {
@@ -83,15 +83,15 @@
 }
 
 // hazard estimates the probability that a prompt is lost in a crash that has nothing to
-// do with it, from the recent crashes that no prompt with a set of parts was present at.
-// trk.mu must be held.
-func (trk *Tracker) hazard(set Parts, now time.Time) float64 {
+// do with it, from the recent crashes that no prompt that a block would concern was present
+// at. trk.mu must be held.
+func (trk *Tracker) hazard(blk *block, now time.Time) float64 {
 	others := 1 // a crash that may be about to follow
 	for _, edn := range trk.endings {
 		if edn.void || now.Sub(edn.at) > hazardWindow || trk.isExplained(edn) {
 			continue
 		}
-		if !slices.ContainsFunc(edn.prompts, func(pro Prompt) bool { return pro.Shared.includes(set) }) {
+		if !blk.matchesAny(edn.prompts) {
 			others++
 		}
 	}
--- a/internal/crash/news.go
+++ b/internal/crash/news.go
@@ -143,7 +143,7 @@
 		if wasBlocked := own != nil && !own.lifted; wasBlocked == next.lifted {
 			trk.changes = append(trk.changes, Change{Parts: next.parts, Own: next.own, Lifted: next.lifted})
 		}
-		if !next.lifted && len(trk.withoutSurvivors(next.parts, next.base.Add(survivalMargin))) == 0 {
+		if !next.lifted && trk.refutes(next) {
 			trk.lift(next, now)
 		}
 	case next.trials > own.trials && next.round == own.round && !own.lifted:
--- a/internal/crash/sim_test.go
+++ b/internal/crash/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -102,7 +103,7 @@
 
 // deadlyPart returns the deadly part of a prompt, "" if it has none.
 func deadlyPart(pro Prompt) wick.PartID {
-	for _, part := range pro.Shared {
+	for _, part := range slices.Concat(pro.Shared, Parts{pro.Own}) {
 		if part[0] == '!' {
 			return part
 		}
