relay: a resumed stream without a length needs an event to be complete

Cause: a reply that resumes a stream may have no events left, so one that ended before its first event counted as complete, also where neither a length nor chunks tell its end. A stream that was broken off inside an event, and whose second endpoint ended its connection right after the head, was delivered as complete without its last events.

Change: without a length or chunks such a reply was broken off; with one it still means that no events are left.

TestBrokenStreamLooksBroken/second_one_before_its_first_event failed before ("the broken stream looks complete"), passes now. The other new tests passed before the change, too: replies that end with their connection, with HTTP/1.0 and 1.1 heads, whole and reset; HEAD, 204 and 304; no connection is used again after such a reply.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -112,6 +112,7 @@
 // forwardEvents forwards the events of one reply.
 func (fwd *forwarder) forwardEvents(ctx context.Context, att *attempt) outcome {
 	var spl eventSplitter
+	empty := true
 	buf := make([]byte, readBufferBytes)
 	for {
 		num, err := att.rep.Read(buf)
@@ -121,6 +122,7 @@
 			if !ok {
 				break
 			}
+			empty = false
 			if evt.isProgress() {
 				att.markProgress()
 			}
@@ -131,9 +133,10 @@
 		if err == nil {
 			err = fwd.req.checkPartial(&spl)
 		}
+		brokenOff := spl.hasPartial() || empty && fwd.mustHaveEvents(att)
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF) && !spl.hasPartial() && !fwd.isEmpty(att):
+		case errors.Is(err, io.EOF) && !brokenOff:
 			return outcomeReply
 		case errors.Is(err, io.EOF):
 			att.recordIncomplete(logs.MsgResponseAborted, outcomeLost, io.ErrUnexpectedEOF)
@@ -146,9 +149,12 @@
 	}
 }
 
-// isEmpty reports whether a reply has ended before its first event. Without a length or
-// chunks that looks like a complete reply.
-func (fwd *forwarder) isEmpty(att *attempt) bool { return att.received == 0 && fwd.lastEventID == "" }
+// mustHaveEvents reports whether a reply that ends before its first event was broken off.
+// One that resumes a stream may have no events left, but without a length or chunks that
+// looks like a reply that was broken off.
+func (fwd *forwarder) mustHaveEvents(att *attempt) bool {
+	return fwd.lastEventID == "" || !att.rep.IsDelimited()
+}
 
 // forwardEvent writes one event to the caller and reports whether the write
 // succeeded. Events that the caller already has are skipped.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -230,6 +230,10 @@
 	return rep.body.Read(buf)
 }
 
+// IsDelimited reports whether the end of the body can be distinguished from a connection
+// that was closed early.
+func (rep *Reply) IsDelimited() bool { return rep.delimited }
+
 // SetStallTimeout changes the bound on the wait for the next part of the reply.
 func (rep *Reply) SetStallTimeout(timeout time.Duration) { rep.stallTimeout = timeout }
 
