--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -38,11 +38,13 @@
 	errSecondConn     = errors.New("call was already written to another connection")
 	errAbandoned      = errors.New("call ended before it was sent")
 	errExpired        = errors.New("call's deadline passed before it was sent")
-	errTooLarge       = errors.New("reply exceeds the size limit")
 	errUndelimited    = errors.New("reply has neither a Content-Length nor chunked encoding")
 	errProtocolSwitch = errors.New("unexpected protocol switch")
 )
 
+// ErrTooLarge reports a reply that exceeds its size limit.
+var ErrTooLarge = errors.New("reply exceeds the size limit")
+
 // A Client sends calls over pooled connections. Its zero value is ready to
 // use, and it must not be copied after the first call.
 type Client struct {
@@ -249,7 +251,7 @@
 	switch {
 	case err != nil:
 	case int64(len(body)) > limit:
-		err = errTooLarge
+		err = ErrTooLarge
 	default:
 		return body, nil
 	}
