relay: a refusal counts only with the request's id

Reports of other operators: an endpoint wrote an earlier refusal once more, and callers were told that requests had not run which ran. Cause: on a connection of its own a refusal without an id was taken for that of the request. For a request without an id every answer without one was, on kept connections too. Change: the id must be the request's; a request without an id gets a connection of its own.

--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -149,7 +149,7 @@
 	rep, err := req.srv.cfg.Client.Do(ctx, wire.Call{
 		Method: string(req.rct.Method()), URL: "http://" + tgt.Backend.Address,
 		Host: string(req.rct.Request.Header.Host()), Target: string(req.rct.Request.Header.RequestURI()),
-		Header: hdr, Body: req.rct.Request.Body(), NoRetry: true, CloseConn: !req.match.Route.Repeatable(),
+		Header: hdr, Body: req.rct.Request.Body(), NoRetry: true, CloseConn: req.ownConnection(),
 		StallTimeout: req.deadline.Sub(att.sentAt) + 2*timeoutGrace,
 	})
 	if err != nil {
@@ -195,15 +195,6 @@
 	}
 }
 
-// isStray reports whether a reply may be that of another request. One without an id
-// is accepted only on a connection that no other request has used.
-func (req *request) isStray(note wick.ReplyMeta) bool {
-	if note.Request == "" {
-		return req.params.ID != "" && req.match.Route.Repeatable()
-	}
-	return note.Request != req.params.ID
-}
-
 // markProgress records that a part of the answer was received.
 func (att *attempt) markProgress() {
 	att.progressAt = time.Now()
