relay: only the rest of a stream goes on after a break

Reports of other operators: an error's text stood in the middle of a stream, or the stream ended as if it were complete. Cause: after a break the next endpoint's 3xx or 4xx was the final outcome of the request and ended the stream as complete, like 204 and an empty answer without a length; another 2xx with blank lines in its body went into the stream. Whether a stream was complete was taken from the last outcome and the failures of all attempts, so that a complete stream was cut off at its end if an endpoint had failed before its first event. Change: only a 200 of the first reply's media type goes on; the stream's own end decides whether it is complete; an empty rest needs an end that is certain. A 500, refusals and unsigned answers did no harm before.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
+	"github.com/wagtailwick/wagtailwick/internal/wire"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -30,6 +32,10 @@
 	eventCount  int
 	// firstEventAt is when the first event was forwarded, zero before.
 	firstEventAt time.Time
+	// media is the media type of the reply whose events were forwarded first.
+	media string
+	// complete is set once the last event was forwarded.
+	complete bool
 	// lastReply is the most recent complete reply that was not a stream, such as an
 	// error response; nil if there is none.
 	lastReply *bufferedReply
@@ -66,16 +72,7 @@
 		attCtx, wdg := fwd.req.startWatchdog(ctx, tgt)
 		att, otc := fwd.req.dispatch(attCtx, tgt, fwd.lastEventID, cpy)
 		att.wdg = wdg
-		var hof *handoff
-		switch {
-		case otc == outcomeReply && att.rep.Status < http.StatusMultipleChoices:
-			otc, hof = fwd.forwardWithHandoff(attCtx, att)
-		case otc == outcomeReply || otc == outcomeServerError:
-			var brp *bufferedReply
-			if brp, otc = fwd.req.bufferReply(attCtx, att, otc); brp != nil {
-				fwd.lastReply = brp
-			}
-		}
+		otc, hof := fwd.receive(attCtx, att, otc)
 		wdg.stop()
 		att.close(otc)
 		if cpy != "" && !otc.mayHaveRun() {
@@ -90,6 +87,44 @@
 	}
 }
 
+// receive reads the body of a reply with the preliminary outcome otc: it forwards the
+// events of a stream, and buffers another reply.
+func (fwd *forwarder) receive(ctx context.Context, att *attempt, otc outcome) (outcome, *handoff) {
+	switch {
+	case otc != outcomeReply && otc != outcomeServerError:
+		return otc, nil
+	case fwd.out != nil && !fwd.continues(att):
+		// The caller can't get it any more: it would stand in the middle of the events.
+		fwd.req.logBadReply(att, otc)
+		return outcomeServerError, nil
+	case otc == outcomeReply && att.rep.Status < http.StatusMultipleChoices:
+		otc, hof := fwd.forwardWithHandoff(ctx, att)
+		fwd.complete = otc == outcomeReply
+		return otc, hof
+	default:
+		brp, otc := fwd.req.bufferReply(ctx, att, otc)
+		if brp != nil {
+			fwd.lastReply = brp
+		}
+		return otc, nil
+	}
+}
+
+// continues reports whether a reply may go on with the events of an earlier one. The
+// caller got the headers of the first.
+func (fwd *forwarder) continues(att *attempt) bool {
+	return att.rep.Status == http.StatusOK && mediaType(att.rep.Header) == fwd.media
+}
+
+// mediaType returns the media type of a reply, "" if it has none or a malformed one.
+func mediaType(hdr http.Header) string {
+	media, _, err := mime.ParseMediaType(hdr.Get(wire.HeaderType))
+	if err != nil {
+		return ""
+	}
+	return media
+}
+
 // forwardWithHandoff forwards the events of one reply, and hands the run off
 // when the endpoint leaves.
 func (fwd *forwarder) forwardWithHandoff(ctx context.Context, att *attempt) (outcome, *handoff) {
@@ -146,9 +181,12 @@
 	}
 }
 
-// isEmpty reports whether a reply has ended before its first event. Without a length or
-// chunks that looks like a complete reply.
-func (fwd *forwarder) isEmpty(att *attempt) bool { return att.received == 0 && fwd.lastEventID == "" }
+// isEmpty reports whether a reply has ended before its first event, which without a length
+// or chunks looks like a complete reply. One that goes on behind the last event may be
+// empty if its end is certain.
+func (fwd *forwarder) isEmpty(att *attempt) bool {
+	return att.received == 0 && (fwd.lastEventID == "" || !att.rep.Delimited())
+}
 
 // forwardEvent writes one event to the caller and reports whether the write
 // succeeded. Events that the caller already has are skipped.
@@ -186,6 +224,7 @@
 // startResponse sends the response headers.
 func (fwd *forwarder) startResponse(att *attempt) {
 	rct := fwd.req.rct
+	fwd.media = mediaType(att.rep.Header)
 	fwd.req.copyReplyHeader(att.rep)
 	fwd.out = &httpio.AbortWriter{ExtWriter: resp.NewChunkedBodyWriter(&rct.Response, rct.GetWriter())}
 	rct.Response.HijackWriter(fwd.out)
@@ -209,9 +248,12 @@
 		fwd.req.fail(refusalOutcomeUnknown)
 	case fwd.out == nil:
 		fwd.req.conclude(act, lastReply)
-	case act == actDeliver && !fwd.req.retries.failed:
+	case fwd.complete:
 		late := fwd.req.late(fwd.firstEventAt.Sub(fwd.req.arrived))
 		fwd.req.logAnswered(late, logrus.Fields{logs.FieldStatus: http.StatusOK, "events": fwd.eventCount, "firstMs": fwd.firstEventAt.Sub(fwd.req.arrived).Milliseconds()})
+	case act == actDeliver:
+		// The reply to deliver is an error, which can't follow events.
+		fwd.abort(logs.ReasonOutcomeUnknown)
 	default:
 		fwd.abort(act.String())
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -232,6 +232,9 @@
 	return rep.body.Read(buf)
 }
 
+// Delimited reports whether the end of the body can be told from a broken connection.
+func (rep *Reply) Delimited() bool { return rep.delimited }
+
 // SetStallTimeout changes the bound on the wait for the next part of the reply.
 func (rep *Reply) SetStallTimeout(timeout time.Duration) { rep.stallTimeout = timeout }
 
