relay: a stream isn't resumed behind events without an id

Cause: a stream that broke off goes on behind the last id, or from the start if there was none; events without an id that were forwarded since came twice. Change: such a stream is cut off, and its run isn't moved on. Measured: relay.TestEventsWithoutID failed in both cases (the event twice, the stream complete) without the change, and passes.

--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -88,3 +88,21 @@
 	}
 	rly.assert(status, http.StatusOK, body, threeEvents, 2)
 }
+
+// TestEventsWithoutID guards against events that come twice: a stream whose last event had
+// no id can't be resumed behind it.
+func TestEventsWithoutID(t *testing.T) {
+	for _, sent := range []string{"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n"} {
+		rly := newTestRelay(t, 2, func(_ *http.Request, con net.Conn, num int) {
+			beginStream(con, sent)
+			if num > 0 {
+				endStream(con)
+			}
+		})
+		status, body, err := rly.post("/gen/1", "X-Model", "m")
+		if err == nil || body != sent {
+			t.Errorf("%q, %v, want %q cut off", body, err, sent)
+		}
+		rly.assert(status, http.StatusOK, body, sent, 1)
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -36,6 +36,9 @@
 	media string
 	// complete is set once the last event was forwarded.
 	complete bool
+	// unresumable is set while the last event that was forwarded has no id, so that a
+	// stream that goes on behind the last id would repeat it.
+	unresumable bool
 	// lastReply is the most recent complete reply that was not a stream, such as an
 	// error response; nil if there is none.
 	lastReply *bufferedReply
@@ -53,7 +56,7 @@
 			return
 		}
 		otc := fwd.runAttempt(ctx, tgt)
-		act := req.retries.next(otc, req.acquireRetry)
+		act := req.retries.next(otc, func() bool { return !fwd.unresumable && req.acquireRetry() })
 		if act == actRetry {
 			req.logEvent(logs.MsgRetried, logrus.Fields{"after": otc.String(), "lastEvent": fwd.lastEventID})
 			req.awaitFate(ctx)
@@ -136,8 +139,9 @@
 	otc := fwd.forwardEvents(ctx, att)
 	cancel()
 	<-hof.done
-	if hof.tgt != nil && otc != outcomeLost {
-		// The run completed before it was stopped, or the caller disconnected.
+	if hof.tgt != nil && (otc != outcomeLost || fwd.unresumable) {
+		// The run completed before it was stopped, or the caller disconnected, or it
+		// can't go on.
 		hof.tgt.release()
 		hof.tgt = nil
 	}
@@ -218,6 +222,9 @@
 	if evt.id != "" {
 		fwd.lastEventID = evt.id
 	}
+	if evt.isProgress() {
+		fwd.unresumable = evt.id == ""
+	}
 	return true
 }
 
