platform, fake: revisions of a restored store carry the era of their answer

Cause: after a restore the store assigns revisions again. Everything that compares them took the older copy for a stale read, a write at a lost revision could replace what another writer had put there, and a watch from a lost revision went on in the new history.

The fakes of the store learn to restore a copy.

--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -40,7 +40,7 @@
 // A Store is an in-memory wick.Store. Its zero value is empty and ready to use.
 type Store struct {
 	mu sync.Mutex
-	// rev is the revision of the last write.
+	// rev is the revision of the last write, in the era of the last restore.
 	rev wick.Revision
 	// objects includes tombstones of deleted objects, which watches report.
 	objects map[wick.ObjectKey]wick.Object
@@ -159,6 +159,9 @@
 	if sto.faults.Down || sto.faults.Partition {
 		return nil, 0, nil, wick.ErrUnavailable
 	}
+	if after != 0 && after.Era() < sto.rev.Era() {
+		return nil, 0, nil, wick.ErrRevisionExpired
+	}
 	var out []wick.Object
 	for key, obj := range sto.objects {
 		if key.Kind == kind && obj.Revision > after {
