feed: the first list after a restore counts as one after an outage

Cause: a follower that learns of a restore from another follower's call had no failure of its own, so what the older copy lacks counted as removed at once.

Change: RecoveredAt is also set by the first list of a new era. Result: TestRestoredStore fails without and passes with the change.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -104,8 +104,8 @@
 // call succeeded.
 func (fol *Follower) FailingSince() time.Time { return unixTime(fol.failing.Load()) }
 
-// RecoveredAt returns the end of the last outage, the zero time if there was
-// none.
+// RecoveredAt returns the end of the last outage or when the store was first read after
+// its last restore, the zero time if there was neither.
 func (fol *Follower) RecoveredAt() time.Time { return unixTime(fol.recovered.Load()) }
 
 func unixTime(val int64) time.Time {
@@ -148,7 +148,7 @@
 			rev, err = fol.watchUntilRelist(ctx, rev)
 			listed = !errors.Is(err, wick.ErrRevisionExpired)
 		} else {
-			rev, err = fol.list(ctx)
+			rev, err = fol.list(ctx, rev)
 			listed = err == nil
 		}
 		if err != nil && ctx.Err() != nil {
@@ -196,18 +196,23 @@
 	return fol.Store
 }
 
-func (fol *Follower) list(ctx context.Context) (wick.Revision, error) {
+// list reads all objects. It returns known, the revision of the last read, on an error.
+func (fol *Follower) list(ctx context.Context, known wick.Revision) (wick.Revision, error) {
 	sto := fol.store()
 	if fol.CurrentLists {
 		sto = fol.Store
 	}
 	objs, rev, err := sto.List(ctx, fol.Kind)
 	if err != nil {
-		return 0, err //nolint:wrapcheck // wick.Store returns errors of this module
+		return known, err //nolint:wrapcheck // wick.Store returns errors of this module
 	}
 	metrics.GetOrRegisterCounter("feed.lists", nil).Inc(1)
+	if known != 0 && rev.Era() > known.Era() {
+		// The list lacks what was written since the copy, as after an outage.
+		fol.recovered.Store(time.Now().UnixNano())
+	}
 	if err := fol.apply("list", func() { fol.Handler.Replace(objs); fol.Handler.Settled() }); err != nil {
-		return 0, err
+		return known, err
 	}
 	return rev, nil
 }
