roster: records that a restore of the store takes back stay in force

Cause: a list from the older copy removed the records that it lacks, with the usage counts in them, and raised the other entries' parts of the quotas; a record that the copy brought back made an ended entry alive for another 12 s.

Change: the first list of a new era removes no records, they expire by age; the same record seen again keeps its age.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -104,6 +104,8 @@
 	records map[wick.EntryID]observation
 	// objects holds the version of each object by name.
 	objects map[string]version
+	// era is the newest era of the objects' revisions.
+	era wick.Era
 	// rev is the revision of the entry's own object, 0 if unknown.
 	rev wick.Revision
 }
@@ -117,15 +119,25 @@
 }
 
 // Replace replaces all records by those of a list. Unchanged records keep the
-// time of their last change. A record that was relayed stays until Purge.
+// time of their last change. A record that was relayed stays until Purge, and so do those
+// that a restore of the store has lost.
 func (ros *Roster) Replace(objs []wick.Object) {
 	listed := make(map[string]bool, len(objs))
+	var era wick.Era
 	for idx := range objs {
 		listed[objs[idx].Key.Name] = true
+		era = max(era, objs[idx].Revision.Era())
 	}
 	ros.mu.Lock()
+	// An empty list lacks even this entry's record.
+	restored := era > ros.era || len(objs) == 0
+	ros.era = max(ros.era, era)
 	for name := range ros.objects {
-		if !listed[name] {
+		switch {
+		case listed[name]:
+		case restored:
+			delete(ros.objects, name)
+		default:
 			ros.remove(name)
 		}
 	}
@@ -170,8 +182,8 @@
 	}
 }
 
-// observe applies a record unless a newer one of its entry is known. ros.mu must be
-// held.
+// observe applies a record unless a newer one of its entry is known. The same record, seen
+// again after a restore of the store, is no sign of life. ros.mu must be held.
 func (ros *Roster) observe(rec *Record, source string, now time.Time) {
 	if rec.ID == "" {
 		return
@@ -181,6 +193,8 @@
 	case !ok || rec.IsNewer(&old.rec):
 	case old.rec.IsNewer(rec) || old.source != source || string(rec.ID) != source:
 		return
+	default:
+		now = old.at
 	}
 	ros.records[rec.ID] = observation{rec: *rec, source: source, at: now}
 }
@@ -193,13 +207,14 @@
 	return obs.rec, ok
 }
 
-// Purge removes relayed records that have not changed for longer than age. Others are
-// removed with their objects.
+// Purge removes relayed and lost records that have not changed for longer than age. Others
+// are removed with their objects.
 func (ros *Roster) Purge(now time.Time, age time.Duration) {
 	ros.mu.Lock()
 	defer ros.mu.Unlock()
 	for id, obs := range ros.records {
-		if obs.source != string(id) && now.Sub(obs.at) > age {
+		_, stored := ros.objects[string(id)]
+		if (obs.source != string(id) || !stored) && now.Sub(obs.at) > age {
 			delete(ros.records, id)
 		}
 	}
