pool, edge: endpoints that leave or are gone stay so in a restored store

Cause: a leaving endpoint was forgotten when its record was removed, and the older copy listed it as ready; one that another entry had reported was unknown to an entry that listed it later.

Change: the pool keeps leaving incarnations for two minutes, listed or not; an endpoint that was removed without leaving gets no requests for 5 s after a restore lists it again.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/logs"
+	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/internal/roster"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -67,6 +69,45 @@
 	// newlyLeaving are the leaving and removed endpoints to notify the other entries
 	// of.
 	newlyLeaving []leavingEndpoint
+	// era is the newest era of the records' revisions.
+	era wick.Era
+	// gone holds the endpoints that were removed without having been listed as leaving,
+	// with the time of that.
+	gone map[pool.Incarnation]time.Time
+}
+
+const (
+	// goneRetention is the age up to which the store may be restored from a copy that
+	// lists a removed endpoint.
+	goneRetention = time.Minute
+	// restoredGoneTime is how long a removed endpoint that a restore lists again gets no
+	// requests. The store removes it within that time, unless it is alive.
+	restoredGoneTime = 5 * time.Second
+)
+
+// markRestored withholds requests from the endpoints that only a restore of the store lists
+// again.
+func (hdl *backendHandler) markRestored(bkes []wick.Backend, now time.Time) {
+	for idx := range bkes {
+		inc := pool.Incarnation{ID: bkes[idx].ID, Born: bkes[idx].Born}
+		if at, ok := hdl.gone[inc]; ok && now.Sub(at) < goneRetention {
+			hdl.edg.pool.MarkGone(inc.ID, inc.Born, now.Add(restoredGoneTime))
+		}
+	}
+}
+
+// recordGone records that an endpoint was removed, unless it is known as leaving.
+func (hdl *backendHandler) recordGone(vid wick.VMID, now time.Time) {
+	born, ok := hdl.edg.pool.Incarnation(vid)
+	if !ok {
+		return
+	}
+	hdl.newlyLeaving = append(hdl.newlyLeaving, leavingEndpoint{ID: vid, Born: born, Gone: true})
+	if hdl.gone == nil {
+		hdl.gone = make(map[pool.Incarnation]time.Time)
+	}
+	maps.DeleteFunc(hdl.gone, func(_ pool.Incarnation, at time.Time) bool { return now.Sub(at) > goneRetention })
+	hdl.gone[pool.Incarnation{ID: vid, Born: born}] = now
 }
 
 // afterOutage reports whether records may be missing because they expired during
@@ -80,12 +121,18 @@
 func (hdl *backendHandler) Replace(objs []wick.Object) {
 	now := time.Now()
 	bkes := make([]wick.Backend, 0, len(objs))
+	var era wick.Era
 	for idx := range objs {
+		era = max(era, objs[idx].Revision.Era())
 		if bke, ok := hdl.decode(objs[idx]); ok {
 			bkes = append(bkes, bke)
 		}
 	}
 	hdl.edg.pool.Replace(bkes, hdl.afterOutage(now), now)
+	if era > hdl.era {
+		hdl.era = era
+		hdl.markRestored(bkes, now)
+	}
 	hdl.edg.ready.setBackendsLoaded()
 }
 
@@ -95,8 +142,8 @@
 	if obj.Deleted {
 		lapsed := hdl.afterOutage(now)
 		vid := wick.VMID(obj.Key.Name)
-		if born, ok := hdl.edg.pool.Incarnation(vid); ok && !lapsed {
-			hdl.newlyLeaving = append(hdl.newlyLeaving, leavingEndpoint{ID: vid, Born: born, Gone: true})
+		if !lapsed {
+			hdl.recordGone(vid, now)
 		}
 		hdl.edg.pool.Unlist(vid, lapsed, now)
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: obj.Key.Name, "revision": obj.Revision, "lapsed": lapsed}).Info(logs.MsgEndpointGone)
@@ -113,6 +160,7 @@
 	}
 	if !bke.Leaving {
 		hdl.edg.informants.returned(bke.ID)
+		delete(hdl.gone, pool.Incarnation{ID: bke.ID, Born: bke.Born})
 	}
 	hdl.edg.pool.Set(bke, now)
 }
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -10,6 +10,7 @@
 
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
+	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -123,6 +124,7 @@
 			edg.pool.MarkGone(end.ID, end.Born, time.Now().Add(goneTime))
 			continue
 		}
+		edg.pool.RecordLeft(pool.Incarnation{ID: end.ID, Born: end.Born}, time.Now())
 		if edg.pool.MarkLeaving(end.ID, end.Born) {
 			log.WithField(logs.FieldEndpoint, end.ID).WithField("from", from).Info(logs.MsgEndpointLeavingReported)
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -27,11 +27,12 @@
 	groupByVM map[wick.VMID]*group
 	// limitShare is the initial limitShare of new groups.
 	limitShare float64
+	left       leftIncarnations
 }
 
 // New returns an empty pool for an entry in a zone.
 func New(zone wick.Zone) *Pool {
-	return &Pool{zone: zone, limitShare: 1, groups: make(map[wick.Service]*group), groupByVM: make(map[wick.VMID]*group)}
+	return &Pool{zone: zone, limitShare: 1, groups: make(map[wick.Service]*group), groupByVM: make(map[wick.VMID]*group), left: make(leftIncarnations)}
 }
 
 // A group holds the endpoints of one service.
@@ -64,6 +65,13 @@
 // Set adds or updates an endpoint.
 func (pl *Pool) Set(bke wick.Backend, now time.Time) {
 	pl.mu.Lock()
+	inc := Incarnation{bke.ID, bke.Born}
+	if _, left := pl.left[inc]; left {
+		bke.Leaving = true
+	}
+	if bke.Leaving {
+		pl.left.add(inc, now)
+	}
 	grp := pl.groups[bke.Service]
 	if grp == nil {
 		grp = &group{limitShare: pl.limitShare, eps: make(map[wick.VMID]*endpoint), byZone: make(map[wick.Zone][]*endpoint)}
