edge: an entry catches up with others when the store may have lost what they know

Cause: an entry that starts while the store shows an older copy adopted the older plan, and one that had missed a version of the plan, or that an endpoint leaves, before the restore could not learn it from the store any more.

That a running entry keeps its plan was so before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -139,6 +139,7 @@
 type Edge struct {
 	cfg           Config
 	plans         plan.Current
+	planObject    planObject
 	backends      *feed.Follower
 	config        *feed.Follower
 	members       *feed.Follower
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -30,16 +30,25 @@
 	if obj.Deleted {
 		return
 	}
-	pln, err := hdl.edg.cfg.Catalog.Plan(obj)
+	if hdl.edg.plans.Load() == nil {
+		hdl.edg.catchUpAtStart(context.Background())
+	}
+	hdl.edg.adoptPlan(obj)
+}
+
+// adoptPlan adopts the plan in an object of the store if it is newer than the one in force.
+func (edg *Edge) adoptPlan(obj wick.Object) {
+	pln, err := edg.cfg.Catalog.Plan(obj)
 	if err != nil {
 		log.WithError(err).WithField("object", obj.Key.Name).Error("edge: malformed plan rejected")
 		return
 	}
-	if !hdl.edg.plans.Adopt(pln) {
+	if !edg.plans.Adopt(pln) {
 		return
 	}
-	hdl.edg.ready.setPlanLoaded()
-	go hdl.edg.gossipPlan(context.Background(), pln.Version)
+	edg.planObject.set(pln.Version, obj)
+	edg.ready.setPlanLoaded()
+	go edg.gossipPlan(context.Background(), pln.Version)
 	log.WithFields(logrus.Fields{"plan": pln.Version, "routes": len(pln.Routes)}).Info(logs.MsgPlanAdopted)
 }
 
@@ -69,8 +78,9 @@
 	// newlyLeaving are the leaving and removed endpoints to notify the other entries
 	// of.
 	newlyLeaving []leavingEndpoint
-	// era is the newest era of the records' revisions.
-	era wick.Era
+	// era is the newest era of the records' revisions, listed is set by the first list.
+	era    wick.Era
+	listed bool
 	// gone holds the endpoints that were removed without having been listed as leaving,
 	// with the time of that.
 	gone map[pool.Incarnation]time.Time
@@ -129,10 +139,11 @@
 		}
 	}
 	hdl.edg.pool.Replace(bkes, hdl.afterOutage(now), now)
-	if era > hdl.era {
-		hdl.era = era
+	if hdl.listed && era > hdl.era {
 		hdl.markRestored(bkes, now)
+		go hdl.edg.catchUp(context.Background(), hdl.edg.randomPeers())
 	}
+	hdl.era, hdl.listed = max(hdl.era, era), true
 	hdl.edg.ready.setBackendsLoaded()
 }
 
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -131,11 +131,15 @@
 	}
 }
 
-// notePlan rereads the plan if another entry has a newer one.
+// notePlan rereads the plan if another entry has a newer one, and asks that entry for it: a
+// store that was restored may not have it.
 func (edg *Edge) notePlan(from wick.EntryID, ver wick.PlanVersion) {
 	if tbl := edg.plans.Load(); tbl != nil && tbl.Plan.Version >= ver || !edg.informants.mayRelist(ver, time.Now()) {
 		return
 	}
 	log.WithFields(logrus.Fields{"plan": ver, "from": from}).Info("edge: another entry has a newer plan")
 	edg.config.Relist()
+	if rec, ok := edg.roster.Find(from); ok && rec.Peer != "" {
+		go edg.catchUp(context.Background(), []wick.Member{rec.Member()})
+	}
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -82,6 +82,7 @@
 	trn.Handle(wick.MsgRecord, edg.handleRecord)
 	trn.Handle(wick.MsgStop, edg.rollouts.handleStop)
 	trn.Handle(wick.MsgCrash, edg.crashes.handleNews)
+	trn.Handle(wick.MsgCatchUp, edg.handleCatchUp)
 	return trn, nil
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -51,6 +51,7 @@
 	wick.MsgClaim: true, wick.MsgClaimResult: true, wick.MsgStreamCopy: true,
 	wick.MsgStreamFetch: true, wick.MsgStreamTakeover: true, wick.MsgVMList: true,
 	wick.MsgQuota: true, wick.MsgLoad: true, wick.MsgRecord: true, wick.MsgCrash: true,
+	wick.MsgCatchUp: true,
 }
 
 // Encode encodes the body of a message.
--- a/pkg/wick/peers.go
+++ b/pkg/wick/peers.go
@@ -23,6 +23,7 @@
 	MsgLoad           MessageType = "load"
 	MsgRecord         MessageType = "record"
 	MsgCrash          MessageType = "crash"
+	MsgCatchUp        MessageType = "catchUp"
 )
 
 // MaxMessageBytes is the largest message between entries.
