edge: entries keep the authority of their certificates in a restored store

Cause: a restore could lose the authority; an entry that started then created another one, and could not call the others or be called by them for good.

They put theirs back if it is missing or a newer one is stored, and adopt an older one. Result: the three subtests of TestRestoredAuthority fail without the checks and pass with them.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -91,6 +91,15 @@
 	return &Authority{cert: pair.Leaf, key: key, PEM: certPEM}, nil
 }
 
+// IsOlder reports whether the authority was created before another one. All entries order
+// two authorities the same way.
+func (aut *Authority) IsOlder(other *Authority) bool {
+	if !aut.cert.NotBefore.Equal(other.cert.NotBefore) {
+		return aut.cert.NotBefore.Before(other.cert.NotBefore)
+	}
+	return aut.PEM < other.PEM
+}
+
 // Issue issues the certificate of an entry. Its common name is the entry id.
 func (aut *Authority) Issue(eid wick.EntryID, now time.Time) (Pair, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -162,13 +162,15 @@
 	ready         *readyServer
 	admin         admin.Server
 	initialCounts initialCounts
+	// restored receives a value when the store was restored from an older copy.
+	restored chan struct{}
 	// heartbeat counts the writes of the entry's record.
 	heartbeat atomic.Uint64
 }
 
 // New returns an Edge, which serves once Run is called.
 func New(cfg Config) *Edge {
-	edg := &Edge{cfg: cfg, pool: pool.New(cfg.Zone), roster: roster.New(cfg.Store, cfg.ID)}
+	edg := &Edge{cfg: cfg, pool: pool.New(cfg.Zone), roster: roster.New(cfg.Store, cfg.ID), restored: make(chan struct{}, 1)}
 	edg.pool.SetNewLimitShare(1 / float64(max(cfg.Bounds.Entries, 1)))
 	edg.budget = retry.Budget{Ratio: retryMargin * cfg.Bounds.RetryRatio, Capacity: edg.retryCapacity(cfg.Bounds.Entries)}
 	trm := quota.Tolerance{Overshoot: cfg.Bounds.QuotaOvershoot, Slack: cfg.Bounds.QuotaSlack, Window: cfg.Bounds.QuotaWindow}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -141,6 +141,7 @@
 	hdl.edg.pool.Replace(bkes, hdl.afterOutage(now), now)
 	if hdl.listed && era > hdl.era {
 		hdl.markRestored(bkes, now)
+		hdl.edg.noteRestored()
 		go hdl.edg.catchUp(context.Background(), hdl.edg.randomPeers())
 	}
 	hdl.era, hdl.listed = max(hdl.era, era), true
