edge: a restarted entry asks others for the usage counts that the store has lost

Change: it also asks other entries for the record that they remember of it. Edges in tests get growing incarnations, as restarted processes have. Result: TestRestoredCounts fails without the change and passes with it.

--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
+	"github.com/wagtailwick/wagtailwick/internal/roster"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -25,6 +29,8 @@
 type catchUpRequest struct {
 	// Plan is the version that the sender has, 0 for none.
 	Plan wick.PlanVersion `cbor:"1,keyasint,omitempty"`
+	// Record asks for the record that an earlier process of the sender published.
+	Record bool `cbor:"2,keyasint,omitempty"`
 }
 
 // A catchUpReply holds what an entry knows and the store may have lost.
@@ -35,6 +41,8 @@
 	PlanData []byte `cbor:"2,keyasint,omitempty"`
 	// Left holds the endpoints that are known to leave or to have left.
 	Left []leavingEndpoint `cbor:"3,keyasint,omitempty"`
+	// Record is the JSON of the sender's own record, if the request asks for it.
+	Record []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // A planObject is the object of the plan in force. Its zero value is ready to use.
@@ -61,7 +69,7 @@
 }
 
 // handleCatchUp replies with what this entry knows and the store may have lost.
-func (edg *Edge) handleCatchUp(_ context.Context, _ wick.EntryID, body []byte) (any, error) {
+func (edg *Edge) handleCatchUp(_ context.Context, from wick.EntryID, body []byte) (any, error) {
 	var req catchUpRequest
 	if err := peer.Decode(body, &req); err != nil {
 		return nil, err //nolint:wrapcheck // our own package
@@ -73,19 +81,33 @@
 	for _, inc := range edg.pool.Left() {
 		rep.Left = append(rep.Left, leavingEndpoint{ID: inc.ID, Born: inc.Born})
 	}
+	if rec, ok := edg.roster.Find(from); ok && req.Record {
+		data, err := json.Marshal(rec)
+		if err != nil {
+			return nil, eris.Wrap(err, "edge: encode record")
+		}
+		rep.Record = data
+	}
 	return rep, nil
 }
 
 // catchUp asks other entries for what the store may have lost, and adopts it.
 func (edg *Edge) catchUp(ctx context.Context, from []wick.Member) {
-	trn := edg.peers.Load()
-	if trn == nil {
-		return
-	}
 	var req catchUpRequest
 	if tbl := edg.plans.Load(); tbl != nil {
 		req.Plan = tbl.Plan.Version
 	}
+	edg.askCatchUp(ctx, from, req, edg.adoptCatchUp)
+}
+
+// askCatchUp sends a request to entries concurrently and passes on their replies, one at a
+// time.
+func (edg *Edge) askCatchUp(ctx context.Context, from []wick.Member, req catchUpRequest, handle func(from wick.EntryID, rep *catchUpReply)) {
+	trn := edg.peers.Load()
+	if trn == nil {
+		return
+	}
+	var mu sync.Mutex
 	var grp errgroup.Group
 	for _, mem := range from {
 		grp.Go(func() error {
@@ -96,7 +118,9 @@
 				log.WithError(err).WithField("entry", mem.ID).Debug("edge: failed to catch up with another entry")
 				return nil
 			}
-			edg.adoptCatchUp(mem.ID, &rep)
+			mu.Lock()
+			defer mu.Unlock()
+			handle(mem.ID, &rep)
 			return nil
 		})
 	}
@@ -123,15 +147,45 @@
 // catchUpAtStart lets an entry that starts learn the newest plan before it adopts the one in
 // the store, which may have been restored from an older copy.
 func (edg *Edge) catchUpAtStart(ctx context.Context) {
+	if edg.awaitPeers(ctx) {
+		edg.catchUp(ctx, edg.randomPeers())
+	}
+}
+
+// awaitPeers waits until an entry that starts can ask others. It returns false if it can't
+// within catchUpWait.
+func (edg *Edge) awaitPeers(ctx context.Context) bool {
 	if edg.cfg.PeerAddr == "" {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, catchUpWait)
 	defer cancel()
 	for edg.members.LastSuccess().IsZero() || edg.peers.Load() == nil && len(edg.reachablePeers()) > 0 {
 		if !retry.Sleep(ctx, recordPollInterval) {
-			return
+			return false
 		}
 	}
-	edg.catchUp(ctx, edg.randomPeers())
+	return true
+}
+
+// ownFromPeers returns the newest record of an earlier process of this entry: the given one
+// or one that other entries remember.
+func (edg *Edge) ownFromPeers(ctx context.Context, own roster.Record) roster.Record {
+	if !edg.awaitPeers(ctx) {
+		return own
+	}
+	edg.askCatchUp(ctx, edg.randomPeers(), catchUpRequest{Record: true, Plan: math.MaxInt64}, func(from wick.EntryID, rep *catchUpReply) {
+		var rec roster.Record
+		if len(rep.Record) == 0 {
+			return
+		}
+		if err := json.Unmarshal(rep.Record, &rec); err != nil {
+			log.WithError(err).WithField("from", from).Warn("edge: cannot decode own record of another entry")
+			return
+		}
+		if rec.ID == edg.cfg.ID && rec.Incarnation < edg.cfg.Incarnation && rec.IsNewer(&own) {
+			own = rec
+		}
+	})
+	return own
 }
--- a/internal/edge/catchup_test.go
+++ b/internal/edge/catchup_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -92,3 +94,33 @@
 		sit.awaitPlan(0, 3)
 	})
 }
+
+// TestRestoredCounts guards against usage counts that a restarted entry loses because its
+// record in the store is an older copy.
+func TestRestoredCounts(t *testing.T) {
+	sit := newSite(t, 2, wick.Quota{})
+	sit.awaitPeer(0)
+	sit.awaitPeer(1)
+	cpy := sit.sto.Backup()
+	const requests = 10
+	for num := range requests {
+		if status, body := sit.send(0, "/", fmt.Sprint("r", num)); status != http.StatusOK {
+			t.Fatalf("%d %s", status, body)
+		}
+	}
+	sum := func(started map[uint64]map[wick.Customer]int) (out int) {
+		for _, counts := range started {
+			out += counts["c"]
+		}
+		return out
+	}
+	sit.await("the other entry has the counts", func() bool {
+		rec, _ := sit.edges[1].roster.Find("edge0")
+		return sum(rec.Started) > requests
+	})
+	sit.stops[0]()
+	<-sit.exited[0]
+	sit.sto.Restore(cpy)
+	sit.start(0, 2)
+	sit.await("the new process has the counts", func() bool { return sum(sit.edges[2].tally.Counts()) > requests })
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -82,4 +82,3 @@
 	trn.Handle(wick.MsgCatchUp, edg.handleCatchUp)
 	return trn, aut, nil
 }
-
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -25,7 +25,7 @@
 		cancel()
 		if err == nil || errors.Is(err, wick.ErrNotFound) || errors.Is(err, wick.ErrInvalid) {
 			edg.relayed.restore(relayed, time.Now())
-			edg.restoreRecord(edg.latestOwn(ctx, rec))
+			edg.restoreRecord(edg.ownFromPeers(ctx, edg.latestOwn(ctx, rec)))
 			return
 		}
 		log.WithError(err).Debug("edge: failed to read own record")
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -183,7 +183,7 @@
 
 func (sit *site) start(num, edges int) {
 	cfg := Config{
-		ID: wick.EntryID(fmt.Sprint("edge", num)), Incarnation: 1, Zone: "z", Store: sit.sto, Dialect: testDialect{},
+		ID: wick.EntryID(fmt.Sprint("edge", num)), Incarnation: wick.Incarnation(1 + len(sit.edges)), Zone: "z", Store: sit.sto, Dialect: testDialect{},
 		Catalog: testCatalog{}, Prober: sit.prober, Duties: sit.duties, Orders: testOrders{}, Kinds: Kinds{Plan: "plan", Backend: "backend", VersionOrder: "order"},
 		CallerAddr: freeAddr(sit.T), ReadyAddr: freeAddr(sit.T), AdminAddr: freeAddr(sit.T), PeerAddr: freeAddr(sit.T),
 		MaxConnections: 100,
