--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/logs"
+	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/internal/roster"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -28,16 +30,25 @@
 	if obj.Deleted {
 		return
 	}
-	pln, err := hdl.edg.cfg.Catalog.Plan(obj)
+	if hdl.edg.plans.Load() == nil {
+		hdl.edg.catchUpAtStart(context.Background())
+	}
+	hdl.edg.adoptPlan(obj)
+}
+
+// adoptPlan adopts the plan in an object of the store if it is newer than the one in force.
+func (edg *Edge) adoptPlan(obj wick.Object) {
+	pln, err := edg.cfg.Catalog.Plan(obj)
 	if err != nil {
 		log.WithError(err).WithField("object", obj.Key.Name).Error("edge: malformed plan rejected")
 		return
 	}
-	if !hdl.edg.plans.Adopt(pln) {
+	if !edg.plans.Adopt(pln) {
 		return
 	}
-	hdl.edg.ready.setPlanLoaded()
-	go hdl.edg.gossipPlan(context.Background(), pln.Version)
+	edg.planObject.set(pln.Version, obj)
+	edg.ready.setPlanLoaded()
+	go edg.gossipPlan(context.Background(), pln.Version)
 	log.WithFields(logrus.Fields{"plan": pln.Version, "routes": len(pln.Routes)}).Info(logs.MsgPlanAdopted)
 }
 
@@ -67,6 +78,46 @@
 	// newlyLeaving are the leaving and removed endpoints to notify the other entries
 	// of.
 	newlyLeaving []leavingEndpoint
+	// era is the newest era of the records' revisions, listed is set by the first list.
+	era    wick.Era
+	listed bool
+	// gone holds the endpoints that were removed without having been listed as leaving,
+	// with the time of that.
+	gone map[pool.Incarnation]time.Time
+}
+
+const (
+	// goneRetention is the age up to which the store may be restored from a copy that
+	// lists a removed endpoint.
+	goneRetention = time.Minute
+	// restoredGoneTime is how long a removed endpoint that a restore lists again gets no
+	// requests. The store removes it within that time, unless it is alive.
+	restoredGoneTime = 5 * time.Second
+)
+
+// markRestored withholds requests from the endpoints that only a restore of the store lists
+// again.
+func (hdl *backendHandler) markRestored(bkes []wick.Backend, now time.Time) {
+	for idx := range bkes {
+		inc := pool.Incarnation{ID: bkes[idx].ID, Born: bkes[idx].Born}
+		if at, ok := hdl.gone[inc]; ok && now.Sub(at) < goneRetention {
+			hdl.edg.pool.MarkGone(inc.ID, inc.Born, now.Add(restoredGoneTime))
+		}
+	}
+}
+
+// recordGone records that an endpoint was removed, unless it is known as leaving.
+func (hdl *backendHandler) recordGone(vid wick.VMID, now time.Time) {
+	born, ok := hdl.edg.pool.Incarnation(vid)
+	if !ok {
+		return
+	}
+	hdl.newlyLeaving = append(hdl.newlyLeaving, leavingEndpoint{ID: vid, Born: born, Gone: true})
+	if hdl.gone == nil {
+		hdl.gone = make(map[pool.Incarnation]time.Time)
+	}
+	maps.DeleteFunc(hdl.gone, func(_ pool.Incarnation, at time.Time) bool { return now.Sub(at) > goneRetention })
+	hdl.gone[pool.Incarnation{ID: vid, Born: born}] = now
 }
 
 // afterOutage reports whether records may be missing because they expired during
@@ -80,12 +131,20 @@
 func (hdl *backendHandler) Replace(objs []wick.Object) {
 	now := time.Now()
 	bkes := make([]wick.Backend, 0, len(objs))
+	var era wick.Era
 	for idx := range objs {
+		era = max(era, objs[idx].Revision.Era())
 		if bke, ok := hdl.decode(objs[idx]); ok {
 			bkes = append(bkes, bke)
 		}
 	}
 	hdl.edg.pool.Replace(bkes, hdl.afterOutage(now), now)
+	if hdl.listed && era > hdl.era {
+		hdl.markRestored(bkes, now)
+		hdl.edg.noteRestored()
+		go hdl.edg.catchUp(context.Background(), hdl.edg.randomPeers())
+	}
+	hdl.era, hdl.listed = max(hdl.era, era), true
 	hdl.edg.ready.setBackendsLoaded()
 }
 
@@ -95,8 +154,8 @@
 	if obj.Deleted {
 		lapsed := hdl.afterOutage(now)
 		vid := wick.VMID(obj.Key.Name)
-		if born, ok := hdl.edg.pool.Incarnation(vid); ok && !lapsed {
-			hdl.newlyLeaving = append(hdl.newlyLeaving, leavingEndpoint{ID: vid, Born: born, Gone: true})
+		if !lapsed {
+			hdl.recordGone(vid, now)
 		}
 		hdl.edg.pool.Unlist(vid, lapsed, now)
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: obj.Key.Name, "revision": obj.Revision, "lapsed": lapsed}).Info(logs.MsgEndpointGone)
@@ -113,6 +172,7 @@
 	}
 	if !bke.Leaving {
 		hdl.edg.informants.returned(bke.ID)
+		delete(hdl.gone, pool.Incarnation{ID: bke.ID, Born: bke.Born})
 	}
 	hdl.edg.pool.Set(bke, now)
 }
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -10,6 +10,7 @@
 
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
+	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -123,17 +124,22 @@
 			edg.pool.MarkGone(end.ID, end.Born, time.Now().Add(goneTime))
 			continue
 		}
+		edg.pool.RecordLeft(pool.Incarnation{ID: end.ID, Born: end.Born}, time.Now())
 		if edg.pool.MarkLeaving(end.ID, end.Born) {
 			log.WithField(logs.FieldEndpoint, end.ID).WithField("from", from).Info(logs.MsgEndpointLeavingReported)
 		}
 	}
 }
 
-// notePlan rereads the plan if another entry has a newer one.
+// notePlan rereads the plan if another entry has a newer one, and asks that entry for it: a
+// store that was restored may not have it.
 func (edg *Edge) notePlan(from wick.EntryID, ver wick.PlanVersion) {
 	if tbl := edg.plans.Load(); tbl != nil && tbl.Plan.Version >= ver || !edg.informants.mayRelist(ver, time.Now()) {
 		return
 	}
 	log.WithFields(logrus.Fields{"plan": ver, "from": from}).Info("edge: another entry has a newer plan")
 	edg.config.Relist()
+	if rec, ok := edg.roster.Find(from); ok && rec.Peer != "" {
+		go edg.catchUp(context.Background(), []wick.Member{rec.Member()})
+	}
 }
