--- a/internal/httpio/refuse_test.go
+++ b/internal/httpio/refuse_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,7 +15,7 @@
 // before its caller has read the refusal, because part of its request was not read.
 func TestRefusalOfLargeRequest(t *testing.T) {
 	for _, size := range []int{10, 8 << 10, 64 << 10, 1 << 20} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
 			raw, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
