relay: a request doesn't wait for a move without an answer

Requests ended up to 3 s late: past their deadline, or 2.5 s after another attempt at a silent endpoint had been secured, by which time their callers have given up. Cause: the end of the stream waits for the move of its run, which only its own timeout of 3 s ended. A silent endpoint doesn't answer the move either. Change: the move ends at the request's deadline, and when the watchdog has ended the attempt. Evidence: TestHangingHandoff failed before in 2 of 2 subtests (ended after 3.16 s) and passes (within 1.5 s).

--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -29,6 +29,8 @@
 type handoff struct {
 	// done is closed when the transfer has ended or was not needed.
 	done chan struct{}
+	// giveUp ends a transfer whose answer is no longer awaited.
+	giveUp context.CancelFunc
 	// tgt is the target on which the run continues; nil if the move failed or was
 	// not needed.
 	tgt *target
@@ -38,7 +40,10 @@
 // startHandoff starts a goroutine that moves the run of an attempt when its
 // endpoint leaves. The context must be cancelled when the attempt ends.
 func (req *request) startHandoff(ctx context.Context, att *attempt) *handoff {
-	hof := &handoff{done: make(chan struct{})}
+	// A run that was stopped must be continued, also if its stream has ended meanwhile.
+	// After the deadline nobody waits for it.
+	moveCtx, giveUp := context.WithDeadline(context.WithoutCancel(ctx), req.deadline)
+	hof := &handoff{done: make(chan struct{}), giveUp: giveUp}
 	go func() {
 		defer close(hof.done)
 		select {
@@ -60,7 +65,7 @@
 			return
 		case <-tim.C:
 		}
-		hof.move(context.WithoutCancel(ctx), req, att)
+		hof.move(moveCtx, req, att)
 	}()
 	return hof
 }
--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,3 +48,48 @@
 		t.Errorf("%v retries left of %v", after, before)
 	}
 }
+
+// A hangingMover never gets an answer to a move.
+type hangingMover struct{}
+
+func (hangingMover) Move(ctx context.Context, _, _ wick.Backend, _ wick.RequestID) (wick.RunSnapshot, bool, error) {
+	<-ctx.Done()
+	return "", false, wick.ErrUnavailable
+}
+
+// TestHangingHandoff guards against a request that waits for the answer to the move of
+// its run, although its deadline has passed or another attempt has been secured.
+func TestHangingHandoff(t *testing.T) {
+	for _, tst := range []struct {
+		name, path string
+		prober     wick.RunProber
+		body       string
+		whole      bool
+	}{
+		{"past the deadline", "/gen/1", nil, "id: 1", false},
+		{"silent endpoint", "/long/1", &testProber{result: func(int) (bool, error) { return false, wick.ErrUnavailable }}, "elsewhere", true},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			t.Parallel()
+			var rly *testRelay
+			rly = newTestRelay(t, 3, func(_ *http.Request, con net.Conn, num int) {
+				if num > 0 {
+					beginStream(con, "id: 2\ndata: elsewhere\n\n")
+					endStream(con)
+					return
+				}
+				<-rly.leaveAfterFirstEvent(con)
+			})
+			rly.srv.cfg.Mover = hangingMover{}
+			rly.srv.cfg.Prober = tst.prober
+			began := time.Now()
+			_, body, err := rly.post(tst.path, "X-Model", "m")
+			if (err == nil) != tst.whole || !strings.Contains(body, tst.body) {
+				t.Errorf("%q, %v", body, err)
+			}
+			if took := time.Since(began); took > 1500*time.Millisecond {
+				t.Errorf("ended after %v", took)
+			}
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -99,10 +99,15 @@
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
 	hof := fwd.req.startHandoff(watchCtx, att)
+	defer hof.giveUp()
 	otc := fwd.forwardEvents(ctx, att)
 	cancel()
 	// A run that was stopped for its move is silent, which shows nothing.
 	att.wdg.stop()
+	if errors.Is(context.Cause(ctx), errEndpointSilent) {
+		// The endpoint doesn't answer the move either, and another attempt is secured.
+		hof.giveUp()
+	}
 	<-hof.done
 	if hof.tgt != nil && otc != outcomeLost {
 		// The run completed before it was stopped, or the caller disconnected.
