relay: a test of a stream cut by a move whose answer is lost

Class of fault: giving up a resource before its replacement is granted. Not fixed: the wire allows a first call without last, which reserves the place and copies while the run goes on, and a second one with last that copies the rest; that changes the mover's interface.

--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -93,3 +93,44 @@
 		})
 	}
 }
+
+// A lossyMover stops the run, and its answer is lost.
+type lossyMover struct{ *testMover }
+
+func (mvr lossyMover) Move(ctx context.Context, from, to wick.Backend, rid wick.RequestID) (wick.RunSnapshot, bool, error) {
+	if _, _, err := mvr.testMover.Move(ctx, from, to, rid); err != nil {
+		return "", false, err
+	}
+	return "", false, wick.ErrUnavailable
+}
+
+// TestHandoffAnswerLost guards against a stream that is cut, although its endpoint would
+// have completed it, because the run was stopped for a move whose answer is lost.
+func TestHandoffAnswerLost(t *testing.T) {
+	for name, path := range map[string]string{"resumable": "/long/1", "not resumable": "/say/1"} {
+		t.Run(name, func(t *testing.T) {
+			var rly *testRelay
+			rly = newTestRelay(t, 3, func(_ *http.Request, con net.Conn, num int) {
+				if num > 0 {
+					beginStream(con, "id: 2\ndata: b\n\n")
+					endStream(con)
+					return
+				}
+				select {
+				case <-rly.leaveAfterFirstEvent(con):
+				case <-time.After(600 * time.Millisecond):
+					writeEvents(con, "id: 2\ndata: b\n\n")
+					endStream(con)
+				}
+			})
+			rly.srv.cfg.Mover = lossyMover{&rly.mover}
+			status, body, err := rly.post(path, "X-Model", "m")
+			if err != nil {
+				t.Error(err)
+			}
+			if status != http.StatusOK || !strings.Contains(body, "id: 2") {
+				t.Errorf("%d %q", status, body)
+			}
+		})
+	}
+}
