relay: a caller that is taken for gone doesn't get a 404

A caller that still reads got 404 Not Found for a proper request (a 404 counts against the entry, and callers don't retry it): one that has closed only its sending side, and before also one whose deadline passed while its request waited for its turn. Change: the response is 502, which promises nothing. Evidence: TestCallerLeftStatus failed before in 3 of 3 subtests (404) and passes.

--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -42,6 +42,7 @@
 	refusalNoEndpoint     = refusal{503, logs.ReasonNoEndpoint, executedNo, 300 * time.Millisecond}
 	refusalAllRefused     = refusal{503, logs.ReasonEndpointsRefused, executedNo, 200 * time.Millisecond}
 	refusalOutcomeUnknown = refusal{502, logs.ReasonOutcomeUnknown, executedUnknown, 0}
+	refusalCallerLeft     = refusal{502, logs.ReasonCallerLeft, executedUnknown, 0}
 	refusalTimeout        = refusal{504, logs.ReasonTimeout, executedUnknown, 0}
 	refusalExpired        = refusal{503, logs.ReasonExpired, executedNo, 100 * time.Millisecond}
 )
--- a/internal/relay/retrystate.go
+++ b/internal/relay/retrystate.go
@@ -47,8 +47,7 @@
 	actUnknown
 	// actTimeout answers that the deadline has passed.
 	actTimeout
-	// actDrop closes the connection without an answer, since the caller has
-	// disconnected.
+	// actDrop closes the connection, since the caller has disconnected.
 	actDrop
 )
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -394,6 +394,8 @@
 	case actUnknown, actDeliver:
 		req.fail(refusalOutcomeUnknown)
 	case actDrop:
+		// Without a status the server would answer 404.
+		refusalCallerLeft.write(req.rct)
 		req.rct.SetConnectionClose()
 		req.logEvent(logs.MsgCallerLeft, logrus.Fields{})
 	case actRetry:
