edge, relay, pool: endpoints that signal in answers that they leave get nothing new

Cause: runners that leave say so in all their answers (Server-Leaving: 1), also before their registry record is read or while the store is away. The header was not read, so requests went on to them.

The relay marks that start of the endpoint as leaving before the answer is passed on, and the entry tells the others as for the registry.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -313,8 +313,8 @@
 	edg.relay = relay.New(relay.Config{
 		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
 		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Prober: edg.cfg.Prober, Crashes: &edg.crashes, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
-		PlanConfirmed: edg.planConfirmed,
-		RegistryAge:   func() time.Duration { return time.Since(edg.backends.LastSuccess()) },
+		PlanConfirmed: edg.planConfirmed, EndpointLeaves: edg.announceLeaving,
+		RegistryAge: func() time.Duration { return time.Since(edg.backends.LastSuccess()) },
 	})
 	edg.ready, err = newReadyServer(ctx, edg.cfg.ReadyAddr)
 	if err != nil {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -107,7 +107,7 @@
 		hdl.edg.pool.Remove(wick.VMID(obj.Key.Name))
 		return
 	}
-	if bke.Leaving && hdl.edg.pool.MarkLeaving(bke.ID, bke.Born) {
+	if bke.Leaving && hdl.edg.pool.MarkLeaving(bke.ID, bke.Born, now) {
 		hdl.newlyLeaving = append(hdl.newlyLeaving, leavingEndpoint{ID: bke.ID, Born: bke.Born})
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: bke.ID, "revision": obj.Revision, "leavesIn": bke.LeavesIn.String()}).Info(logs.MsgEndpointLeaving)
 	}
--- a/internal/edge/informants_test.go
+++ b/internal/edge/informants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -143,3 +144,29 @@
 		})
 	}
 }
+
+// TestLeavingAnswer guards against requests of any entry to an endpoint whose answer to one
+// of them has shown that it leaves, before the registry says so.
+func TestLeavingAnswer(t *testing.T) {
+	sit := newSite(t, 2, wick.Quota{})
+	sit.await("the edges know each other", func() bool {
+		return len(sit.edges[0].reachablePeers()) == 1 && len(sit.edges[1].reachablePeers()) == 1
+	})
+	sit.leaving.Store(true)
+	if status, body := sit.send(0, "/", "last"); status != http.StatusOK {
+		t.Fatalf("status %d: %s", status, body)
+	}
+	if status, _ := sit.send(0, "/", "late"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want a refusal", status)
+	}
+	if _, reached := sit.received.Load("late"); reached {
+		t.Error("a request reached an endpoint that leaves")
+	}
+	sit.await("the other edge is told", func() bool {
+		_, ok := sit.edges[1].pool.Incarnation("i-1")
+		return !ok
+	})
+	if got := sit.edges[0].informants.recentlyLeft(time.Now()); len(got) != 1 {
+		t.Errorf("%v repeated in notices, want the endpoint", got)
+	}
+}
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -138,6 +138,9 @@
 					log.WithError(err).WithField("endpoint", bke.ID).Debug("edge: failed to poll load")
 					return nil
 				}
+				if load.Leaving && edg.pool.MarkLeaving(bke.ID, bke.Born, time.Now()) {
+					edg.announceLeaving(bke)
+				}
 				ntc.Loads = append(ntc.Loads, endpointLoad{bke.ID, load.Running, load.Waiting, load.NextTokens, load.Limit.PerSecond, load.Limit.Set})
 				return nil
 			})
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -42,6 +42,15 @@
 	edg.notify(ctx, wick.MsgLeaving, leavingNotice{Endpoints: ends}, edg.reachablePeers())
 }
 
+// announceLeaving tells the other entries of an endpoint that has signalled in an answer or
+// a report that it leaves.
+func (edg *Edge) announceLeaving(bke wick.Backend) {
+	log.WithField(logs.FieldEndpoint, bke.ID).Info(logs.MsgEndpointLeavingAnswered)
+	ends := []leavingEndpoint{{ID: bke.ID, Born: bke.Born}}
+	edg.informants.left(ends, time.Now())
+	go edg.broadcastLeaving(context.Background(), ends)
+}
+
 // reachablePeers returns the other live entries that have a peer address.
 func (edg *Edge) reachablePeers() []wick.Member {
 	var out []wick.Member
@@ -123,7 +132,7 @@
 			edg.pool.MarkGone(end.ID, end.Born, time.Now().Add(goneTime))
 			continue
 		}
-		if edg.pool.MarkLeaving(end.ID, end.Born) {
+		if edg.pool.MarkLeaving(end.ID, end.Born, time.Now()) {
 			log.WithField(logs.FieldEndpoint, end.ID).WithField("from", from).Info(logs.MsgEndpointLeavingReported)
 		}
 	}
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,7 +62,7 @@
 }
 
 func (testDialect) ReadReply(_ int, hdr http.Header) wick.ReplyMeta {
-	return wick.ReplyMeta{Request: wick.RequestID(hdr.Get("X-Id")), Authentic: true}
+	return wick.ReplyMeta{Request: wick.RequestID(hdr.Get("X-Id")), Authentic: true, Leaving: hdr.Get("X-Leaving") != ""}
 }
 
 // testDuties records usage reports.
@@ -113,6 +114,8 @@
 	prober wick.RunProber
 	// slowDelay is the endpoint's delay for paths with "slow".
 	slowDelay time.Duration
+	// leaving makes the endpoint signal in its answers that it leaves.
+	leaving atomic.Bool
 	// received holds the ids of the requests that reached the endpoint.
 	received sync.Map
 }
@@ -128,6 +131,9 @@
 			time.Sleep(sit.slowDelay)
 		}
 		wri.Header().Set("X-Id", req.Header.Get("X-Id"))
+		if sit.leaving.Load() {
+			wri.Header().Set("X-Leaving", "1")
+		}
 		fmt.Fprint(wri, "answer")
 	}))
 	t.Cleanup(srv.Close)
--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -23,6 +23,7 @@
 	MsgPlanAdopted             = "edge: plan adopted"
 	MsgEndpointLeaving         = "edge: endpoint leaves"
 	MsgEndpointLeavingReported = "edge: endpoint leaves, says another entry"
+	MsgEndpointLeavingAnswered = "edge: endpoint leaves, says its answer"
 	MsgEndpointGone            = "edge: endpoint gone"
 	MsgReserveUnreachable      = "edge: reserve not reached"
 	MsgStoreLost               = "feed: store lost"
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -19,7 +19,8 @@
 
 // A Pool holds the endpoints of all services. Each service has its own lock.
 type Pool struct {
-	zone wick.Zone
+	zone    wick.Zone
+	history history
 
 	mu     sync.RWMutex
 	groups map[wick.Service]*group
@@ -75,6 +76,7 @@
 	if old != nil && old != grp {
 		old.remove(bke.ID)
 	}
+	bke.Leaving = bke.Leaving || pl.history.find(incarnation{bke.ID, bke.Born}).leaving
 	grp.set(bke, now)
 }
 
@@ -152,8 +154,10 @@
 }
 
 // MarkLeaving marks an incarnation of an endpoint as leaving, so that it is assigned no
-// new requests. It reports whether the incarnation was not marked before.
-func (pl *Pool) MarkLeaving(vid wick.VMID, incarnation int64) bool {
+// new requests, also when it is removed and listed again. It reports whether the
+// incarnation is known and was not marked before.
+func (pl *Pool) MarkLeaving(vid wick.VMID, born int64, now time.Time) bool {
+	pl.history.update(incarnation{vid, born}, now, func(rec *record) { rec.leaving = true })
 	grp := pl.groupOfVM(vid)
 	if grp == nil {
 		return false
@@ -161,7 +165,7 @@
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
 	end := grp.eps[vid]
-	if end == nil || end.bke.Born != incarnation || end.bke.Leaving {
+	if end == nil || end.bke.Born != born || end.bke.Leaving {
 		return false
 	}
 	end.bke.Leaving = true
@@ -171,9 +175,9 @@
 
 // MarkGone marks an incarnation of an endpoint as removed until a time. Its runs are
 // notified like those of a leaving endpoint.
-func (pl *Pool) MarkGone(vid wick.VMID, incarnation int64, until time.Time) {
+func (pl *Pool) MarkGone(vid wick.VMID, born int64, until time.Time) {
 	pl.withEndpoint(vid, func(_ *group, end *endpoint) {
-		if end.bke.Born == incarnation {
+		if end.bke.Born == born {
 			end.goneUntil = until
 			end.notifyLeaving()
 		}
@@ -303,14 +307,14 @@
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
 	end := grp.eps[bke.ID]
+	// An incarnation that is leaving never returns to service.
+	bke.Leaving = bke.Leaving || end != nil && end.bke.Leaving && end.bke.Born == bke.Born
 	if end == nil || end.bke.Born != bke.Born || end.bke.Address != bke.Address || end.bke.Zone != bke.Zone {
 		grp.drop(end)
 		end = newEndpoint(bke)
 		end.limit.share = grp.limitShare
 		grp.add(end)
 	}
-	// An incarnation that is leaving never returns to service.
-	bke.Leaving = bke.Leaving || end.bke.Leaving && end.bke.Born == bke.Born
 	end.bke = bke
 	end.graceUntil = time.Time{}
 	if bke.Leaving {
--- a/internal/pool/sample_test.go
+++ b/internal/pool/sample_test.go
@@ -87,7 +87,7 @@
 	const sound = wick.VMID("e77")
 	for idx := range manyEndpoints {
 		if vid := wick.VMID(fmt.Sprint("e", idx)); vid != sound {
-			pl.MarkLeaving(vid, 0)
+			pl.MarkLeaving(vid, 0, start)
 		}
 	}
 	for range 5 {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -49,7 +49,7 @@
 	limit, err := strconv.ParseFloat(hdr.Get("X-Limit"), 64)
 	return wick.ReplyMeta{
 		Request: wick.RequestID(hdr.Get("X-Id")), NotExecuted: hdr.Get("X-Refused") != "", Authentic: hdr.Get("X-Seal") != "",
-		Limit: wick.RateLimit{Set: err == nil, PerSecond: limit},
+		Limit: wick.RateLimit{Set: err == nil, PerSecond: limit}, Leaving: hdr.Get("X-Leaving") != "",
 	}
 }
 
@@ -106,8 +106,10 @@
 	mu       sync.Mutex
 	received map[wick.VMID]int
 	order    []wick.VMID
-	meter    countingMeter
-	mover    testMover
+	// announced lists the endpoints whose answers have shown that they leave.
+	announced []wick.VMID
+	meter     countingMeter
+	mover     testMover
 }
 
 // A script answers one request on a raw connection. The requests to all
@@ -138,6 +140,11 @@
 	rly.srv = New(Config{
 		Listener: lis, MaxConnections: 100, Dialect: testDialect{}, Plans: &plans, Pool: rly.pool,
 		Quotas: unlimitedQuotas{}, Versions: anyVersion{}, Mover: &rly.mover, Budget: &retry.Budget{}, Client: &wire.Client{}, Meter: &rly.meter,
+		EndpointLeaves: func(bke wick.Backend) {
+			rly.mu.Lock()
+			defer rly.mu.Unlock()
+			rly.announced = append(rly.announced, bke.ID)
+		},
 		PlanConfirmed: func() bool { return true }, RegistryAge: func() time.Duration { return 0 },
 	})
 	go func() { _ = rly.srv.Serve() }()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -81,8 +81,8 @@
 	Choose(svc wick.Service, route wick.RouteName, now time.Time) Choice
 }
 
-// A Config holds the dependencies of a Server. All fields but Prober
-// and Crashes are required.
+// A Config holds the dependencies of a Server. All fields but Prober,
+// Crashes and EndpointLeaves are required.
 type Config struct {
 	Listener net.Listener
 	// MaxConnections bounds the callers' open connections.
@@ -102,6 +102,9 @@
 	// be the latest. If it wasn't, an unknown route or key may have been added
 	// by a newer plan.
 	PlanConfirmed func() bool
+	// EndpointLeaves is called once when an answer has shown that an endpoint leaves. The
+	// pool is already told.
+	EndpointLeaves func(bke wick.Backend)
 	// RegistryAge returns the time since the list of endpoints was last
 	// confirmed. It is only logged.
 	RegistryAge func() time.Duration
@@ -128,6 +131,9 @@
 	if cfg.Crashes == nil {
 		cfg.Crashes = noCrashes{}
 	}
+	if cfg.EndpointLeaves == nil {
+		cfg.EndpointLeaves = func(wick.Backend) {}
+	}
 	srv := &Server{cfg: cfg, routineLogs: logs.NewSampler(routineLogsPerSecond), buffers: byteBudget{limit: maxBufferedBytes}}
 	srv.lis = &httpio.Listener{
 		Listener: cfg.Listener, Limit: int64(cfg.MaxConnections), ReadTimeout: readTimeout,
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -206,7 +206,7 @@
 	rly.mover.stop = func() { close(stopped) }
 	rly.mover.mu.Unlock()
 	rly.mu.Lock()
-	rly.pool.MarkLeaving(rly.order[0], 0)
+	rly.pool.MarkLeaving(rly.order[0], 0, time.Now())
 	rly.mu.Unlock()
 	return stopped
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -160,7 +160,7 @@
 	att.rep = rep
 	att.note = req.srv.cfg.Dialect.ReadReply(rep.Status, rep.Header)
 	if !req.isStray(att.note) {
-		tgt.SetLimit(att.note.Limit, time.Now())
+		att.applySignals(time.Now())
 	}
 	defer func() {
 		if otc == outcomeLost || otc == outcomeRefused {
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -80,6 +80,8 @@
 	NextTokens Tokens
 	// Limit is the request rate that the endpoint allows.
 	Limit RateLimit
+	// Leaving is set when the endpoint signals that it leaves.
+	Leaving bool
 }
 
 // A LoadReader reads the load of model endpoints. Errors wrap ErrUnavailable.
@@ -109,6 +111,8 @@
 	Authentic bool
 	// Limit is the request rate that the endpoint allows.
 	Limit RateLimit
+	// Leaving is set when the endpoint signals that it leaves.
+	Leaving bool
 }
 
 // A RateLimit is the request rate that an endpoint allows all entries together. Its zero
