pool, relay: an endpoint that answers 503 with a time gets nothing until then

Cause: a runner that turns a request away with 503 may add Retry-After: it wants nothing from that machine for so long. The header was not read, so after 150 ms the entry sent there again, and as a last resort at once.

Change: the dialect reads the header of an endpoint's 503 into ReplyMeta.RetryAfter. The pool pauses that start of the endpoint, for 5 minutes at most, in every choice and beyond a removal from the registry; each entry for itself. Requests that wait for their turn there choose again, and a moved run is not sent to a target that has paused meanwhile. Requests without another endpoint are refused at once as endpointsPaused with the earliest end, up to 0.5 s more so that callers don't come at once; for 1 s after the end the endpoint is preferred only as fast as it answers. A 503 that is passed on has the time that matters to the caller in place of the endpoint's own.

--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -38,6 +38,7 @@
 	StoreUnreachable   Kind = "storeAway"
 	EndpointsFull      Kind = "endpointsFull"
 	EndpointsLimited   Kind = "endpointsLimited"
+	EndpointsPaused    Kind = "endpointsPaused"
 	PromptBlocked      Kind = "promptBlocked"
 	EndpointLost       Kind = "endpointLost"
 	EndpointLeft       Kind = "endpointLeft"
--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -77,6 +77,7 @@
 		{"store lost at another entry", NoEndpoint, []string{line("e2", 100, logs.MsgStoreLost, ""), refused(logs.ReasonNoEndpoint)}},
 		{"endpoints full", EndpointsFull, []string{refused(logs.ReasonEndpointsRefused)}},
 		{"endpoints limited", EndpointsLimited, []string{refused(logs.ReasonEndpointsLimited)}},
+		{"endpoints paused", EndpointsPaused, []string{refused(logs.ReasonEndpointsPaused)}},
 		{"prompt blocked", PromptBlocked, []string{refused(logs.ReasonPromptBlocked)}},
 		{"expired", EndpointsFull, []string{refused(logs.ReasonExpired)}},
 		{"starting", EntryStarting, []string{refused(logs.ReasonNoPlan)}},
--- a/internal/cause/diagnose.go
+++ b/internal/cause/diagnose.go
@@ -41,6 +41,8 @@
 		fnd.setCausef(PromptBlocked, "the prompt has parts that ended endpoints and are blocked")
 	case logs.ReasonEndpointsLimited:
 		fnd.setCausef(EndpointsLimited, "all endpoints of %s were at the limits that they name", last.Service)
+	case logs.ReasonEndpointsPaused:
+		fnd.setCausef(EndpointsPaused, "all endpoints of %s had asked the entry for no requests for a time", last.Service)
 	case logs.ReasonNoPlan:
 		fnd.setCausef(EntryStarting, "%s had not loaded a plan yet", last.Process)
 	case logs.ReasonStalePlan:
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -58,6 +58,7 @@
 	backoffUntil time.Time
 	report       Report
 	limit        limiter
+	pause        pause
 	// cachedParts maps a prompt part that is probably cached to its last use.
 	cachedParts map[wick.PartID]time.Time
 	// leaving is closed when the endpoint leaves, is removed or is replaced.
@@ -66,7 +67,7 @@
 }
 
 func newEndpoint(bke wick.Backend) *endpoint {
-	return &endpoint{bke: bke, hash: xxhash.Sum64String(string(bke.ID)), cachedParts: make(map[wick.PartID]time.Time), leaving: make(chan struct{})}
+	return &endpoint{bke: bke, hash: xxhash.Sum64String(string(bke.ID)), cachedParts: make(map[wick.PartID]time.Time), leaving: make(chan struct{}), pause: newPause(time.Time{})}
 }
 
 func (end *endpoint) notifyLeaving() {
@@ -89,13 +90,13 @@
 
 func (end *endpoint) availability(now time.Time) availability {
 	switch {
-	case end.bke.Leaving, now.Before(end.goneUntil):
+	case end.bke.Leaving, now.Before(end.goneUntil), end.pause.active(now):
 		return unavailable
 	case !end.graceUntil.IsZero() && now.After(end.graceUntil):
 		return unavailable
 	case !end.graceUntil.IsZero():
 		return availableInGrace
-	case now.Before(end.backoffUntil):
+	case now.Before(end.backoffUntil), end.pause.ramping(now):
 		return availableInBackoff
 	default:
 		return available
--- a/internal/pool/history.go
+++ b/internal/pool/history.go
@@ -21,6 +21,8 @@
 type record struct {
 	// leaving is never reset.
 	leaving bool
+	// pausedUntil is when the longest pause ends that it has asked this entry for.
+	pausedUntil time.Time
 	// at is when the record last changed.
 	at time.Time
 }
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -108,10 +108,11 @@
 	return asg.end.limit.Set
 }
 
-// Unsent returns the token of an assignment whose request was not sent.
+// Unsent takes back an assignment whose request was not sent.
 func (asg *Assignment) Unsent() {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
+	asg.end.pause.sent--
 	if asg.end.limit.Set {
 		asg.end.limit.tokens = min(limitBurst, asg.end.limit.tokens+1)
 	}
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -59,10 +59,12 @@
 
 // matches reports whether the query allows the endpoint.
 func (que *Query) matches(end *endpoint) bool {
-	if que.OnlyVersion != "" && end.bke.Version != que.OnlyVersion || que.ExceptVersion != "" && end.bke.Version == que.ExceptVersion {
-		return false
-	}
-	return !slices.Contains(que.Exclude, end.bke.ID)
+	return que.allowsVersion(end) && !slices.Contains(que.Exclude, end.bke.ID)
+}
+
+// allowsVersion reports whether the query allows the endpoint's version.
+func (que *Query) allowsVersion(end *endpoint) bool {
+	return (que.OnlyVersion == "" || end.bke.Version == que.OnlyVersion) && (que.ExceptVersion == "" || end.bke.Version != que.ExceptVersion)
 }
 
 // An Assignment is the assignment of an endpoint to one request.
@@ -70,11 +72,14 @@
 	Backend wick.Backend
 	// Leaving is closed when the endpoint leaves.
 	Leaving <-chan struct{}
+	// PauseBegun is closed when the endpoint asks for no requests for a time.
+	PauseBegun <-chan struct{}
 	// Band is the load band of the endpoint when it was chosen.
 	Band wick.LoadBand
 	// Wait is the time until the request may be sent, at most the query's MaxWait.
 	Wait time.Duration
 
+	pl      *Pool
 	grp     *group
 	end     *endpoint
 	prefill wick.Tokens
@@ -83,7 +88,7 @@
 }
 
 // Pick assigns an endpoint to a request. The error is a *LimitedError when all endpoints
-// are at their limits, and wraps wick.ErrNotFound when no endpoint of the service is
+// are at their limits, a *PausedError when all have asked for no requests, and wraps wick.ErrNotFound when no endpoint of the service is
 // available. The caller must call Done on the result.
 func (pl *Pool) Pick(que Query) (*Assignment, error) {
 	grp := pl.groupOfService(que.Service)
@@ -95,14 +100,12 @@
 	preferred := grp.preferredFor(&que)
 	end := grp.best(&que, preferred, pl.zone)
 	if end == nil {
-		if after, ok := grp.nextTurn(&que); ok {
-			return nil, &LimitedError{Service: que.Service, RetryAfter: after}
-		}
-		return nil, eris.Wrapf(wick.ErrNotFound, "pool: no endpoint of %s is available", que.Service)
+		return nil, grp.noneAvailable(&que)
 	}
-	asg := &Assignment{Backend: end.bke, Leaving: end.leaving, Wait: end.limit.take(que.Now), grp: grp, end: end}
+	asg := &Assignment{Backend: end.bke, Leaving: end.leaving, PauseBegun: end.pause.begun, Wait: end.limit.take(que.Now), pl: pl, grp: grp, end: end}
 	asg.Band = loadBand(end)
 	end.inFlight++
+	end.pause.sent++
 	grp.requestRate.add(1, que.Now)
 	if que.Model {
 		asg.prefill = grp.uncached(end, &que, preferred)
@@ -219,7 +222,7 @@
 	defer asg.grp.mu.Unlock()
 	asg.end.inFlight++
 	asg.end.limit.take(now)
-	return &Assignment{Backend: asg.Backend, Leaving: make(chan struct{}), Band: asg.Band, grp: asg.grp, end: asg.end}
+	return &Assignment{Backend: asg.Backend, Leaving: make(chan struct{}), Band: asg.Band, pl: asg.pl, grp: asg.grp, end: asg.end}
 }
 
 // LeavesAt returns when a leaving endpoint terminates, the zero time if unknown.
@@ -233,6 +236,7 @@
 func (asg *Assignment) AnswerStarted(now time.Time) {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
+	asg.end.pause.answered++
 	asg.endPrefill()
 	asg.grp.learnStart(&asg.run, now)
 }
@@ -252,6 +256,7 @@
 		defer asg.grp.mu.Unlock()
 		asg.endPrefill()
 		if res == ResultAnswered {
+			asg.end.pause.answered++
 			asg.grp.learnTokens(&asg.run, now)
 		}
 		asg.end.inFlight--
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -76,8 +76,9 @@
 	if old != nil && old != grp {
 		old.remove(bke.ID)
 	}
-	bke.Leaving = bke.Leaving || pl.history.find(incarnation{bke.ID, bke.Born}).leaving
-	grp.set(bke, now)
+	rec := pl.history.find(incarnation{bke.ID, bke.Born})
+	bke.Leaving = bke.Leaving || rec.leaving
+	grp.set(bke, rec.pausedUntil, now)
 }
 
 // Remove removes an endpoint at once.
@@ -303,7 +304,8 @@
 	return out
 }
 
-func (grp *group) set(bke wick.Backend, now time.Time) {
+// set adds or updates an endpoint. A new one is paused until a time.
+func (grp *group) set(bke wick.Backend, pausedUntil, now time.Time) {
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
 	end := grp.eps[bke.ID]
@@ -313,6 +315,7 @@
 		grp.drop(end)
 		end = newEndpoint(bke)
 		end.limit.share = grp.limitShare
+		end.pause.until = pausedUntil
 		grp.add(end)
 	}
 	end.bke = bke
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -21,6 +21,8 @@
 type bufferedReply struct {
 	rep  *wire.Reply
 	body []byte
+	// retryAfter is the pause that the endpoint has asked for.
+	retryAfter time.Duration
 }
 
 // serveBuffered answers a request with a single reply. The reply is buffered
@@ -69,7 +71,7 @@
 		att.recordIncomplete(logs.MsgResponseAborted, otc, err)
 		return nil, otc
 	}
-	return &bufferedReply{rep: att.rep, body: body}, otc
+	return &bufferedReply{rep: att.rep, body: body, retryAfter: att.note.RetryAfter}, otc
 }
 
 // readBody reads a reply's body to its end. A reply that exceeds maxReplyBytes or
@@ -100,6 +102,7 @@
 func (req *request) concludeNoEndpoint(lastReply *bufferedReply, err error) {
 	var blocked *blockedError
 	var limited *pool.LimitedError
+	var paused *pool.PausedError
 	switch {
 	case lastReply != nil:
 		req.conclude(actDeliver, lastReply)
@@ -111,6 +114,8 @@
 		req.finishWithoutReply(actDrop)
 	case errors.As(err, &limited):
 		req.refuse(refusalLimited.withRetryAfter(limited.RetryAfter))
+	case errors.As(err, &paused):
+		req.refuse(refusalPaused.withRetryAfter(spread(paused.RetryAfter)))
 	case req.retries.attempts > 0:
 		req.refuse(refusalAllRefused)
 	default:
@@ -127,6 +132,9 @@
 		return
 	}
 	req.copyReplyHeader(lastReply.rep)
+	if lastReply.retryAfter > 0 {
+		req.replaceRetryAfter()
+	}
 	req.rct.Response.SetBody(lastReply.body)
 	req.logAnswered(req.late(time.Since(req.arrived)), logrus.Fields{logs.FieldStatus: lastReply.rep.Status})
 }
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -47,9 +47,10 @@
 
 func (testDialect) ReadReply(_ int, hdr http.Header) wick.ReplyMeta {
 	limit, err := strconv.ParseFloat(hdr.Get("X-Limit"), 64)
+	pause, _ := time.ParseDuration(hdr.Get("X-Pause"))
 	return wick.ReplyMeta{
 		Request: wick.RequestID(hdr.Get("X-Id")), NotExecuted: hdr.Get("X-Refused") != "", Authentic: hdr.Get("X-Seal") != "",
-		Limit: wick.RateLimit{Set: err == nil, PerSecond: limit}, Leaving: hdr.Get("X-Leaving") != "",
+		Limit: wick.RateLimit{Set: err == nil, PerSecond: limit}, Leaving: hdr.Get("X-Leaving") != "", RetryAfter: pause,
 	}
 }
 
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -23,7 +23,7 @@
 }
 
 // awaitTurn waits until the request may be sent to its target, and reports whether it may:
-// not if the endpoint has begun to leave, or the caller has left.
+// not if the endpoint has begun to leave or to pause, or the caller has left.
 func (tgt *target) awaitTurn(ctx context.Context) bool {
 	if tgt.Wait <= 0 {
 		return true
@@ -31,9 +31,10 @@
 	tim := time.NewTimer(tgt.Wait)
 	defer tim.Stop()
 	select {
-	case <-tim.C:
-		return true
+	case now := <-tim.C:
+		return tgt.Usable(now)
 	case <-tgt.Leaving:
+	case <-tgt.PauseBegun:
 	case <-ctx.Done():
 	}
 	return false
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"math"
-	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -39,6 +37,7 @@
 	refusalQuota          = refusal{429, logs.ReasonQuota, executedNo, 0}
 	refusalPromptBlocked  = refusal{503, logs.ReasonPromptBlocked, executedNo, 0}
 	refusalLimited        = refusal{503, logs.ReasonEndpointsLimited, executedNo, 0}
+	refusalPaused         = refusal{503, logs.ReasonEndpointsPaused, executedNo, 0}
 	refusalNoEndpoint     = refusal{503, logs.ReasonNoEndpoint, executedNo, 300 * time.Millisecond}
 	refusalAllRefused     = refusal{503, logs.ReasonEndpointsRefused, executedNo, 200 * time.Millisecond}
 	refusalOutcomeUnknown = refusal{502, logs.ReasonOutcomeUnknown, executedUnknown, 0}
@@ -62,8 +61,7 @@
 	rct.SetStatusCode(rfl.status)
 	rct.Response.Header.Set(wire.HeaderType, wire.ProblemMedia)
 	if rfl.retryAfter > 0 {
-		secs := math.Ceil(rfl.retryAfter.Seconds()*100) / 100
-		rct.Response.Header.Set(wire.HeaderRetry, strconv.FormatFloat(secs, 'f', -1, 64))
+		setRetryAfter(rct, rfl.retryAfter)
 	}
 	rct.Response.SetBody(body)
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -368,7 +368,7 @@
 func (req *request) finishWithoutReply(act action) {
 	switch act {
 	case actRefuse:
-		req.refuse(refusalAllRefused)
+		req.refuse(req.afterPause(refusalAllRefused))
 	case actTimeout:
 		rfl := refusalTimeout
 		if req.retries.possibleRuns == 0 {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -85,6 +85,11 @@
 		if hof == nil || hof.tgt == nil {
 			return otc
 		}
+		if hof.tgt.Paused(time.Now()) {
+			// The run is resumed elsewhere, without its memory.
+			hof.tgt.release()
+			return otc
+		}
 		tgt, cpy = hof.tgt, hof.cpy
 		fwd.req.tried = append(fwd.req.tried, tgt.Backend.ID)
 	}
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -113,6 +113,9 @@
 	Limit RateLimit
 	// Leaving is set when the endpoint signals that it leaves.
 	Leaving bool
+	// RetryAfter is how long an endpoint that turned the request away wants none from this
+	// entry, 0 if it didn't say.
+	RetryAfter time.Duration
 }
 
 // A RateLimit is the request rate that an endpoint allows all entries together. Its zero
