--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -10,7 +10,6 @@
 
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
-	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -43,6 +42,15 @@
 	edg.notify(ctx, wick.MsgLeaving, leavingNotice{Endpoints: ends}, edg.reachablePeers())
 }
 
+// announceLeaving tells the other entries of an endpoint that has signalled in an answer or
+// a report that it leaves.
+func (edg *Edge) announceLeaving(bke wick.Backend) {
+	log.WithField(logs.FieldEndpoint, bke.ID).Info(logs.MsgEndpointLeavingAnswered)
+	ends := []leavingEndpoint{{ID: bke.ID, Born: bke.Born}}
+	edg.informants.left(ends, time.Now())
+	go edg.broadcastLeaving(context.Background(), ends)
+}
+
 // reachablePeers returns the other live entries that have a peer address.
 func (edg *Edge) reachablePeers() []wick.Member {
 	var out []wick.Member
@@ -124,8 +132,7 @@
 			edg.pool.MarkGone(end.ID, end.Born, time.Now().Add(goneTime))
 			continue
 		}
-		edg.pool.RecordLeft(pool.Incarnation{ID: end.ID, Born: end.Born}, time.Now())
-		if edg.pool.MarkLeaving(end.ID, end.Born) {
+		if edg.pool.MarkLeaving(end.ID, end.Born, time.Now()) {
 			log.WithField(logs.FieldEndpoint, end.ID).WithField("from", from).Info(logs.MsgEndpointLeavingReported)
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -19,7 +19,8 @@
 
 // A Pool holds the endpoints of all services. Each service has its own lock.
 type Pool struct {
-	zone wick.Zone
+	zone    wick.Zone
+	history history
 
 	mu     sync.RWMutex
 	groups map[wick.Service]*group
@@ -27,12 +28,11 @@
 	groupByVM map[wick.VMID]*group
 	// limitShare is the initial limitShare of new groups.
 	limitShare float64
-	left       leftIncarnations
 }
 
 // New returns an empty pool for an entry in a zone.
 func New(zone wick.Zone) *Pool {
-	return &Pool{zone: zone, limitShare: 1, groups: make(map[wick.Service]*group), groupByVM: make(map[wick.VMID]*group), left: make(leftIncarnations)}
+	return &Pool{zone: zone, limitShare: 1, groups: make(map[wick.Service]*group), groupByVM: make(map[wick.VMID]*group)}
 }
 
 // A group holds the endpoints of one service.
@@ -65,13 +65,6 @@
 // Set adds or updates an endpoint.
 func (pl *Pool) Set(bke wick.Backend, now time.Time) {
 	pl.mu.Lock()
-	inc := Incarnation{bke.ID, bke.Born}
-	if _, left := pl.left[inc]; left {
-		bke.Leaving = true
-	}
-	if bke.Leaving {
-		pl.left.add(inc, now)
-	}
 	grp := pl.groups[bke.Service]
 	if grp == nil {
 		grp = &group{limitShare: pl.limitShare, eps: make(map[wick.VMID]*endpoint), byZone: make(map[wick.Zone][]*endpoint)}
@@ -83,7 +76,13 @@
 	if old != nil && old != grp {
 		old.remove(bke.ID)
 	}
-	grp.set(bke, now)
+	inc := Incarnation{bke.ID, bke.Born}
+	if bke.Leaving {
+		pl.history.update(inc, now, func(rec *record) { rec.leaving = true })
+	}
+	rec := pl.history.find(inc)
+	bke.Leaving = bke.Leaving || rec.leaving
+	grp.set(bke, rec.pausedUntil, now)
 }
 
 // Remove removes an endpoint at once.
@@ -160,8 +159,10 @@
 }
 
 // MarkLeaving marks an incarnation of an endpoint as leaving, so that it is assigned no
-// new requests. It reports whether the incarnation was not marked before.
-func (pl *Pool) MarkLeaving(vid wick.VMID, incarnation int64) bool {
+// new requests, also when it is removed and listed again. It reports whether the
+// incarnation is known and was not marked before.
+func (pl *Pool) MarkLeaving(vid wick.VMID, born int64, now time.Time) bool {
+	pl.history.update(Incarnation{vid, born}, now, func(rec *record) { rec.leaving = true })
 	grp := pl.groupOfVM(vid)
 	if grp == nil {
 		return false
@@ -169,7 +170,7 @@
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
 	end := grp.eps[vid]
-	if end == nil || end.bke.Born != incarnation || end.bke.Leaving {
+	if end == nil || end.bke.Born != born || end.bke.Leaving {
 		return false
 	}
 	end.bke.Leaving = true
@@ -179,9 +180,9 @@
 
 // MarkGone marks an incarnation of an endpoint as removed until a time. Its runs are
 // notified like those of a leaving endpoint.
-func (pl *Pool) MarkGone(vid wick.VMID, incarnation int64, until time.Time) {
+func (pl *Pool) MarkGone(vid wick.VMID, born int64, until time.Time) {
 	pl.withEndpoint(vid, func(_ *group, end *endpoint) {
-		if end.bke.Born == incarnation {
+		if end.bke.Born == born {
 			end.goneUntil = until
 			end.notifyLeaving()
 		}
@@ -307,18 +308,20 @@
 	return out
 }
 
-func (grp *group) set(bke wick.Backend, now time.Time) {
+// set adds or updates an endpoint. A new one is paused until a time.
+func (grp *group) set(bke wick.Backend, pausedUntil, now time.Time) {
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
 	end := grp.eps[bke.ID]
+	// An incarnation that is leaving never returns to service.
+	bke.Leaving = bke.Leaving || end != nil && end.bke.Leaving && end.bke.Born == bke.Born
 	if end == nil || end.bke.Born != bke.Born || end.bke.Address != bke.Address || end.bke.Zone != bke.Zone {
 		grp.drop(end)
 		end = newEndpoint(bke)
 		end.limit.share = grp.limitShare
+		end.pause.until = pausedUntil
 		grp.add(end)
 	}
-	// An incarnation that is leaving never returns to service.
-	bke.Leaving = bke.Leaving || end.bke.Leaving && end.bke.Born == bke.Born
 	end.bke = bke
 	end.graceUntil = time.Time{}
 	if bke.Leaving {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -176,7 +176,7 @@
 	att.rep = rep
 	att.note = req.srv.cfg.Dialect.ReadReply(rep.Status, rep.Header)
 	if !req.isStray(att.note) {
-		tgt.SetLimit(att.note.Limit, time.Now())
+		att.applySignals(time.Now())
 	}
 	defer func() {
 		if otc == outcomeLost || otc == outcomeRefused {
@@ -375,7 +375,7 @@
 func (req *request) finishWithoutReply(act action) {
 	switch act {
 	case actRefuse:
-		req.refuse(refusalAllRefused)
+		req.refuse(req.afterPause(refusalAllRefused))
 	case actTimeout:
 		rfl := refusalTimeout
 		if req.retries.possibleRuns == 0 {
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -80,6 +80,8 @@
 	NextTokens Tokens
 	// Limit is the request rate that the endpoint allows.
 	Limit RateLimit
+	// Leaving is set when the endpoint signals that it leaves.
+	Leaving bool
 }
 
 // A LoadReader reads the load of model endpoints. Errors wrap ErrUnavailable.
@@ -109,6 +111,11 @@
 	Authentic bool
 	// Limit is the request rate that the endpoint allows.
 	Limit RateLimit
+	// Leaving is set when the endpoint signals that it leaves.
+	Leaving bool
+	// RetryAfter is how long an endpoint that turned the request away wants none from this
+	// entry, 0 if it didn't say.
+	RetryAfter time.Duration
 }
 
 // A RateLimit is the request rate that an endpoint allows all entries together. Its zero
