engine: a refusal on a reused connection needs the attempt's id

The first kind of entry had the same fault as the relay, on kept connections: an earlier refusal that an engine writes once more, without an id, counted as that of the next attempt, which then ran at a second engine. Change: such a refusal leaves the outcome unknown. Engines without attempt ids get a connection for each attempt. Measured: engine.TestConnections (refusal on a reused connection) failed for the one without an id without the change; passes. A refusal with another attempt's id did no harm before; plain services have connections of their own.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -89,7 +89,11 @@
 	if len(gen.Prompt.Messages) > 0 {
 		path = "/v1/chat/completions"
 	}
-	call := wire.Call{Method: http.MethodPost, URL: "http://" + vm.Address + path, NoRetry: true, StallTimeout: cli.TokenTimeout}
+	call := wire.Call{
+		Method: http.MethodPost, URL: "http://" + vm.Address + path, NoRetry: true, StallTimeout: cli.TokenTimeout,
+		// An engine without attempt ids does not say whose answer it gives.
+		CloseConn: cli.AttemptOptional,
+	}
 	if call.StallTimeout == 0 {
 		call.StallTimeout = defaultTokenTimeout
 	}
@@ -124,8 +128,12 @@
 		return err
 	}
 	ans := wire.FullReply{Status: rep.Status, Header: rep.Header, Body: body}
-	if err := wire.NotExecutedError(ans, op); err != nil {
-		return err
+	// Without the attempt's id, a refusal on a connection that was used before may be
+	// that of an earlier attempt.
+	if !rep.Reused || rep.Header.Get(wire.HeaderAttempt) != "" {
+		if err := wire.NotExecutedError(ans, op); err != nil {
+			return err
+		}
 	}
 	return wire.StatusError(ans, wick.ErrUnknownOutcome, op)
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -166,6 +166,22 @@
 			t.Errorf("%d requests, want 2", raw.Requests())
 		}
 	})
+	// A faulty engine writes an earlier refusal once more.
+	for id, want := range map[string]error{"": wick.ErrUnknownOutcome, "X-Attempt-Id: a\r\n": wick.ErrNotExecuted, "X-Attempt-Id: b\r\n": wick.ErrUnknownOutcome} {
+		t.Run("refusal on a reused connection "+id, func(t *testing.T) {
+			_, vm := startServer(t, func(con *fake.RawConn) {
+				con.Request()
+				con.Send(reply)
+				con.Request()
+				con.Send("HTTP/1.1 503 x\r\n" + id + "Content-Type: application/problem+json\r\nContent-Length: 17\r\n\r\n{\"executed\":\"no\"}")
+			})
+			cli := engine.Client{}
+			_, err := cli.Generate(t.Context(), vm, gen, discard)
+			checkSentinel(t, err, nil)
+			_, err = cli.Generate(t.Context(), vm, gen, discard)
+			checkSentinel(t, err, want)
+		})
+	}
 	t.Run("dial refused", func(t *testing.T) {
 		raw, vm := startServer(t, serveReply(reply))
 		raw.Close()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -98,6 +98,9 @@
 type Reply struct {
 	Status int
 	Header http.Header
+	// Reused is set if an earlier call has used the connection, whose late reply this
+	// may be.
+	Reused bool
 
 	body io.ReadCloser
 	// delimited is set when the end of the body can be distinguished from a
@@ -165,8 +168,12 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	grd := &sendGuard{once: call.NoRetry, cancel: cancel}
 	grd.deadline, _ = ctx.Deadline()
+	rep := &Reply{stallTimeout: orDefault(call.StallTimeout, defaultStallTimeout), cancel: cancel}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { grd.bind(info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			rep.Reused = info.Reused
+			grd.bind(info.Conn)
+		},
 	})
 	req, err := http.NewRequestWithContext(ctx, call.Method, call.URL, bytes.NewReader(call.Body))
 	if err != nil {
@@ -177,7 +184,6 @@
 		req.Header = call.Header.Clone()
 	}
 	call.applyOverrides(req)
-	rep := &Reply{stallTimeout: orDefault(call.StallTimeout, defaultStallTimeout), cancel: cancel}
 	rep.timer = time.AfterFunc(rep.stallTimeout, func() { cancel(errStallTimeout) })
 	connTimer := time.AfterFunc(orDefault(cli.ConnTimeout, defaultConnTimeout), func() {
 		if grd.abandon() {
