wire: bound the chunk sizes of a reply

Change: what is received besides the body may be 512 KiB and half of the body. Sound streams have a chunk for each event or line and stay within it.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -20,6 +20,11 @@
 	// context's timer has not fired yet.
 	deadline time.Time
 
+	// own is the connection that the call was assigned to last, and received the number
+	// of bytes that had been received on it before; nil for connections of other types.
+	own      *conn
+	received int64
+
 	mu sync.Mutex
 	// usedConn is the connection that the first byte was written to; nil before.
 	usedConn net.Conn
@@ -33,6 +38,7 @@
 func (grd *sendGuard) bind(con net.Conn) {
 	own, ok := con.(*conn)
 	if ok {
+		grd.own, grd.received = own, own.received.Load()
 		own.guard.Store(grd)
 	} else if err := grd.beginWrite(con); err != nil {
 		// Connections of other types (TLS) don't report their writes, so the
@@ -85,6 +91,8 @@
 	net.Conn
 	counters traffic
 	guard    atomic.Pointer[sendGuard]
+	// received is the number of bytes received.
+	received atomic.Int64
 }
 
 // A traffic counts the calls of a client and the bytes on its connections,
@@ -111,6 +119,7 @@
 // Read counts the bytes read.
 func (con *conn) Read(buf []byte) (int, error) {
 	num, err := con.Conn.Read(buf)
+	con.received.Add(int64(num))
 	addCount(con.counters.received, num)
 	return num, err
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -30,6 +30,10 @@
 	// outcome.
 	defaultIdleTimeout = 4 * time.Second
 	maxHeaderBytes     = 64 << 10
+	// maxFraming bounds the bytes of a reply that are not its body, its header and the
+	// sizes of its chunks, beyond half of the body. Sound streams have chunks of an event
+	// or a line, of which about a third is the size.
+	maxFraming = 512 << 10
 )
 
 var (
@@ -39,6 +43,7 @@
 	errAbandoned      = errors.New("call ended before it was sent")
 	errExpired        = errors.New("call's deadline passed before it was sent")
 	errUndelimited    = errors.New("reply has neither a Content-Length nor chunked encoding")
+	errFraming        = errors.New("reply consists mostly of the sizes of its chunks")
 	errProtocolSwitch = errors.New("unexpected protocol switch")
 )
 
@@ -103,6 +108,9 @@
 	Reused bool
 
 	body io.ReadCloser
+	grd  *sendGuard
+	// bodyBytes is the number of bytes of the body that were read.
+	bodyBytes int64
 	// delimited is set when the end of the body can be distinguished from a
 	// broken connection.
 	delimited    bool
@@ -168,7 +176,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	grd := &sendGuard{once: call.NoRetry, cancel: cancel}
 	grd.deadline, _ = ctx.Deadline()
-	rep := &Reply{stallTimeout: orDefault(call.StallTimeout, defaultStallTimeout), cancel: cancel}
+	rep := &Reply{grd: grd, stallTimeout: orDefault(call.StallTimeout, defaultStallTimeout), cancel: cancel}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			rep.Reused = info.Reused
@@ -235,7 +243,21 @@
 func (rep *Reply) Read(buf []byte) (int, error) {
 	rep.timer.Reset(rep.stallTimeout)
 	defer rep.timer.Stop()
-	return rep.body.Read(buf)
+	num, err := rep.body.Read(buf)
+	rep.bodyBytes += int64(num)
+	if err == nil && rep.framing() > maxFraming+rep.bodyBytes/2 {
+		err = errFraming
+	}
+	return num, err
+}
+
+// framing returns the received bytes of the reply that are not part of what was read of
+// its body.
+func (rep *Reply) framing() int64 {
+	if rep.grd.own == nil {
+		return 0
+	}
+	return rep.grd.own.received.Load() - rep.grd.received - rep.bodyBytes
 }
 
 // Delimited reports whether the end of the body can be told from a broken connection.
