lease: a restored store keeps its holder, and no token is used twice

Cause: after a restore from an older copy the record that is read has a lower number than the one known, so it was ignored, and all entries' conditional writes conflicted for good: no duty was held any more. With revisions that carry the era, records of the copy would be believed instead: a released or own record in it was free at once, and tokens since the copy were given out again.

Change: tokens start at the era's floor (era << 32). The record names the era of its writer; only one written in the present era is free at once when released or left by an earlier process. A holder whose lease has not expired writes its record back by a conditional write; all others wait for the expiry since they first saw the record, or its absence, in the era. A write that succeeded in another era than that of its condition acquires nothing and renews only an unexpired lease; an expired holder reads before it writes. After a failed renewal the next one comes sooner, so that an outage of 2 s doesn't use up the lease.

--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -85,9 +85,6 @@
 	}
 }
 
-// firstFence is the fencing token of the first holder of a duty.
-const firstFence wick.Fence = 1
-
 // controlFence returns the fencing token if this entry may act as the holder of
 // the control duty: it holds the lease, and HandoverDelay has passed since it
 // acquired it.
@@ -98,7 +95,7 @@
 		return 0, false
 	}
 	// The first holder has no predecessor to wait for.
-	return fence, fence == firstFence || now.Sub(since) >= edg.cfg.Bounds.HandoverDelay
+	return fence, edg.leases.IsFirst(DutyControl) || now.Sub(since) >= edg.cfg.Bounds.HandoverDelay
 }
 
 // withinLease runs a step of the control duty with a context that ends with the lease.
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -18,6 +18,10 @@
 // maxConcurrentCalls limits the concurrent platform calls of a keeper.
 const maxConcurrentCalls = 8
 
+// retryFraction divides the renewal interval after a failed renewal, so that a short
+// outage of the store ends before the lease does.
+const retryFraction = 5
+
 // A DesiredFunc returns the duties that an entry should hold, given the
 // membership.
 type DesiredFunc func(mems []wick.Member) []wick.Duty
@@ -99,6 +103,9 @@
 		// The jitter prevents entries that started together from renewing in
 		// lockstep.
 		delay := kee.timing.Renew - time.Duration(rand.Int64N(int64(kee.timing.Renew/10))) //nolint:gosec // jitter
+		if kee.retriesSoon() {
+			delay /= retryFraction
+		}
 		select {
 		case <-time.After(delay):
 		case <-ctx.Done():
@@ -110,6 +117,19 @@
 	kee.reconcile(releaseCtx, nil)
 }
 
+// retriesSoon reports whether the last renewal of a lease failed and the lease has not
+// expired.
+func (kee *Keeper) retriesSoon() bool {
+	kee.mu.Lock()
+	defer kee.mu.Unlock()
+	for _, lea := range kee.leases {
+		if lea.retriesSoon() {
+			return true
+		}
+	}
+	return false
+}
+
 // watchExpiry stops duties whose lease expires while a renewal is blocked on the
 // platform.
 func (kee *Keeper) watchExpiry(ctx context.Context) {
@@ -256,6 +276,34 @@
 	return lea.validUntil()
 }
 
+// IsFirst reports whether this entry is the first ever to acquire the lease of a duty. Any
+// other holder has a predecessor that may still act.
+func (kee *Keeper) IsFirst(duty wick.Duty) bool {
+	kee.mu.Lock()
+	lea := kee.leases[duty]
+	kee.mu.Unlock()
+	if lea == nil {
+		return false
+	}
+	lea.mu.Lock()
+	defer lea.mu.Unlock()
+	return lea.first
+}
+
+// EraSince returns the newest era of the store in which this entry observed the lease of a
+// duty, and when it first did so.
+func (kee *Keeper) EraSince(duty wick.Duty) (wick.Era, time.Time) {
+	kee.mu.Lock()
+	lea := kee.leases[duty]
+	kee.mu.Unlock()
+	if lea == nil {
+		return 0, time.Time{}
+	}
+	lea.mu.Lock()
+	defer lea.mu.Unlock()
+	return lea.rev.Era(), lea.eraSince
+}
+
 // Holds returns the fencing token of a duty, and whether this entry holds its
 // lease now.
 func (kee *Keeper) Holds(duty wick.Duty) (wick.Fence, bool) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -52,9 +52,13 @@
 type Record struct {
 	Holder      wick.EntryID     `json:"holder"`
 	Incarnation wick.Incarnation `json:"incarnation"`
-	// Fence is the fencing token. It increases by one with every acquisition
-	// and never decreases: the object is kept when the lease is released.
+	// Fence is the fencing token. It increases with every acquisition, and the
+	// object is kept when the lease is released. Tokens that a restore of the store
+	// discards are below those of the new era.
 	Fence wick.Fence `json:"fence"`
+	// Era is the store's era when the holder wrote the record. In a record of an
+	// earlier era than its revision's, the holder may have been replaced since.
+	Era wick.Era `json:"era,omitempty"`
 	// Renewed is the time of the renewal by the holder's clock, for operators
 	// only. Other entries measure the expiry by their own clock, from when they
 	// first observed the revision.
@@ -73,12 +77,20 @@
 	id    wick.EntryID
 	inc   wick.Incarnation
 	state State
-	// rec and rev are the last value and revision read or written.
+	// rec and rev are the last value and revision read or written. The number of
+	// rev is zero if the object did not exist.
 	rec Record
 	rev wick.Revision
-	// observedAt is when rev was first observed. A read that returns an older
-	// revision than rev is ignored.
-	observedAt time.Time
+	// observedAt is when rev was first observed, eraSince when its era was. A read
+	// that returns an older revision than rev is ignored.
+	observedAt, eraSince time.Time
+	// observed is set by the first read of the object, restored when its era rises
+	// after that.
+	observed, restored bool
+	// fence is the fencing token of the last acquisition. first is set if no entry had
+	// held the lease before it.
+	fence wick.Fence
+	first bool
 	// renewedAt is when the last successful renewal was sent.
 	renewedAt time.Time
 	// acquiredAt is when the lease was last acquired.
@@ -115,7 +127,18 @@
 func (lea *Lease) Holds() (wick.Fence, bool) {
 	lea.mu.Lock()
 	defer lea.mu.Unlock()
-	return lea.rec.Fence, lea.state == Held && lea.clk.Now().Sub(lea.renewedAt) < lea.expiry
+	return lea.fence, lea.state == Held && lea.unexpired()
+}
+
+// unexpired reports whether the last renewal is recent enough that no other entry can
+// have acquired the lease. The caller must hold mu.
+func (lea *Lease) unexpired() bool { return lea.clk.Now().Sub(lea.renewedAt) < lea.expiry }
+
+// retriesSoon reports whether the last renewal failed and the lease has not expired.
+func (lea *Lease) retriesSoon() bool {
+	lea.mu.Lock()
+	defer lea.mu.Unlock()
+	return lea.state == Suspect && lea.unexpired()
 }
 
 // validUntil returns when the lease expires unless it is renewed, the zero time if it
@@ -137,10 +160,16 @@
 		lea.fire(released)
 	}
 	holding := lea.state == Held || lea.state == Suspect
-	if holding && lea.clk.Now().Sub(lea.renewedAt) >= lea.expiry {
+	expired := holding && !lea.unexpired()
+	if expired {
 		lea.fire(suspected)
 	}
 	lea.mu.Unlock()
+	if expired {
+		if lost, err := lea.checkExpired(ctx); lost || err != nil {
+			return lea.State(), err
+		}
+	}
 	if !holding {
 		if err := lea.read(ctx); err != nil {
 			return lea.State(), err
@@ -152,6 +181,31 @@
 	return lea.write(ctx, false)
 }
 
+// checkExpired reads the record of an expired lease and reports whether the lease is
+// lost: it was taken over, or may have been in writes that a restore discarded. A renewal
+// without this check could name a revision that the restored store has assigned again.
+func (lea *Lease) checkExpired(ctx context.Context) (bool, error) {
+	lea.mu.Lock()
+	era := lea.rev.Era()
+	lea.mu.Unlock()
+	if err := lea.read(ctx); err != nil {
+		return false, err
+	}
+	lea.mu.Lock()
+	defer lea.mu.Unlock()
+	if lea.rev.Era() == era && lea.isOwn() {
+		return false, nil
+	}
+	lea.fire(superseded)
+	return true, nil
+}
+
+// isOwn reports whether the record is of this entry's last acquisition. The caller must
+// hold mu.
+func (lea *Lease) isOwn() bool {
+	return lea.rec.Holder == lea.id && lea.rec.Incarnation == lea.inc && lea.rec.Fence == lea.fence
+}
+
 // Release releases the lease, so that another entry need not wait for its
 // expiry.
 func (lea *Lease) Release(ctx context.Context) error {
@@ -182,68 +236,142 @@
 func (lea *Lease) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	obj, err := lea.sto.Get(ctx, lea.key())
-	if errors.Is(err, wick.ErrNotFound) {
-		return nil
-	}
+	obj, err := lea.fetch(ctx)
 	if err != nil {
 		return eris.Wrap(err, "lease: read")
 	}
 	var rec Record
-	if err := json.Unmarshal(obj.Data, &rec); err != nil {
-		return eris.Wrap(err, "lease: decode")
+	if obj.Revision.Number() != 0 {
+		if err := json.Unmarshal(obj.Data, &rec); err != nil {
+			return eris.Wrap(err, "lease: decode")
+		}
 	}
 	lea.mu.Lock()
 	defer lea.mu.Unlock()
-	if obj.Revision > lea.rev {
-		lea.rec, lea.rev, lea.observedAt = rec, obj.Revision, lea.clk.Now()
-	}
+	lea.observe(rec, obj.Revision)
 	return nil
 }
 
+// fetch returns the lease object. If it does not exist, the revision has the store's era
+// and the number zero.
+func (lea *Lease) fetch(ctx context.Context) (wick.Object, error) {
+	obj, err := lea.sto.Get(ctx, lea.key())
+	if !errors.Is(err, wick.ErrNotFound) {
+		return obj, err //nolint:wrapcheck // wrapped by the caller
+	}
+	// Unlike a missing object, a list has a revision and with it an era.
+	objs, rev, err := lea.sto.List(ctx, wick.KindLease)
+	if err != nil {
+		return wick.Object{}, err //nolint:wrapcheck // wrapped by the caller
+	}
+	for idx := range objs {
+		if objs[idx].Key == lea.key() {
+			return objs[idx], nil
+		}
+	}
+	return wick.Object{Revision: rev.Era().Revision(0)}, nil
+}
+
+// observe records a value of the object unless a later one is known. The caller must
+// hold mu.
+func (lea *Lease) observe(rec Record, rev wick.Revision) {
+	rises := rev.Era() > lea.rev.Era()
+	lea.restored = lea.restored || rises && lea.observed
+	lea.observed = true
+	if rev <= lea.rev {
+		return
+	}
+	now := lea.clk.Now()
+	if rises {
+		lea.eraSince = now
+	}
+	lea.rec, lea.rev, lea.observedAt = rec, rev, now
+}
+
 // available reports whether this entry may acquire the lease, according to the
 // last value read.
 func (lea *Lease) available() bool {
 	lea.mu.Lock()
 	defer lea.mu.Unlock()
+	if lea.isNew(lea.rev) || lea.clk.Now().Sub(lea.observedAt) >= lea.expiry {
+		return true
+	}
 	// A holder with the same ID is an earlier process of this entry, which has
 	// ended.
 	ownRestart := lea.rec.Holder == lea.id && lea.rec.Incarnation <= lea.inc
-	return lea.rev == 0 || lea.rec.Released || ownRestart || lea.clk.Now().Sub(lea.observedAt) >= lea.expiry
+	return lea.isCurrent() && (lea.rec.Released || ownRestart)
+}
+
+// firstEra is the highest era in which a store may begin.
+const firstEra wick.Era = 1
+
+// isNew reports whether the revision shows that no entry has ever held the lease. A record
+// that a restored store lacks may be younger than its copy. The caller must hold mu.
+func (lea *Lease) isNew(rev wick.Revision) bool {
+	return rev.Number() == 0 && rev.Era() <= firstEra && !lea.restored
+}
+
+// isCurrent reports whether the record was written in the store's present era. The
+// successors of an older one may be lost in a restore. The caller must hold mu.
+func (lea *Lease) isCurrent() bool {
+	return lea.rev.Number() != 0 && lea.rec.Era == lea.rev.Era()
+}
+
+// fenceBits is the number of bits of a fencing token below the era of its acquisition. It
+// keeps tokens of eras up to 2^21 exact as JSON numbers.
+const fenceBits = 32
+
+// nextFence returns the fencing token of an acquisition. It is above all tokens of earlier
+// eras, of which a restore may have discarded some. The caller must hold mu.
+func (lea *Lease) nextFence() wick.Fence {
+	return max(lea.rec.Fence, lea.fence, wick.Fence(lea.rev.Era())<<fenceBits) + 1
 }
 
 // write renews, acquires or releases the lease by one conditional update. After a
 // lost response, it reads the object to find out whether the write succeeded.
 func (lea *Lease) write(ctx context.Context, release bool) (State, error) {
 	lea.mu.Lock()
-	startedAt := lea.clk.Now()
-	rec, rev := lea.rec, lea.rev
-	holding := lea.state == Held || lea.state == Suspect
-	lea.mu.Unlock()
-	if !holding {
-		rec.Fence++
+	base, startedAt := lea.rev, lea.clk.Now()
+	rec := Record{
+		Holder: lea.id, Incarnation: lea.inc, Fence: lea.fence, Era: base.Era(),
+		Renewed: startedAt, Released: release, WriteID: wick.NewWriteID(),
 	}
-	rec.Holder, rec.Incarnation, rec.Renewed = lea.id, lea.inc, startedAt
-	rec.Released, rec.WriteID = release, wick.NewWriteID()
+	if lea.state != Held && lea.state != Suspect {
+		rec.Fence = lea.nextFence()
+	}
+	lea.mu.Unlock()
 	data, err := json.Marshal(rec)
 	if err != nil {
 		return lea.State(), eris.Wrap(err, "lease: encode")
 	}
 	cctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	next, err := lea.sto.Put(cctx, lea.key(), data, rev)
+	putRev := base
+	if base.Number() == 0 {
+		putRev = 0
+	}
+	next, err := lea.sto.Put(cctx, lea.key(), data, putRev)
 	if err != nil {
-		return lea.resolveWrite(ctx, rec, rev, startedAt, err)
+		return lea.resolveWrite(ctx, rec, base, startedAt, err)
 	}
-	return lea.applyWrite(rec, next, startedAt), nil
+	return lea.applyWrite(rec, base, next, startedAt), nil
 }
 
-func (lea *Lease) applyWrite(rec Record, rev wick.Revision, startedAt time.Time) State {
+// applyWrite adopts a write on base that the store accepted as rev. If the store was
+// restored in between, the condition of the write proves nothing about the older era: an
+// acquisition does not count, and a renewal does only if the lease has not expired.
+func (lea *Lease) applyWrite(rec Record, base, rev wick.Revision, startedAt time.Time) State {
 	lea.mu.Lock()
 	defer lea.mu.Unlock()
-	lea.rec, lea.rev, lea.observedAt, lea.renewedAt = rec, rev, lea.clk.Now(), startedAt
-	if lea.state == Free {
-		lea.acquiredAt = lea.observedAt
+	acquires := lea.state == Free
+	lea.observe(rec, rev)
+	if rev.Era() != base.Era() && (acquires || !lea.unexpired()) {
+		lea.fire(superseded)
+		return lea.state
+	}
+	lea.renewedAt, lea.fence = startedAt, rec.Fence
+	if acquires {
+		lea.acquiredAt, lea.first = lea.clk.Now(), lea.isNew(base)
 		lea.fire(acquired)
 	} else {
 		lea.fire(renewed)
@@ -254,17 +382,20 @@
 // resolveWrite determines the outcome of a write that returned an error. An
 // unchanged revision may be a stale read, so the lease is suspect until a write
 // succeeds.
-func (lea *Lease) resolveWrite(ctx context.Context, rec Record, rev wick.Revision, startedAt time.Time, cause error) (State, error) {
+func (lea *Lease) resolveWrite(ctx context.Context, rec Record, base wick.Revision, startedAt time.Time, cause error) (State, error) {
 	readErr := lea.read(ctx)
 	lea.mu.Lock()
 	latest, latestRev := lea.rec, lea.rev
 	lea.mu.Unlock()
-	if readErr == nil && latestRev > rev && latest.WriteID == rec.WriteID {
-		return lea.applyWrite(rec, latestRev, startedAt), nil
+	if readErr == nil && latestRev > base && latest.WriteID == rec.WriteID {
+		return lea.applyWrite(rec, base, latestRev, startedAt), nil
+	}
+	if latestRev.Era() > base.Era() && lea.mayWriteBack() {
+		return lea.write(ctx, rec.Released)
 	}
 	lea.mu.Lock()
 	defer lea.mu.Unlock()
-	takenOver := latestRev > rev && (latest.Holder != lea.id || latest.Incarnation != lea.inc || latest.Fence != rec.Fence)
+	takenOver := latestRev > base && (!lea.isOwn() || latestRev.Era() > base.Era())
 	if takenOver || errors.Is(cause, wick.ErrNotFound) {
 		lea.fire(superseded)
 		return lea.state, nil
@@ -273,6 +404,15 @@
 	return lea.state, eris.Wrap(cause, "lease: write")
 }
 
+// mayWriteBack reports whether this entry may replace the record of a restored store by
+// its own. Its lease must not have expired: until then no other entry acquires it, since
+// each waits for the expiry from when it first read the restored record.
+func (lea *Lease) mayWriteBack() bool {
+	lea.mu.Lock()
+	defer lea.mu.Unlock()
+	return (lea.state == Held || lea.state == Suspect) && lea.unexpired() && (!lea.isCurrent() || lea.isOwn())
+}
+
 func (lea *Lease) key() wick.ObjectKey {
 	return wick.ObjectKey{Kind: wick.KindLease, Name: string(lea.duty)}
 }
