usage: no window is reported twice after the store was restored

Cause: the record of the latest report goes back with the store. The holder, or the next one, then took windows for unreported that had been reported since the copy, and summed them anew.

Change: the reporter keeps its latest report and writes it again; it never goes back. A new holder leaves out windows whose report was due before it first saw the new era, unless the record was written in that era and so is the latest. A takeover lasts longer than these windows' reports take to expire, so little is lost. The record is read as soon as the lease is held, not only after the handover delay.

Measured: TestRestoredStore fails on the code before in all five cases (for example window 1002 reported with 73 and 95) and passes now.

--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -46,13 +46,18 @@
 	rpt := &usage.Reporter{
 		Store: edg.cfg.Store, Duties: edg.cfg.Duties, Window: edg.cfg.Bounds.UsageWindow,
 		ExpireAfter: edg.cfg.Bounds.UsageDeadline, Sum: edg.windowCounts, ReadAt: edg.members.LastSuccess, Complete: edg.countsFinal,
+		EraSince: func() (wick.Era, time.Time) { return edg.leases.EraSince(DutyControl) },
 	}
 	for retry.Sleep(ctx, usageInterval) {
-		fence, ok := edg.controlFence(time.Now())
-		if !ok {
+		fence, held := edg.leases.Holds(DutyControl)
+		if !held {
 			continue
 		}
-		if err := edg.withinLease(ctx, func(ctx context.Context) error { return rpt.Step(ctx, fence, time.Now()) }); err != nil {
+		step := rpt.Step
+		if _, ok := edg.controlFence(time.Now()); !ok {
+			step = rpt.Load
+		}
+		if err := edg.withinLease(ctx, func(ctx context.Context) error { return step(ctx, fence, time.Now()) }); err != nil {
 			log.WithError(err).WithField("fence", fence).Warn("edge: usage report failed")
 			retry.Sleep(ctx, usageInterval)
 		}
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -27,6 +27,9 @@
 	// callTimeout bounds one step, so that its calls end before the lease of
 	// the duty does.
 	callTimeout = time.Second
+	// clockMargin is added to the time by which an earlier holder's report may have
+	// been written, since the entries' clocks differ.
+	clockMargin = 500 * time.Millisecond
 )
 
 var reportKey = wick.ObjectKey{Kind: wick.KindUsage, Name: "last"}
@@ -37,6 +40,9 @@
 type record struct {
 	Report wick.UsageReport `json:"report"`
 	Fence  wick.Fence       `json:"fence"`
+	// Era is the store's era when the record was written. In a record of an earlier
+	// era than its revision's, later reports may have been discarded by a restore.
+	Era wick.Era `json:"era,omitempty"`
 	// Sent is set once the report has been acknowledged.
 	Sent bool `json:"sent"`
 }
@@ -59,13 +65,32 @@
 	// a window. The report of an incomplete window is delayed for entries that
 	// temporarily can't reach the store. It may be nil.
 	Complete func(num uint64) bool
+	// EraSince returns the newest era of the store that this entry has observed, and
+	// when it first did. It is nil if the store is never restored.
+	EraSince func() (wick.Era, time.Time)
 
 	fence wick.Fence
 	// loaded is set once the record has been read under this fence, and reset
 	// after a failed write.
 	loaded bool
-	cur    record
-	rev    wick.Revision
+	// cur is the latest report that is known, if reported is set. It is later than the
+	// stored one after a restore of the store; unsaved is set until it is written again.
+	cur               record
+	reported, unsaved bool
+	// rev is the revision of the stored record, 0 if there is none.
+	rev wick.Revision
+	// knownFence is the fencing token under which the record was first read. The reports
+	// of earlier holders that were due by discardedBy may be missing from that record.
+	knownFence  wick.Fence
+	discardedBy time.Time
+}
+
+// Load reads the latest report, so that it is known even if the store is restored before
+// the first step. It is called with the fencing token once the entry holds the duty.
+func (rpt *Reporter) Load(ctx context.Context, fence wick.Fence, now time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return rpt.load(ctx, fence, now)
 }
 
 // Step sends an unacknowledged report or else the next one that is due. It is
@@ -73,15 +98,15 @@
 func (rpt *Reporter) Step(ctx context.Context, fence wick.Fence, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if fence != rpt.fence {
-		rpt.fence, rpt.loaded = fence, false
+	if err := rpt.load(ctx, fence, now); err != nil {
+		return err
 	}
-	if !rpt.loaded {
-		if err := rpt.load(ctx); err != nil {
+	if rpt.unsaved {
+		if err := rpt.save(ctx, rpt.cur); err != nil {
 			return err
 		}
 	}
-	if rpt.rev != 0 && !rpt.cur.Sent {
+	if rpt.reported && !rpt.cur.Sent {
 		return rpt.send(ctx)
 	}
 	num, ok := rpt.due(now)
@@ -106,9 +131,12 @@
 		last = min(last, WindowOf(read.Add(-publishDelay), rpt.Window)-1)
 	}
 	first := WindowOf(now.Add(-rpt.ExpireAfter), rpt.Window)
-	if rpt.rev != 0 {
+	if rpt.reported {
 		first = max(first, rpt.cur.Report.Window+1)
 	}
+	if !rpt.discardedBy.IsZero() {
+		first = max(first, WindowOf(rpt.discardedBy.Add(-reportDelay), rpt.Window))
+	}
 	return first, first <= last && !rpt.delayed(first, now)
 }
 
@@ -120,26 +148,58 @@
 	return now.Before(EndOf(num, rpt.Window).Add(rpt.ExpireAfter - reportLead))
 }
 
-func (rpt *Reporter) load(ctx context.Context) error {
-	obj, err := rpt.Store.Get(ctx, reportKey)
-	if errors.Is(err, wick.ErrNotFound) {
-		rpt.loaded, rpt.cur, rpt.rev = true, record{}, 0
+// load reads the record unless it is known under the fencing token.
+func (rpt *Reporter) load(ctx context.Context, fence wick.Fence, now time.Time) error {
+	if rpt.loaded && fence == rpt.fence {
 		return nil
 	}
-	if err != nil {
+	rpt.fence, rpt.loaded = fence, false
+	obj, err := rpt.Store.Get(ctx, reportKey)
+	if err != nil && !errors.Is(err, wick.ErrNotFound) {
 		return eris.Wrap(err, "usage: read the latest report")
 	}
-	var cur record
-	if err := json.Unmarshal(obj.Data, &cur); err != nil {
-		return eris.Wrap(err, "usage: decode the latest report")
+	var stored record
+	found := err == nil
+	if found {
+		if err := json.Unmarshal(obj.Data, &stored); err != nil {
+			return eris.Wrap(err, "usage: decode the latest report")
+		}
+	}
+	if fence != rpt.knownFence {
+		rpt.knownFence, rpt.discardedBy = fence, rpt.mayLack(stored, obj.Revision, now)
+	}
+	rpt.loaded, rpt.rev = true, obj.Revision
+	if found && (!rpt.reported || stored.Report.Window >= rpt.cur.Report.Window) {
+		rpt.cur, rpt.reported = stored, true
 	}
-	rpt.loaded, rpt.cur, rpt.rev = true, cur, obj.Revision
+	rpt.unsaved = rpt.reported && (!found || rpt.cur.Report.Window > stored.Report.Window)
 	return nil
 }
 
+// mayLack returns the time by which reports that the record lacks may have been written,
+// the zero time if it is the latest. Reports are written before they are sent, so that
+// those that a restore discarded were due before this entry saw the new era.
+func (rpt *Reporter) mayLack(stored record, rev wick.Revision, now time.Time) time.Time {
+	var era wick.Era
+	var since time.Time
+	if rpt.EraSince != nil {
+		era, since = rpt.EraSince()
+	}
+	switch {
+	case rev == 0 && era == 0 || rev != 0 && stored.Era == rev.Era():
+		return time.Time{}
+	case rev.Era() > era:
+		since = now
+	}
+	return since.Add(clockMargin)
+}
+
 // save writes the record. After an error, the record is read again before its next
 // use.
 func (rpt *Reporter) save(ctx context.Context, next record) error {
+	if EndOf(next.Report.Window, rpt.Window).Add(reportDelay).After(rpt.discardedBy) {
+		next.Era = rpt.storeEra()
+	}
 	data, err := json.Marshal(next)
 	if err != nil {
 		return eris.Wrap(err, "usage: encode a report")
@@ -149,10 +209,19 @@
 		rpt.loaded = false
 		return eris.Wrap(err, "usage: write a report")
 	}
-	rpt.cur, rpt.rev = next, rev
+	rpt.cur, rpt.rev, rpt.reported, rpt.unsaved = next, rev, true, false
 	return nil
 }
 
+// storeEra returns the era of the store in which the record is written.
+func (rpt *Reporter) storeEra() wick.Era {
+	if rpt.rev == 0 && rpt.EraSince != nil {
+		era, _ := rpt.EraSince()
+		return era
+	}
+	return rpt.rev.Era()
+}
+
 // send sends the recorded report. It is idempotent.
 func (rpt *Reporter) send(ctx context.Context) error {
 	rep := rpt.cur.Report
