edge, move: rollouts only go forward when the store was restored

Cause: entries adopted the state of an order and the record of its move as read. After a restore from an older copy, a version that had been rolled back or completed was in a rollout again, and its state was not written a second time, since the holder remembered having written it.

Rollouts of earlier orders are remembered, as a copy may have one of them.

--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -54,14 +54,26 @@
 	mu sync.Mutex
 	// orders holds the newest order of each service and the state of its rollout.
 	orders map[wick.Service]*rollout
+	// known holds the rollouts of all orders, since a restored store has earlier ones.
+	known map[wick.MoveID]*rollout
 }
 
 // A rollout is this entry's view of a version order.
 type rollout struct {
+	// ord is the order. Its state never goes back, although that in the store does when
+	// the store is restored.
 	ord wick.VersionOrder
+	// era is the store's era in which the order was last read with the state of ord.
+	// goneBack is since when a later era has had another one, the zero time if none has.
+	era      wick.Era
+	goneBack time.Time
+	// readIn is the latest era in which the order was read.
+	readIn wick.Era
 	// receivedAt is when this entry received the order.
 	receivedAt time.Time
-	rec        move.Record
+	// rec is the latest record of the move, recordEra the store's era in which it was read.
+	rec       move.Record
+	recordEra wick.Era
 	// reported is the last state that this entry wrote to the order's status.
 	reported wick.VersionOrderState
 }
@@ -71,15 +83,18 @@
 	return &rollouts{
 		edg: edg, jdg: canary.New(edg.cfg.ID, edg.cfg.Incarnation, chk),
 		kep:    move.Keeper{Store: edg.cfg.Store, Self: edg.cfg.ID, Checker: chk},
-		orders: make(map[wick.Service]*rollout),
+		orders: make(map[wick.Service]*rollout), known: make(map[wick.MoveID]*rollout),
 	}
 }
 
-// id returns the id of the rollout's move, which is the same at all entries.
-func (rol *rollout) id() wick.MoveID {
-	return wick.MoveID(string(rol.ord.Service) + "-" + string(rol.ord.Target))
+// moveID returns the id of an order's move, which is the same at all entries.
+func moveID(ord wick.VersionOrder) wick.MoveID {
+	return wick.MoveID(string(ord.Service) + "-" + string(ord.Target))
 }
 
+// id returns the id of the rollout's move.
+func (rol *rollout) id() wick.MoveID { return moveID(rol.ord) }
+
 // handleOrder handles a change of a version order.
 func (rls *rollouts) handleOrder(obj wick.Object) {
 	ord, err := rls.edg.cfg.Catalog.VersionOrder(obj)
@@ -87,22 +102,24 @@
 		log.WithError(err).WithField("order", obj.Key.Name).Warn("edge: malformed version order ignored")
 		return
 	}
-	rls.setOrder(ord, time.Now())
+	rls.setOrder(ord, obj.Revision.Era(), time.Now())
 }
 
-// setOrder stores an order and starts its rollout if it is new.
-func (rls *rollouts) setOrder(ord wick.VersionOrder, now time.Time) {
+// setOrder stores an order that was read in an era of the store, and starts its rollout if
+// it is new.
+func (rls *rollouts) setOrder(ord wick.VersionOrder, era wick.Era, now time.Time) {
 	rls.mu.Lock()
 	defer rls.mu.Unlock()
-	rol := rls.orders[ord.Service]
-	if rol == nil || rol.ord.Target != ord.Target {
-		rol = &rollout{receivedAt: now}
-		rls.orders[ord.Service] = rol
+	rol := rls.known[moveID(ord)]
+	if rol == nil {
+		rol = &rollout{receivedAt: now, era: era, readIn: era}
+		rls.known[moveID(ord)] = rol
 	}
+	rls.orders[ord.Service] = rol
 	if rol.ord.State != ord.State || rol.ord.Target != ord.Target {
 		log.WithFields(logrus.Fields{logs.FieldService: ord.Service, "version": ord.Target, "state": ord.State, "within": ord.Within.String()}).Info("edge: version order changed")
 	}
-	rol.ord = ord
+	rol.setOrder(ord, era, now)
 	rls.updateJudge(rol)
 }
 
@@ -130,7 +147,7 @@
 	rls.mu.Lock()
 	defer rls.mu.Unlock()
 	if rol := rls.orders[rec.Service]; rol != nil && rol.id() == rec.Move {
-		rol.rec = rec
+		rol.setRecord(rec, obj.Revision.Era())
 		rls.updateJudge(rol)
 	}
 }
@@ -174,6 +191,7 @@
 			}
 			rls.advance(ctx, rol, now)
 		}
+		rls.rewriteStates(ctx, now)
 	}
 }
 
@@ -224,9 +242,10 @@
 	}
 	start := move.New(rol.id(), mov, now)
 	rec, err := rls.kep.Update(ctx, start, fence, func(rec move.Record) (move.Record, bool) {
-		mov.Deadline = rec.Deadline
-		next, changed := move.Step(rec, rls.stepInput(&rol, mov, ver, perSecond, now))
-		return next, changed || rec.WriteID == ""
+		cur := move.Latest(rol.rec, rec)
+		mov.Deadline = cur.Deadline
+		next, changed := move.Step(cur, rls.stepInput(&rol, mov, ver, perSecond, now))
+		return next, changed || rec.WriteID == "" || rec.WriteID != cur.WriteID
 	})
 	if err != nil {
 		log.WithError(err).WithField(logs.FieldService, rol.ord.Service).Warn("edge: failed to advance move")
@@ -309,7 +328,7 @@
 	rls.mu.Lock()
 	cur := rls.orders[rol.ord.Service]
 	if cur != nil && cur.id() == rec.Move {
-		cur.rec = rec
+		cur.rec = move.Latest(cur.rec, rec)
 		rls.updateJudge(cur)
 	}
 	rls.mu.Unlock()
@@ -317,14 +336,19 @@
 	if rol.ord.State == state || rol.reported == state {
 		return
 	}
+	rls.writeState(ctx, rol, state)
+}
+
+// writeState writes a state to the status of a version order.
+func (rls *rollouts) writeState(ctx context.Context, rol *rollout, state wick.VersionOrderState) {
 	if err := rls.edg.cfg.Orders.SetState(ctx, rol.ord, state); err != nil {
 		log.WithError(err).WithField(logs.FieldService, rol.ord.Service).Warn("edge: failed to write state of version order")
 		return
 	}
-	log.WithFields(logrus.Fields{logs.FieldService: rol.ord.Service, "version": rol.ord.Target, "state": state, "reason": rec.Reason, "evidence": rec.Evidence}).Info("edge: state of version order written")
+	log.WithFields(logrus.Fields{logs.FieldService: rol.ord.Service, "version": rol.ord.Target, "state": state, "reason": rol.rec.Reason, "evidence": rol.rec.Evidence}).Info("edge: state of version order written")
 	rls.mu.Lock()
 	defer rls.mu.Unlock()
-	if cur != nil {
+	if cur := rls.known[rol.id()]; cur != nil {
 		cur.reported = state
 	}
 }
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/wagtailwick/wagtailwick/internal/fake"
 	"github.com/wagtailwick/wagtailwick/internal/ports"
+	"github.com/wagtailwick/wagtailwick/internal/revise"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -91,11 +92,15 @@
 	return sum
 }
 
-// testOrders accepts the states of version orders.
-type testOrders struct{}
+// storeOrders writes the states of version orders to the objects of a store.
+type storeOrders struct{ wick.Store }
 
-func (testOrders) SetState(context.Context, wick.VersionOrder, wick.VersionOrderState) error {
-	return nil
+func (sor storeOrders) SetState(ctx context.Context, ord wick.VersionOrder, state wick.VersionOrderState) error {
+	key := wick.ObjectKey{Kind: "order", Name: string(ord.Service)}
+	return revise.Object(ctx, sor.Store, key, 8, func(obj wick.Object) ([]byte, error) {
+		ord.State = state
+		return json.Marshal(ord)
+	})
 }
 
 // A site runs edges with a fake store and one endpoint.
@@ -184,7 +189,7 @@
 func (sit *site) start(num, edges int) {
 	cfg := Config{
 		ID: wick.EntryID(fmt.Sprint("edge", num)), Incarnation: wick.Incarnation(1 + len(sit.edges)), Zone: "z", Store: sit.sto, Dialect: testDialect{},
-		Catalog: testCatalog{}, Prober: sit.prober, Duties: sit.duties, Orders: testOrders{}, Kinds: Kinds{Plan: "plan", Backend: "backend", VersionOrder: "order"},
+		Catalog: testCatalog{}, Prober: sit.prober, Duties: sit.duties, Orders: storeOrders{sit.sto}, Kinds: Kinds{Plan: "plan", Backend: "backend", VersionOrder: "order"},
 		CallerAddr: freeAddr(sit.T), ReadyAddr: freeAddr(sit.T), AdminAddr: freeAddr(sit.T), PeerAddr: freeAddr(sit.T),
 		MaxConnections: 100,
 		Bounds: Bounds{
--- a/internal/move/keeper.go
+++ b/internal/move/keeper.go
@@ -95,6 +95,20 @@
 	return Parse(obj)
 }
 
+// order ranks the states by their sequence. Undone is last: it is final.
+var order = map[State]int{StatePending: 1, StateProving: 2, StateRamping: 3, StateWatching: 4, StateDone: 5, StateUndone: 6}
+
+// Latest returns the later one of two records of a move, one of which may have come back
+// with a restored store.
+func Latest(one, two Record) Record {
+	switch first, second := order[one.State], order[two.State]; {
+	case first > second, first == second && one.StepAt.After(two.StepAt):
+		return one
+	default:
+		return two
+	}
+}
+
 // allowed reports whether the transition from rec to next is permitted.
 func allowed(rec, next Record) bool {
 	switch rec.State {
