edge: the holder of the duty keeps its lease in a short outage of the store

Cause: an entry that is not among the three preferred candidates competes for the duty only while it holds the lease. A failed renewal makes the lease suspect, so the holder released it on the next step, though it had not expired.

Change: it competes as long as its lease has not expired.

Measured: TestHolderInOutage fails on the code before and passes now.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -207,7 +207,7 @@
 // eligibleDuties returns the duties that this entry should hold or compete for.
 func (edg *Edge) eligibleDuties(mems []wick.Member) []wick.Duty {
 	duties := []wick.Duty{DutyControl}
-	if _, held := edg.leases.Holds(DutyControl); held || len(mems) <= dutyCandidates {
+	if edg.leases.Retains(DutyControl) || len(mems) <= dutyCandidates {
 		return duties
 	}
 	for _, mem := range place.Rank(string(DutyControl), mems)[:dutyCandidates] {
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -276,6 +276,19 @@
 	return lea.validUntil()
 }
 
+// Retains reports whether no other entry can have acquired the lease of a duty since this
+// one did. Unlike with Holds, its last renewal may have failed.
+func (kee *Keeper) Retains(duty wick.Duty) bool {
+	kee.mu.Lock()
+	lea := kee.leases[duty]
+	kee.mu.Unlock()
+	if lea == nil {
+		return false
+	}
+	_, held := lea.Holds()
+	return held || lea.retriesSoon()
+}
+
 // IsFirst reports whether this entry is the first ever to acquire the lease of a duty. Any
 // other holder has a predecessor that may still act.
 func (kee *Keeper) IsFirst(duty wick.Duty) bool {
