--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -97,7 +97,7 @@
 
 func (sor storeOrders) SetState(ctx context.Context, ord wick.VersionOrder, state wick.VersionOrderState) error {
 	key := wick.ObjectKey{Kind: "order", Name: string(ord.Service)}
-	return revise.Object(ctx, sor.Store, key, 8, func(obj wick.Object) ([]byte, error) {
+	return revise.Object(ctx, sor.Store, key, 8, func(wick.Object) ([]byte, error) {
 		ord.State = state
 		return json.Marshal(ord)
 	})
