--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -46,13 +46,18 @@
 	rpt := &usage.Reporter{
 		Store: edg.cfg.Store, Duties: edg.cfg.Duties, Window: edg.cfg.Bounds.UsageWindow,
 		ExpireAfter: edg.cfg.Bounds.UsageDeadline, Sum: edg.windowCounts, ReadAt: edg.members.LastSuccess, Complete: edg.countsFinal,
+		EraSince: func() (wick.Era, time.Time) { return edg.leases.EraSince(DutyControl) },
 	}
 	for retry.Sleep(ctx, usageInterval) {
-		fence, ok := edg.controlFence(time.Now())
-		if !ok {
+		fence, held := edg.leases.Holds(DutyControl)
+		if !held {
 			continue
 		}
-		if err := edg.withinLease(ctx, func(ctx context.Context) error { return rpt.Step(ctx, fence, time.Now()) }); err != nil {
+		step := rpt.Step
+		if _, ok := edg.controlFence(time.Now()); !ok {
+			step = rpt.Load
+		}
+		if err := edg.withinLease(ctx, func(ctx context.Context) error { return step(ctx, fence, time.Now()) }); err != nil {
 			log.WithError(err).WithField("fence", fence).Warn("edge: usage report failed")
 			retry.Sleep(ctx, usageInterval)
 		}
@@ -85,9 +90,6 @@
 	}
 }
 
-// firstFence is the fencing token of the first holder of a duty.
-const firstFence wick.Fence = 1
-
 // controlFence returns the fencing token if this entry may act as the holder of
 // the control duty: it holds the lease, and HandoverDelay has passed since it
 // acquired it.
@@ -98,7 +100,7 @@
 		return 0, false
 	}
 	// The first holder has no predecessor to wait for.
-	return fence, fence == firstFence || now.Sub(since) >= edg.cfg.Bounds.HandoverDelay
+	return fence, edg.leases.IsFirst(DutyControl) || now.Sub(since) >= edg.cfg.Bounds.HandoverDelay
 }
 
 // withinLease runs a step of the control duty with a context that ends with the lease.
