edge, relay: a silent second of a sound endpoint is no evidence of its end

Two probes of 250 ms without an answer counted as the end of an endpoint whose answer was lost, and became evidence against the prompt. Cause: a probe without an answer counted like one that was rejected. Change: probes without an answer count only once nothing has come from the endpoint for 1.6 s (relay.SoundSilence, the watchdog's bound). The relay tells when it last heard of the endpoint: the end of the connection, or, where the watchdog ended the attempt, the last data or answered probe. The verdict then comes as soon as before, since the watchdog has waited for most of that time already. Rejected connections and restarts count as before. Requests wait longer in one case only: a prompt under suspicion whose connection ends while the endpoint doesn't answer after that. The end is known after 1.65 s there, in place of 0.60 s (by the constants).

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/internal/place"
+	"github.com/wagtailwick/wagtailwick/internal/relay"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/internal/roster"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
@@ -31,6 +33,9 @@
 	evaluationMargin = 50 * time.Millisecond
 )
 
+// errNoProbeAnswer is the error of a probe that the endpoint did not answer in time.
+var errNoProbeAnswer = errors.New("endpoint does not answer")
+
 // crashes tracks the ends of endpoints and the prompts that caused them. It implements
 // relay.Crashes.
 type crashes struct {
@@ -49,6 +54,8 @@
 // An endingProbe finds out whether an endpoint has ended.
 type endingProbe struct {
 	prompts []crash.Prompt
+	// heardAt is when anything last came from the endpoint.
+	heardAt time.Time
 	// done is closed when the fate of the endpoint is known and told.
 	done chan struct{}
 }
@@ -78,7 +85,7 @@
 
 // Lost finds out whether an endpoint has ended whose connection ended before its answer
 // to a prompt had progressed.
-func (crs *crashes) Lost(bke wick.Backend, pro crash.Prompt) <-chan struct{} {
+func (crs *crashes) Lost(bke wick.Backend, pro crash.Prompt, heardAt time.Time) <-chan struct{} {
 	if crs.edg.cfg.Prober == nil {
 		return nil
 	}
@@ -95,6 +102,9 @@
 		go crs.confirm(bke, prb)
 	}
 	prb.prompts = append(prb.prompts, pro)
+	if heardAt.After(prb.heardAt) {
+		prb.heardAt = heardAt
+	}
 	if crs.tracker.IsSuspected(pro) {
 		return prb.done
 	}
@@ -106,7 +116,7 @@
 // confirm probes an endpoint and records its end.
 func (crs *crashes) confirm(bke wick.Backend, prb *endingProbe) {
 	defer close(prb.done)
-	ended := crs.hasEnded(bke)
+	ended := crs.hasEnded(bke, prb)
 	crs.mu.Lock()
 	delete(crs.probes, endingOf(&bke))
 	prompts := prb.prompts
@@ -122,20 +132,38 @@
 }
 
 // hasEnded reports whether an endpoint's incarnation has ended: it has restarted, or two
-// probes fail.
-func (crs *crashes) hasEnded(bke wick.Backend) bool {
-	same, err := crs.probe(bke)
-	if err != nil {
+// probes fail. Probes without an answer count only once the endpoint has been silent for
+// longer than a sound one may be.
+func (crs *crashes) hasEnded(bke wick.Backend, prb *endingProbe) bool {
+	for first := true; ; first = false {
+		same, err := crs.probe(bke)
+		switch {
+		case err == nil:
+			return !same
+		case !first && (!errors.Is(err, errNoProbeAnswer) || crs.silence(prb) >= relay.SoundSilence):
+			return true
+		}
 		time.Sleep(endingProbeDelay)
-		same, err = crs.probe(bke)
 	}
-	return err != nil || !same
 }
 
+// silence returns how long nothing has come from an endpoint.
+func (crs *crashes) silence(prb *endingProbe) time.Duration {
+	crs.mu.Lock()
+	defer crs.mu.Unlock()
+	return time.Since(prb.heardAt)
+}
+
+// probe reports whether an endpoint's incarnation still runs; the error is
+// errNoProbeAnswer if the endpoint is silent.
 func (crs *crashes) probe(bke wick.Backend) (bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), endingProbeTimeout)
 	defer cancel()
-	return crs.edg.cfg.Prober.ProbeIncarnation(ctx, bke) //nolint:wrapcheck // only checked for nil
+	same, err := crs.edg.cfg.Prober.ProbeIncarnation(ctx, bke)
+	if err != nil && ctx.Err() != nil {
+		return false, errNoProbeAnswer
+	}
+	return same, err //nolint:wrapcheck // only checked for nil
 }
 
 // signal wakes the loop.
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -19,9 +19,10 @@
 	// Check decides about a prompt.
 	Check(pro crash.Prompt) crash.Verdict
 	// Lost records that an endpoint's connection ended before its answer to a prompt
-	// had progressed. The channel is closed once it is known whether the endpoint has
-	// ended; it is nil if nobody need wait for that.
-	Lost(bke wick.Backend, pro crash.Prompt) <-chan struct{}
+	// had progressed. heardAt is when anything last came from the endpoint. The channel
+	// is closed once it is known whether the endpoint has ended; it is nil if nobody need
+	// wait for that.
+	Lost(bke wick.Backend, pro crash.Prompt, heardAt time.Time) <-chan struct{}
 	// Survived records that an endpoint began an answer to a prompt and survived it.
 	Survived(bke wick.Backend, pro crash.Prompt, began time.Time)
 }
@@ -29,9 +30,9 @@
 // noCrashes is used where crashes are not tracked.
 type noCrashes struct{}
 
-func (noCrashes) Check(crash.Prompt) crash.Verdict                { return crash.Verdict{} }
-func (noCrashes) Lost(wick.Backend, crash.Prompt) <-chan struct{} { return nil }
-func (noCrashes) Survived(wick.Backend, crash.Prompt, time.Time)  {}
+func (noCrashes) Check(crash.Prompt) crash.Verdict                           { return crash.Verdict{} }
+func (noCrashes) Lost(wick.Backend, crash.Prompt, time.Time) <-chan struct{} { return nil }
+func (noCrashes) Survived(wick.Backend, crash.Prompt, time.Time)             {}
 
 // noteProgress records that the endpoint has survived the prompt, once that is certain.
 func (att *attempt) noteProgress(now time.Time) {
@@ -59,10 +60,19 @@
 	case otc == outcomeReply && att.req.match.Route.Kind != wick.RouteStream:
 		att.markSurvived(att.sentAt)
 	case otc == outcomeLost && att.incomplete && !att.survived:
-		att.req.fate = att.req.srv.cfg.Crashes.Lost(att.tgt.Backend, att.req.prompt)
+		att.req.fate = att.req.srv.cfg.Crashes.Lost(att.tgt.Backend, att.req.prompt, att.heardAt())
 	}
 }
 
+// heardAt returns when anything last came from the endpoint of a lost attempt: the end of
+// the connection, unless the watchdog ended the attempt.
+func (att *attempt) heardAt() time.Time {
+	if att.silent && att.wdg != nil {
+		return time.Unix(0, att.wdg.heard.Load())
+	}
+	return time.Now()
+}
+
 // awaitFate waits until it is known whether the endpoint of the last attempt has ended,
 // if its end may show that the prompt must not be sent again.
 func (req *request) awaitFate(ctx context.Context) {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -39,6 +39,8 @@
 	// survived is set once the endpoint is known to have survived the prompt, incomplete
 	// if its connection ended before its answer did.
 	survived, incomplete bool
+	// silent is set if the watchdog ended the attempt.
+	silent bool
 	// progressAt is when the last part of the answer was received, or else when
 	// the request was sent.
 	progressAt time.Time
@@ -224,7 +226,7 @@
 	if otc == outcomeCancelled {
 		return
 	}
-	att.incomplete = true
+	att.incomplete, att.silent = true, errors.Is(err, errEndpointSilent)
 	fld := logrus.Fields{
 		logs.FieldEnding: otc.String(), logs.FieldEndpoint: att.tgt.Backend.ID, "address": att.tgt.Backend.Address,
 		logs.FieldError: err.Error(), "sentMs": time.Since(att.sentAt).Milliseconds(),
--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -24,11 +24,12 @@
 	// probeRetryDelay is the delay between two probes, both of which must fail.
 	// It exceeds the staleness of an endpoint's report.
 	probeRetryDelay = 120 * time.Millisecond
-	// soundSilence is how long a sound endpoint may be silent as a whole: until then
-	// probes without an answer don't show that it has ended.
-	soundSilence = 1600 * time.Millisecond
 )
 
+// SoundSilence is how long a sound endpoint may be silent as a whole: until then probes
+// without an answer don't show that it has ended.
+const SoundSilence = 1600 * time.Millisecond
+
 var (
 	// errEndpointSilent cancels an attempt whose endpoint sends no data and,
 	// when probed, doesn't list the run or doesn't respond.
@@ -55,6 +56,9 @@
 	timer atomic.Pointer[time.Timer]
 	// lastReceived is when data was last received, in Unix nanoseconds.
 	lastReceived atomic.Int64
+	// heard is when the endpoint last sent data or answered a probe, in Unix
+	// nanoseconds.
+	heard atomic.Int64
 	// receivedAny is set once part of the reply was received. Before that the
 	// endpoint's report need not list the run, which may still be in prefill.
 	receivedAny atomic.Bool
@@ -70,7 +74,9 @@
 	wdg := &watchdog{prober: req.srv.cfg.Prober, bke: tgt.Backend, rid: req.params.ID, cancel: cancel}
 	tried := slices.Clone(req.tried)
 	wdg.secure = func() bool { return req.secureRetry(tried, wdg.receivedAny.Load()) }
-	wdg.lastReceived.Store(time.Now().UnixNano())
+	now := time.Now().UnixNano()
+	wdg.lastReceived.Store(now)
+	wdg.heard.Store(now)
 	wdg.arm(ctx, silenceTimeout)
 	return ctx, wdg
 }
@@ -84,6 +90,7 @@
 func (wdg *watchdog) markReceived(now time.Time) {
 	if wdg != nil {
 		wdg.lastReceived.Store(now.UnixNano())
+		wdg.heard.Store(now.UnixNano())
 		wdg.receivedAny.Store(true)
 	}
 }
@@ -134,7 +141,7 @@
 	case ctx.Err() != nil:
 	case cause == nil || wdg.lastReceived.Load() != last:
 		wdg.arm(ctx, silenceTimeout)
-	case errors.Is(cause, errNoProbeAnswer) && time.Since(time.Unix(0, last)) < soundSilence:
+	case errors.Is(cause, errNoProbeAnswer) && time.Since(time.Unix(0, last)) < SoundSilence:
 		wdg.arm(ctx, probeRetryDelay)
 	case wdg.end(eris.Wrapf(errEndpointSilent, "no data for %v: %v", time.Since(time.Unix(0, last)), cause)):
 		metrics.GetOrRegisterCounter("relay.silentEndpoints", nil).Inc(1)
@@ -159,6 +166,9 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	working, err := wdg.prober.ProbeRun(ctx, wdg.bke, wdg.rid)
+	if err == nil {
+		wdg.heard.Store(time.Now().UnixNano())
+	}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return errNoProbeAnswer
