relay: reserve a moved run's new place before it is stopped

Cause: a run at a leaving endpoint was stopped and copied in one call.

Change: wick.Mover has Reserve and Release beside Move. The first call copies the run's memory while the run continues; if it fails, the run stays. The second call stops the run and copies what is new. If its answer is lost and the run's stream closes, the run goes on at the target from the first copy; not if the endpoint says that it has no such run, which may have completed. A copy that is not used is freed. With less than 500 ms left there is still one call only. A failed first call is logged as the failed move was.

--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -16,6 +16,7 @@
 	MsgResponseAborted = "relay: answer broke off"
 	MsgRunMoved        = "relay: run moved"
 	MsgRunNotMoved     = "relay: no endpoint to move a run to"
+	MsgCopyNotReleased = "relay: copy of a run not released"
 
 	MsgStarted                 = "edge: started"
 	MsgDraining                = "edge: draining"
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -23,6 +24,11 @@
 	reclaimHandoffDelay = 150 * time.Millisecond
 	// handoffTimeout bounds the transfer of one run.
 	handoffTimeout = 3 * time.Second
+	// reserveTimeout bounds the first copy of a run, which continues meanwhile.
+	reserveTimeout = 1500 * time.Millisecond
+	// stopLead is the time before an endpoint's termination that the stop of a run and
+	// the copy of what is new take. With less left, the run is stopped at once.
+	stopLead = 500 * time.Millisecond
 )
 
 // A handoff is the transfer of one run to another endpoint.
@@ -65,33 +71,124 @@
 			return
 		case <-tim.C:
 		}
-		hof.move(moveCtx, req, att)
+		hof.move(ctx, moveCtx, req, att)
 	}()
 	return hof
 }
 
-// move stops the run and copies its memory to another endpoint.
-func (hof *handoff) move(ctx context.Context, req *request, att *attempt) {
-	ctx, cancel := context.WithTimeout(ctx, handoffTimeout)
+// move copies the memory of the run to another endpoint while the run continues, and
+// then stops it. The context ctx ends with the run's stream. A run is not stopped before
+// the other endpoint has room for it, except on short notice.
+func (hof *handoff) move(ctx, moveCtx context.Context, req *request, att *attempt) {
+	moveCtx, cancel := context.WithTimeout(moveCtx, handoffTimeout)
 	defer cancel()
 	tgt, err := req.pickHandoffTarget(att.tgt)
 	if err != nil {
 		req.logEvent(logs.MsgRunNotMoved, logrus.Fields{logs.FieldEndpoint: att.tgt.Backend.ID, logs.FieldError: err.Error()})
 		return
 	}
-	cpy, moved, err := req.srv.cfg.Mover.Move(ctx, att.tgt.Backend, tgt.Backend, req.params.ID)
+	rsv := &copyReservation{}
+	if limit := reserveLimit(att.tgt.LeavesAt()); limit > 0 {
+		rsv = req.reserveCopy(moveCtx, att.tgt.Backend, tgt.Backend, limit)
+		select {
+		case <-rsv.done:
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			go rsv.release(req.srv.cfg.Mover)
+			tgt.release()
+			return
+		}
+		if rsv.err != nil {
+			// The run continues on the same endpoint.
+			req.logMove(att.tgt.Backend, tgt.Backend, false, rsv.err)
+			tgt.release()
+			return
+		}
+	}
+	cpy, moved, err := req.srv.cfg.Mover.Move(moveCtx, att.tgt.Backend, tgt.Backend, req.params.ID)
 	metrics.GetOrRegisterCounter("relay.moves", nil).Inc(1)
-	log.WithError(err).WithFields(logrus.Fields{
-		logs.FieldRequest: req.params.ID, "from": att.tgt.Backend.ID, "to": tgt.Backend.ID, "moved": moved,
-	}).Info(logs.MsgRunMoved)
+	req.logMove(att.tgt.Backend, tgt.Backend, moved, err)
 	switch {
 	case err == nil && moved:
 		hof.tgt, hof.cpy = tgt, cpy
-		return
 	case err == nil:
 		// The run was stopped, but its memory was not copied: it continues on
 		// the same endpoint.
 		hof.tgt, hof.cpy = &target{Assignment: att.tgt.Duplicate(time.Now()), choice: Choice{}}, cpy
+		tgt.release()
+	case rsv.cpy != "" && errors.Is(err, wick.ErrUnavailable):
+		// The answer is lost. If the run's stream closes, the run was stopped and
+		// continues from the first copy.
+		hof.tgt, hof.cpy = tgt, rsv.cpy
+	default:
+		go rsv.release(req.srv.cfg.Mover)
+		tgt.release()
+	}
+}
+
+// logMove logs the result of a move.
+func (req *request) logMove(from, to wick.Backend, moved bool, err error) {
+	log.WithError(err).WithFields(logrus.Fields{
+		logs.FieldRequest: req.params.ID, "from": from.ID, "to": to.ID, "moved": moved,
+	}).Info(logs.MsgRunMoved)
+}
+
+// drop releases the place of a run that does not continue elsewhere.
+func (hof *handoff) drop(mvr wick.Mover) {
+	hof.tgt.release()
+	hof.tgt = nil
+	go releaseCopy(mvr, hof.cpy)
+}
+
+// A copyReservation is the first copy of a run and the place that is kept for it at the
+// target. The zero value holds nothing.
+type copyReservation struct {
+	// done is closed when cpy and err are set.
+	done chan struct{}
+	cpy  wick.RunSnapshot
+	err  error
+}
+
+// reserveLimit returns how long a first copy may take for an endpoint that terminates
+// at a time, which may be unknown. The result is not positive on short notice.
+func reserveLimit(leavesAt time.Time) time.Duration {
+	if leavesAt.IsZero() {
+		return reserveTimeout
+	}
+	return min(time.Until(leavesAt)-stopLead, reserveTimeout)
+}
+
+// reserveCopy starts the first copy of the request's run. It ends after the limit, but
+// not with the run: a copy whose handle is unknown could not be freed.
+func (req *request) reserveCopy(ctx context.Context, from, to wick.Backend, limit time.Duration) *copyReservation {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(limit, time.Until(req.deadline)))
+	mvr, rid := req.srv.cfg.Mover, req.params.ID
+	rsv := &copyReservation{done: make(chan struct{})}
+	go func() {
+		defer cancel()
+		defer close(rsv.done)
+		rsv.cpy, rsv.err = mvr.Reserve(ctx, from, to, rid)
+	}()
+	return rsv
+}
+
+// release frees the copy as soon as its handle is known.
+func (rsv *copyReservation) release(mvr wick.Mover) {
+	if rsv.done == nil {
+		return
+	}
+	<-rsv.done
+	if rsv.err == nil {
+		releaseCopy(mvr, rsv.cpy)
+	}
+}
+
+// releaseCopy frees a copy. A copy that can't be freed expires at its endpoints.
+func releaseCopy(mvr wick.Mover, cpy wick.RunSnapshot) {
+	ctx, cancel := context.WithTimeout(context.Background(), handoffTimeout)
+	defer cancel()
+	if err := mvr.Release(ctx, cpy); err != nil {
+		log.WithError(err).Debug(logs.MsgCopyNotReleased)
 	}
-	tgt.release()
 }
--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -49,14 +49,25 @@
 	}
 }
 
-// A hangingMover never gets an answer to a move.
-type hangingMover struct{}
+// A hangingMover never gets an answer to a move, nor to the first copy unless reserves is
+// set.
+type hangingMover struct{ reserves bool }
 
 func (hangingMover) Move(ctx context.Context, _, _ wick.Backend, _ wick.RequestID) (wick.RunSnapshot, bool, error) {
 	<-ctx.Done()
 	return "", false, wick.ErrUnavailable
 }
 
+func (mvr hangingMover) Reserve(ctx context.Context, _, _ wick.Backend, _ wick.RequestID) (wick.RunSnapshot, error) {
+	if !mvr.reserves {
+		<-ctx.Done()
+		return "", wick.ErrUnavailable
+	}
+	return "copy", nil
+}
+
+func (hangingMover) Release(context.Context, wick.RunSnapshot) error { return nil }
+
 // TestHangingHandoff guards against a request that waits for the answer to the move of
 // its run, although its deadline has passed or another attempt has been secured.
 func TestHangingHandoff(t *testing.T) {
@@ -65,9 +76,12 @@
 		prober     wick.RunProber
 		body       string
 		whole      bool
+		mover      hangingMover
 	}{
-		{"past the deadline", "/gen/1", nil, "id: 1", false},
-		{"silent endpoint", "/long/1", &testProber{result: func(int) (bool, error) { return false, wick.ErrUnavailable }}, "elsewhere", true},
+		{"past the deadline", "/gen/1", nil, "id: 1", false, hangingMover{true}},
+		{"silent endpoint", "/long/1", &testProber{result: func(int) (bool, error) { return false, wick.ErrUnavailable }}, "elsewhere", true, hangingMover{true}},
+		{"first copy, past the deadline", "/gen/1", nil, "id: 1", false, hangingMover{}},
+		{"first copy, silent endpoint", "/long/1", &testProber{result: func(int) (bool, error) { return false, wick.ErrUnavailable }}, "elsewhere", true, hangingMover{}},
 	} {
 		t.Run(tst.name, func(t *testing.T) {
 			t.Parallel()
@@ -80,7 +94,7 @@
 				}
 				<-rly.leaveAfterFirstEvent(con)
 			})
-			rly.srv.cfg.Mover = hangingMover{}
+			rly.srv.cfg.Mover = tst.mover
 			rly.srv.cfg.Prober = tst.prober
 			began := time.Now()
 			_, body, err := rly.post(tst.path, "X-Model", "m")
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -72,6 +72,11 @@
 	moved bool
 	err   error
 	calls int
+	// reserveErr is the result of Reserve after the time reserveTook. reserved and
+	// released count the calls.
+	reserveErr         error
+	reserveTook        time.Duration
+	reserved, released int
 }
 
 func (mvr *testMover) Move(context.Context, wick.Backend, wick.Backend, wick.RequestID) (wick.RunSnapshot, bool, error) {
@@ -84,6 +89,25 @@
 	return "copy", mvr.moved, mvr.err
 }
 
+func (mvr *testMover) Reserve(context.Context, wick.Backend, wick.Backend, wick.RequestID) (wick.RunSnapshot, error) {
+	mvr.mu.Lock()
+	defer mvr.mu.Unlock()
+	mvr.reserved++
+	if mvr.reserveTook > 0 {
+		mvr.mu.Unlock()
+		time.Sleep(mvr.reserveTook)
+		mvr.mu.Lock()
+	}
+	return "copy", mvr.reserveErr
+}
+
+func (mvr *testMover) Release(context.Context, wick.RunSnapshot) error {
+	mvr.mu.Lock()
+	defer mvr.mu.Unlock()
+	mvr.released++
+	return nil
+}
+
 type anyVersion struct{}
 
 func (anyVersion) Choose(wick.Service, wick.RouteName, time.Time) Choice { return Choice{} }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -150,8 +150,7 @@
 	if hof.tgt != nil && (otc != outcomeLost || fwd.unresumable) {
 		// The run completed before it was stopped, or the caller disconnected, or it
 		// can't go on.
-		hof.tgt.release()
-		hof.tgt = nil
+		hof.drop(fwd.req.srv.cfg.Mover)
 	}
 	return otc, hof
 }
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -63,13 +63,21 @@
 
 // A Mover migrates running requests between model endpoints.
 type Mover interface {
+	// Reserve copies the state of a run to another endpoint, which keeps room for
+	// the run from then on, while the run continues. Errors wrap ErrNotFound (no
+	// such run), ErrConflict (another call is in progress) or ErrUnavailable; the
+	// run is not affected by them.
+	Reserve(ctx context.Context, from, to Backend, rid RequestID) (cpy RunSnapshot, err error)
 	// Move stops the run of a request on an endpoint and copies its state to
 	// another endpoint. The stream of the stopped run closes without an end
 	// marker. A request that carries cpy resumes the run and must be sent to
 	// the second endpoint, or to the first if moved is false. Errors wrap
 	// ErrNotFound (no such run) or ErrUnavailable; the run may have been
-	// stopped in either case.
+	// stopped in either case. After Reserve it copies only what is new.
 	Move(ctx context.Context, from, to Backend, rid RequestID) (cpy RunSnapshot, moved bool, err error)
+	// Release frees a copy that is not needed, on both endpoints. Errors wrap
+	// ErrUnavailable.
+	Release(ctx context.Context, cpy RunSnapshot) error
 }
 
 // A BackendLoad is the load that an endpoint reports. It may be stale.
