relay: a silent second late in a run doesn't end it either

A run whose endpoint had sent no data for 1.6 s, as in a long prefill, was sent to a second endpoint after 0.6 s of silence, although the endpoint had answered probes until then. Cause: the silence that excuses probes without an answer was counted from the last data, and not from the last sign of the endpoint. Change: it is counted from the last data or answered probe. An endpoint that goes dark in a long prefill is left after 1.6 s, in place of 0.6 s.

--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -141,7 +141,7 @@
 	case ctx.Err() != nil:
 	case cause == nil || wdg.lastReceived.Load() != last:
 		wdg.arm(ctx, silenceTimeout)
-	case errors.Is(cause, errNoProbeAnswer) && time.Since(time.Unix(0, last)) < SoundSilence:
+	case errors.Is(cause, errNoProbeAnswer) && time.Since(time.Unix(0, wdg.heard.Load())) < SoundSilence:
 		wdg.arm(ctx, probeRetryDelay)
 	case wdg.end(eris.Wrapf(errEndpointSilent, "no data for %v: %v", time.Since(time.Unix(0, last)), cause)):
 		metrics.GetOrRegisterCounter("relay.silentEndpoints", nil).Inc(1)
--- a/internal/relay/watchdog_test.go
+++ b/internal/relay/watchdog_test.go
@@ -232,3 +232,30 @@
 		})
 	}
 }
+
+// A pausedProber reports the run, except while the endpoint is silent.
+type pausedProber struct {
+	silentProber
+	from, to time.Time
+}
+
+func (prb *pausedProber) ProbeRun(ctx context.Context, bke wick.Backend, rid wick.RequestID) (bool, error) {
+	if now := time.Now(); now.After(prb.from) && now.Before(prb.to) {
+		return prb.silentProber.ProbeRun(ctx, bke, rid)
+	}
+	return true, nil
+}
+
+// TestSilentSecondOfLongPrefill guards against a run that is taken from a sound endpoint
+// which is silent for a second, long after it sent data: it has answered probes since.
+func TestSilentSecondOfLongPrefill(t *testing.T) {
+	const from, to, pause = 1500 * time.Millisecond, 2600 * time.Millisecond, 2900 * time.Millisecond
+	rly := newTestRelay(t, 2, pausingScript(pause))
+	now := time.Now()
+	rly.srv.cfg.Prober = &pausedProber{from: now.Add(from), to: now.Add(to)}
+	status, body, err := rly.post("/long/1")
+	if err != nil {
+		t.Error(err)
+	}
+	rly.assert(status, 200, body, "here", 1)
+}
