review: case 3, a replaced order's version gets requests like any other

Claim: EXPOSURE. While a version is being proved, the operator orders another one of the service. rollouts.Choose then holds back the newer version only, and the earlier one gets requests without a proof, also after the newer one was rolled back.

Versions of the stand-in can be slow, and slow after a time; case 2 uses the same code.

--- a/review/standin/rollout.go
+++ b/review/standin/rollout.go
@@ -16,6 +16,7 @@
 const (
 	orderSeconds   = 16
 	callsPerSecond = 100
+	workTime       = 10 * time.Millisecond
 	canaryShare    = 0.1
 	canarySlack    = 50
 )
@@ -46,8 +47,17 @@
 	return status.State, status.Target
 }
 
+// A badness is what is wrong with every other request of a version.
+type badness struct {
+	fails bool
+	// slowTimes is how many times as long it takes, 0 for the usual time.
+	slowTimes int
+	// since is when it begins.
+	since time.Time
+}
+
 // A versioned runner serves one version of the order service.
-func (sit *site) versioned(id, version string, bad bool, ran *atomic.Int64) *runner {
+func (sit *site) versioned(id, version string, bad badness, ran *atomic.Int64) *runner {
 	lis := listen()
 	run := sit.newRunnerOf(id, orders, version, lis)
 	var num atomic.Int64
@@ -60,9 +70,13 @@
 			return
 		}
 		ran.Add(1)
-		time.Sleep(10 * time.Millisecond)
+		odd := num.Add(1)%2 == 0 && !time.Now().Before(bad.since)
+		time.Sleep(workTime)
+		if odd && bad.slowTimes > 1 {
+			time.Sleep(time.Duration(bad.slowTimes-1) * workTime)
+		}
 		wri.Header().Set("Wagtailwick-Response-Seal", seal)
-		if bad && num.Add(1)%2 == 0 {
+		if odd && bad.fails {
 			wri.WriteHeader(http.StatusInternalServerError)
 		}
 		fmt.Fprint(wri, "done")
@@ -78,7 +92,7 @@
 	var runners [4][]*runner
 	start := func(ver int, bad bool) {
 		for num := range 2 {
-			runners[ver] = append(runners[ver], sit.versioned(fmt.Sprintf("i-v%d-%d", ver, num), fmt.Sprintf("v%d", ver), bad, &ran[ver]))
+			runners[ver] = append(runners[ver], sit.versioned(fmt.Sprintf("i-v%d-%d", ver, num), fmt.Sprintf("v%d", ver), badness{fails: bad}, &ran[ver]))
 		}
 		sit.logf("two runners of version v%d started, bad: %t", ver, bad)
 	}
@@ -92,7 +106,7 @@
 	grp.Add(1)
 	go func() {
 		defer grp.Done()
-		sit.load(pro, &total, stop)
+		sit.load(pro, 0, &total, stop)
 	}()
 	time.Sleep(3 * time.Second)
 
@@ -133,8 +147,9 @@
 	grp.Wait()
 }
 
-// load sends requests at a fixed rate and records the answers by the second.
-func (sit *site) load(pro *proc, total *atomic.Int64, stop chan struct{}) {
+// load sends requests at a fixed rate and records the answers every two seconds. The ids
+// of the requests count up from first.
+func (sit *site) load(pro *proc, first int, total *atomic.Int64, stop chan struct{}) {
 	var mu sync.Mutex
 	statuses := make(map[int]int)
 	tick := time.NewTicker(time.Second / callsPerSecond)
@@ -142,7 +157,7 @@
 	report := time.NewTicker(2 * time.Second)
 	defer report.Stop()
 	cli := &http.Client{Timeout: 3 * time.Second}
-	num := 0
+	num := first
 	for {
 		select {
 		case <-stop:
