relay: a reservation of memory that fails never counts

What callers saw: nothing known. A reply could fail for want of memory although there was enough, since a larger reservation that failed at the same moment was added first and then taken back. Found while TestReplyMemory was traced: it read more than the limit once.

Change: the budget is raised by compare-and-swap, and only within the limit.

Result: TestByteBudget failed before ("no memory although half of it is free") and passes 10 times in a row with the race detector.

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -29,13 +29,18 @@
 	used  atomic.Int64
 }
 
-// take takes a number of bytes and reports whether they were available.
+// take takes a number of bytes and reports whether they were available. One that fails
+// never counts, not even for a moment, in which it would fail others.
 func (bud *byteBudget) take(num int64) bool {
-	if bud.used.Add(num) > bud.limit {
-		bud.used.Add(-num)
-		return false
+	for {
+		used := bud.used.Load()
+		if used+num > bud.limit {
+			return false
+		}
+		if bud.used.CompareAndSwap(used, used+num) {
+			return true
+		}
 	}
-	return true
 }
 
 // A reservation is the part of a byteBudget that one request holds. It is not safe
