relay: two tests no longer depend on chance and on the load of the machine

TestTurnPastDeadline: the limiter begins with a random part of a request, so that in about 1 of 100 runs the turn came within the 20 ms of the deadline. TestReplyMemory: 240 MiB were copied under the race detector while one usual request with a timeout of 1 s ran, so that the load of the machine decided; the request was also sent at a random moment, mostly before the replies held any memory.

The first test queues another request ahead, so that the turn is at least a whole request (2 s) away; it asks for the same errors. The second one asks more than before: the replies must hold at least half of the memory, a usual request is answered while they hold it and another one while they go on; never more than the limit is reserved; no endless reply is delivered. Budget and replies are an eighth of the real ones (the real limit is asserted), in the same proportion: 40 replies of which 8 fit.

--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -27,6 +27,9 @@
 	ask := wick.RequestMeta{ID: wick.RequestID(hdr.Get("X-Id")), Key: wick.CallerKey(hdr.Get("X-Key")), LastEventID: hdr.Get("X-Last")}
 	if hdr.Get("X-Model") != "" {
 		ask.Parts = []wick.PromptPart{{ID: "p", Tokens: 10}}
+		if shared := hdr.Get("X-Shared"); shared != "" {
+			ask.Parts = []wick.PromptPart{{ID: wick.PartID(shared), Tokens: 10}, {ID: "p", Tokens: 10}}
+		}
 	}
 	if text := hdr.Get("X-Deadline"); text != "" {
 		ask.Deadline, _ = time.ParseDuration(text)
@@ -131,6 +134,8 @@
 	mu       sync.Mutex
 	received map[wick.VMID]int
 	order    []wick.VMID
+	// addrs are the addresses of the endpoints.
+	addrs map[wick.VMID]string
 	// announced lists the endpoints whose answers have shown that they leave.
 	announced []wick.VMID
 	meter     countingMeter
@@ -143,13 +148,14 @@
 
 func newTestRelay(t *testing.T, endpoints int, run script) *testRelay {
 	t.Helper()
-	rly := &testRelay{T: t, pool: pool.New("a"), received: make(map[wick.VMID]int)}
+	rly := &testRelay{T: t, pool: pool.New("a"), received: make(map[wick.VMID]int), addrs: make(map[wick.VMID]string)}
 	for idx := range endpoints {
 		rly.addEndpoint(wick.VMID(fmt.Sprintf("e%d", idx)), run)
 	}
 	var plans plan.Current
 	plans.Adopt(wick.Plan{Version: 1, Routes: []wick.RoutePlan{
 		{Name: "book", Host: "h", PathPrefix: "/book/", Kind: wick.RouteOnce, MaxAttempts: 1, Timeout: time.Second},
+		{Name: "late", Host: "h", PathPrefix: "/late/", Kind: wick.RouteOnce, MaxAttempts: 1, Timeout: 4 * time.Second},
 		{Name: "look", Host: "h", PathPrefix: "/look/", Kind: wick.RouteIdempotent, MaxAttempts: 2, Timeout: time.Second},
 		{Name: "gen", Host: "h", PathPrefix: "/gen/", Kind: wick.RouteStream, MaxAttempts: 2, Timeout: time.Second, Resumable: true},
 		{Name: "long", Host: "h", PathPrefix: "/long/", Kind: wick.RouteStream, MaxAttempts: 2, Timeout: 4 * time.Second, Resumable: true},
@@ -198,6 +204,9 @@
 			go rly.serveConn(vid, con, run)
 		}
 	}()
+	rly.mu.Lock()
+	rly.addrs[vid] = lis.Addr().String()
+	rly.mu.Unlock()
 	rly.pool.Set(wick.Backend{
 		ID: vid, Service: "s", Zone: "a", Address: lis.Addr().String(), Slots: 4, Reclaimable: true,
 	}, time.Now())
--- a/internal/relay/hostile_test.go
+++ b/internal/relay/hostile_test.go
@@ -138,22 +138,63 @@
 }
 
 // TestReplyMemory guards against many endless replies at once that exhaust the
-// memory of the entry, and against usual replies that fail because of them.
+// memory of the entry, and against usual replies that fail because of them: while the
+// endless ones hold the memory, and while they go on until they are ended. The memory and
+// the replies are an eighth of the real ones, which a shared machine copies in time.
 func TestReplyMemory(t *testing.T) {
-	const calls = 40
+	const calls, scale = 40, 8
 	closed := make(chan struct{}, 2*calls)
-	var once sync.WaitGroup
-	once.Add(calls)
+	var sent sync.WaitGroup
+	sent.Add(calls)
+	resume := make(chan struct{})
 	rly := newTestRelay(t, 1, func(req *http.Request, con net.Conn, _ int) {
 		if req.URL.Path == "/look/usual" {
 			reply(con, req, 200, "usual")
 			return
 		}
-		fmt.Fprint(con, signedHead+"\r\n"+strings.Repeat("x", maxReplyBytes*3/4))
-		once.Done()
-		once.Wait()
+		fmt.Fprint(con, signedHead+"\r\n"+strings.Repeat("x", maxReplyBytes*3/4/scale))
+		sent.Done()
+		<-resume
 		flood(con, "x", closed)
 	})
+	if rly.srv.buffers.limit != maxBufferedBytes {
+		t.Errorf("the replies may use %d bytes, want %d", rly.srv.buffers.limit, maxBufferedBytes)
+	}
+	rly.srv.buffers.limit = maxBufferedBytes / scale
+	stopSampling := rly.sampleBuffers()
+	var calling sync.WaitGroup
+	for range calls {
+		calling.Go(func() {
+			if status, _, _ := rly.post("/late/1"); status == http.StatusOK {
+				t.Error("an endless reply was delivered")
+			}
+		})
+	}
+	sent.Wait()
+	if used := rly.srv.buffers.used.Load(); used < rly.srv.buffers.limit/2 {
+		t.Errorf("the endless replies hold %d bytes only", used)
+	}
+	rly.assertUsual("while the memory is held")
+	close(resume)
+	rly.assertUsual("while the endless replies go on")
+	calling.Wait()
+	if highest := stopSampling(); highest > rly.srv.buffers.limit {
+		t.Errorf("%d bytes reserved at once, limit %d", highest, rly.srv.buffers.limit)
+	}
+	rly.assertBuffersFree()
+}
+
+// assertUsual asserts that a usual request is answered.
+func (rly *testRelay) assertUsual(when string) {
+	rly.Helper()
+	if status, body, _ := rly.post("/look/usual"); status != 200 || body != "usual" {
+		rly.Errorf("usual reply %s: %d %q", when, status, body)
+	}
+}
+
+// sampleBuffers samples the memory reserved for replies until the returned function is
+// called, which returns the highest value.
+func (rly *testRelay) sampleBuffers() func() int64 {
 	var highest int64
 	stop := make(chan struct{})
 	sampled := make(chan struct{})
@@ -168,24 +209,11 @@
 			}
 		}
 	}()
-	var calling sync.WaitGroup
-	for range calls {
-		calling.Go(func() {
-			if status, _, _ := rly.post("/book/1"); status == http.StatusOK {
-				t.Error("an endless reply was delivered")
-			}
-		})
-	}
-	if status, body, _ := rly.post("/look/usual"); status != 200 || body != "usual" {
-		t.Errorf("usual reply: %d %q", status, body)
+	return func() int64 {
+		close(stop)
+		<-sampled
+		return highest
 	}
-	calling.Wait()
-	close(stop)
-	<-sampled
-	if highest > maxBufferedBytes {
-		t.Errorf("%d bytes reserved at once, limit %d", highest, maxBufferedBytes)
-	}
-	rly.assertBuffersFree()
 }
 
 // TestLargeReply guards against a limit that truncates large but sound replies.
--- a/internal/relay/turn_test.go
+++ b/internal/relay/turn_test.go
@@ -40,8 +40,10 @@
 				t.Fatal(err)
 			}
 			limited.SetLimit(wick.RateLimit{Set: true, PerSecond: 0.5}, now)
-			for err == nil {
-				_, err = req.choose(nil, false, 0)
+			// The limiter begins with a random part of a request. Once another request waits for
+			// its turn, the next one is at least a whole request later.
+			if _, err := req.choose(nil, false, time.Minute); err != nil {
+				t.Fatal(err)
 			}
 			ctx, cancel := tst.ctx()
 			defer cancel()
