relay: a run that the entry itself has stopped does not look complete

Cause: the ending of a reply was judged by its framing and its events only. Without a length or chunks a stopped run ends like a complete one, so forwardWithHandoff took it for a run that had completed before it was stopped, and dropped the move.

Change: the handoff keeps what is known of its order (no effect, confirmed, answer lost). A reply whose framing doesn't show its end is complete only if the run was not stopped. Otherwise it goes on from the copy, elsewhere, or is broken off visibly. An order that was not sent or had no effect leaves a complete stream complete, and a run whose stream has ended is not ordered to stop.

--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -41,6 +41,34 @@
 	// not needed.
 	tgt *target
 	cpy wick.RunSnapshot
+	// stop is what is known of the order to stop the run.
+	stop runStop
+}
+
+// A runStop is what is known of this entry's order to stop a run for its move.
+type runStop int
+
+const (
+	// stopNone means that the run was not stopped by this entry.
+	stopNone runStop = iota
+	// stopUnknown means that the answer to the order is lost.
+	stopUnknown
+	// stopConfirmed means that the endpoint has stopped the run.
+	stopConfirmed
+)
+
+// stopResult returns what an answer to the order to stop a run says of it.
+func stopResult(err error) runStop {
+	switch {
+	case err == nil:
+		return stopConfirmed
+	case errors.Is(err, wick.ErrNotSent):
+		return stopNone
+	case errors.Is(err, wick.ErrUnavailable):
+		return stopUnknown
+	default:
+		return stopNone
+	}
 }
 
 // startHandoff starts a goroutine that moves the run of an attempt when its
@@ -94,19 +122,20 @@
 		case <-rsv.done:
 		case <-ctx.Done():
 		}
-		if ctx.Err() != nil {
-			go rsv.release(req.srv.cfg.Mover)
-			tgt.release()
-			return
-		}
-		if rsv.err != nil {
+		if ctx.Err() == nil && rsv.err != nil {
 			// The run continues on the same endpoint.
 			req.logMove(att.tgt.Backend, tgt.Backend, false, rsv.err)
 			tgt.release()
 			return
 		}
 	}
+	if ctx.Err() != nil {
+		go rsv.release(req.srv.cfg.Mover)
+		tgt.release()
+		return
+	}
 	cpy, moved, err := req.srv.cfg.Mover.Move(moveCtx, att.tgt.Backend, tgt.Backend, req.params.ID)
+	hof.stop = stopResult(err)
 	metrics.GetOrRegisterCounter("relay.moves", nil).Inc(1)
 	req.logMove(att.tgt.Backend, tgt.Backend, moved, err)
 	switch {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -201,6 +201,12 @@
 // endpoint as leaving. The channel is closed when the run is stopped there.
 func (rly *testRelay) leaveAfterFirstEvent(con net.Conn) <-chan struct{} {
 	beginStream(con, "id: 1\ndata: a\n\n")
+	return rly.leave()
+}
+
+// leave makes the first endpoint leave. The returned channel is closed when its run is
+// stopped for a move.
+func (rly *testRelay) leave() <-chan struct{} {
 	stopped := make(chan struct{})
 	rly.mover.mu.Lock()
 	rly.mover.stop = func() { close(stopped) }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -152,6 +152,10 @@
 		hof.giveUp()
 	}
 	<-hof.done
+	if otc == outcomeReply && hof.stop != stopNone && !att.rep.IsDelimited() {
+		att.recordIncomplete(logs.MsgResponseAborted, outcomeLost, errRunStopped)
+		otc = outcomeLost
+	}
 	if hof.tgt != nil && (otc != outcomeLost || fwd.unresumable) {
 		// The run completed before it was stopped, or the caller disconnected, or it
 		// can't go on.
@@ -160,6 +164,10 @@
 	return otc, hof
 }
 
+// errRunStopped is the cause of a loss: without a length or chunks, the stream of a run
+// that this entry has stopped ends like a complete one.
+var errRunStopped = errors.New("the run was stopped for its move, so that the end of its stream is unknown")
+
 // forwardEvents forwards the events of one reply.
 func (fwd *forwarder) forwardEvents(ctx context.Context, att *attempt) outcome {
 	var spl eventSplitter
@@ -182,22 +190,27 @@
 		if err == nil {
 			err = fwd.req.checkPartial(&spl)
 		}
-		brokenOff := spl.hasPartial() || fwd.isEmpty(att)
-		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF) && !brokenOff:
-			return outcomeReply
-		case errors.Is(err, io.EOF):
-			att.recordIncomplete(logs.MsgResponseAborted, outcomeLost, io.ErrUnexpectedEOF)
-			return outcomeLost
-		default:
-			otc := fwd.req.classifyError(ctx, err)
-			att.recordIncomplete(logs.MsgResponseAborted, otc, lossCause(ctx, err))
-			return otc
+		if err != nil {
+			return fwd.endOfEvents(ctx, att, &spl, err)
 		}
 	}
 }
 
+// endOfEvents returns the outcome of a reply with events whose reading has ended with err.
+func (fwd *forwarder) endOfEvents(ctx context.Context, att *attempt, spl *eventSplitter, err error) outcome {
+	otc := outcomeReply
+	switch {
+	case !errors.Is(err, io.EOF):
+		otc, err = fwd.req.classifyError(ctx, err), lossCause(ctx, err)
+	case spl.hasPartial() || fwd.isEmpty(att):
+		otc, err = outcomeLost, io.ErrUnexpectedEOF
+	}
+	if otc != outcomeReply {
+		att.recordIncomplete(logs.MsgResponseAborted, otc, err)
+	}
+	return otc
+}
+
 // isEmpty reports whether a reply has ended before its first event, which without a length
 // or chunks looks like a complete reply. One that goes on behind the last event may be
 // empty if its end is certain.
--- a/internal/stream/request_test.go
+++ b/internal/stream/request_test.go
@@ -77,6 +77,21 @@
 	}
 }
 
+// Guards against an answer that is treated as complete because the engine ends the stream
+// of a run that this entry has cancelled like that of a complete one.
+func TestSettleAfterCancel(t *testing.T) {
+	req := newTestRequest(t)
+	req.begin(0, "one", wick.VM{})
+	_ = req.accept("one", token("one", 0))
+	if !req.detachAttempt("one") {
+		t.Fatal("the attempt is not current")
+	}
+	err := req.settle("one", wick.Generated{Attempt: "one", Count: 1, Finish: wick.FinishLength}, nil, phaseMaybeRan)
+	if !errors.Is(err, errStale) || req.State() != StateRunning {
+		t.Errorf("got %v, state %s", err, req.State())
+	}
+}
+
 // Guards against late events that are accepted after the engine call has ended
 // while the runner still handles a move (simulation, everything, seed 5).
 func TestEventsAfterEndOfAttemptAreStale(t *testing.T) {
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -71,9 +71,10 @@
 	// Move stops the run of a request on an endpoint and copies its state to
 	// another endpoint. The stream of the stopped run closes without an end
 	// marker. A request that carries cpy resumes the run and must be sent to
-	// the second endpoint, or to the first if moved is false. Errors wrap
-	// ErrNotFound (no such run) or ErrUnavailable; the run may have been
-	// stopped in either case. After Reserve it copies only what is new.
+	// the second endpoint, or to the first if moved is false. With an error that
+	// wraps ErrUnavailable the run may have been stopped, unless it wraps
+	// ErrNotSent too. Other errors, such as ErrNotFound (no such run), say that
+	// this call did not stop it. After Reserve it copies only what is new.
 	Move(ctx context.Context, from, to Backend, rid RequestID) (cpy RunSnapshot, moved bool, err error)
 	// Release frees a copy that is not needed, on both endpoints. Errors wrap
 	// ErrUnavailable.
