relay: an answer that ends with the deadline of its endpoint does not look complete

What callers would see: an endpoint stops work at the deadline that the entry gives it. An answer without a length or chunks that is cut off there between two events, or anywhere in the body of a plain answer, was delivered as complete.

Change: a success that ends in that way from 5 ms before its deadline on counts as timed out: 504, or a stream that is visibly broken off. Failures are passed on as before.

Result: TestDeadlineIsNotComplete (4 framings, 4 routes) failed before in the 8 cases that end with their connection and passes now, 3 times.

--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -83,6 +83,10 @@
 		att.recordIncomplete(logs.MsgResponseAborted, otc, err)
 		return nil, otc
 	}
+	if otc == outcomeReply && req.endsWithDeadline(att.rep) {
+		att.recordIncomplete(logs.MsgResponseAborted, outcomeTimeout, errEndsWithDeadline)
+		return nil, outcomeTimeout
+	}
 	return &bufferedReply{rep: att.rep, body: body, retryAfter: att.note.RetryAfter}, otc
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -214,6 +214,16 @@
 	}
 }
 
+// deadlineTolerance covers the rounding of the deadlines that endpoints are given.
+const deadlineTolerance = 5 * time.Millisecond
+
+// endsWithDeadline reports whether a reply that has just ended may have been cut off by
+// the deadline that its endpoint was given: without a length or chunks it then ends like a
+// complete one.
+func (req *request) endsWithDeadline(rep *wire.Reply) bool {
+	return !rep.IsDelimited() && time.Until(req.deadline) < deadlineTolerance
+}
+
 // hasTime reports whether there is time for another attempt.
 func (req *request) hasTime() bool { return time.Until(req.deadline) > minRemaining }
 
--- a/internal/relay/stopped_test.go
+++ b/internal/relay/stopped_test.go
@@ -228,5 +228,31 @@
 	}
 }
 
+// TestDeadlineIsNotComplete guards against an answer that its caller takes for complete
+// although its endpoint stopped at the deadline that the entry had given it: without a
+// length or chunks it ends like a complete one.
+func TestDeadlineIsNotComplete(t *testing.T) {
+	const deadline = 150 * time.Millisecond
+	for name, frm := range framings {
+		if frm.reset {
+			continue
+		}
+		for _, path := range []string{"/look/1", "/book/1", "/gen/1", "/say/1"} {
+			t.Run(name+path[:5], func(t *testing.T) {
+				t.Parallel()
+				rly := newTestRelay(t, 1, func(_ *http.Request, con net.Conn, _ int) {
+					fmt.Fprint(con, frm.head)
+					frm.send(con, eventOne)
+					time.Sleep(deadline + timeoutGrace/4)
+				})
+				status, body, err := rly.post(path, "X-Model", "m", "X-Deadline", deadline.String())
+				if status == http.StatusOK && err == nil {
+					t.Errorf("an answer that was stopped at its deadline looks complete: %q", body)
+				}
+			})
+		}
+	}
+}
+
 // errUnsentMove is the error of a move whose order was not sent.
 var errUnsentMove = fmt.Errorf("%w: %w", wick.ErrUnavailable, wick.ErrNotSent)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -168,6 +168,9 @@
 // that this entry has stopped ends like a complete one.
 var errRunStopped = errors.New("the run was stopped for its move, so that the end of its stream is unknown")
 
+// errEndsWithDeadline is the cause of a timeout: the reply may have been cut off.
+var errEndsWithDeadline = errors.New("the reply ended at the deadline, without a length or chunks")
+
 // forwardEvents forwards the events of one reply.
 func (fwd *forwarder) forwardEvents(ctx context.Context, att *attempt) outcome {
 	var spl eventSplitter
@@ -204,6 +207,8 @@
 		otc, err = fwd.req.classifyError(ctx, err), lossCause(ctx, err)
 	case spl.hasPartial() || fwd.isEmpty(att):
 		otc, err = outcomeLost, io.ErrUnexpectedEOF
+	case fwd.req.endsWithDeadline(att.rep):
+		otc, err = outcomeTimeout, errEndsWithDeadline
 	}
 	if otc != outcomeReply {
 		att.recordIncomplete(logs.MsgResponseAborted, otc, err)
