relay: the stream of a stopped run is no failure of its version or prompt

What callers saw: nothing directly. A run that the entry has stopped for its move ended its attempt as lost. That counted as a failed answer of the version, for which good versions can be rolled back and bad old ones hide bad new ones, and as evidence that the prompt ends its endpoint, which leaves soon after.

Change: once the endpoint has confirmed the stop, the lost reply counts as cancelled by the entry, for the pool, the version and the prompt.

Result: TestStoppedRunIsNoFailure failed before in all 21 cases, both for the version and for the prompt (21 losses), and passes now.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -28,6 +28,9 @@
 	survived, incomplete bool
 	// silent is set if the watchdog ended the attempt.
 	silent bool
+	// stopped is set if this entry has stopped the run for its move: the loss of its
+	// reply shows nothing of the endpoint, its version or the prompt.
+	stopped bool
 	// progressAt is when the last part of the answer was received, or else when
 	// the request was sent.
 	progressAt time.Time
@@ -79,6 +82,9 @@
 	if att.rep != nil {
 		att.rep.Close()
 	}
+	if att.stopped && otc == outcomeLost {
+		otc = outcomeCancelled
+	}
 	att.reportCrash(otc)
 	now := time.Now()
 	att.tgt.Done(att.poolResult(otc, now), now)
@@ -135,7 +141,7 @@
 // poolResult returns the outcome for the pool. An attempt that its caller or the
 // deadline ended counts against the endpoint if it had stalled.
 func (att *attempt) poolResult(otc outcome, now time.Time) pool.Result {
-	if res := poolResult(otc); res != pool.ResultCancelled || now.Sub(att.progressAt) < att.req.stallTime() {
+	if res := poolResult(otc); res != pool.ResultCancelled || att.stopped || now.Sub(att.progressAt) < att.req.stallTime() {
 		return res
 	}
 	return pool.ResultStalled
--- a/internal/relay/stopped_test.go
+++ b/internal/relay/stopped_test.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/wagtailwick/wagtailwick/internal/crash"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -256,3 +258,52 @@
 
 // errUnsentMove is the error of a move whose order was not sent.
 var errUnsentMove = fmt.Errorf("%w: %w", wick.ErrUnavailable, wick.ErrNotSent)
+
+// An evidenceLog records what attempts say of versions and prompts.
+type evidenceLog struct {
+	noCrashes
+	mu      sync.Mutex
+	samples []wick.VersionSample
+	lost    int
+}
+
+func (evl *evidenceLog) Choose(wick.Service, wick.RouteName, time.Time) Choice {
+	return Choice{Done: func(smp wick.VersionSample) {
+		evl.mu.Lock()
+		defer evl.mu.Unlock()
+		evl.samples = append(evl.samples, smp)
+	}}
+}
+
+func (evl *evidenceLog) Lost(wick.Backend, crash.Prompt, time.Time) <-chan struct{} {
+	evl.mu.Lock()
+	defer evl.mu.Unlock()
+	evl.lost++
+	return nil
+}
+
+// TestStoppedRunIsNoFailure guards against a version that is judged, and a prompt that is
+// blocked, by the broken streams of runs that the entry itself has stopped for their move.
+func TestStoppedRunIsNoFailure(t *testing.T) {
+	for name, frm := range framings {
+		for _, tst := range stopCases[:3] {
+			t.Run(name+", "+tst.name, func(t *testing.T) {
+				t.Parallel()
+				rly := newStoppingRelay(t, frm, &tst)
+				var evl evidenceLog
+				rly.srv.cfg.Versions, rly.srv.cfg.Crashes = &evl, &evl
+				if _, _, err := rly.post(tst.path, "X-Model", "m", "X-Shared", "s"); err != nil {
+					t.Error(err)
+				}
+				evl.mu.Lock()
+				defer evl.mu.Unlock()
+				if len(evl.samples) == 0 || !evl.samples[0].Out.Cancelled || evl.samples[0].Out.Err != nil {
+					t.Errorf("samples %+v, want first the stopped run without a failure", evl.samples)
+				}
+				if evl.lost > 0 {
+					t.Errorf("%d losses count against the prompt", evl.lost)
+				}
+			})
+		}
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -152,6 +152,7 @@
 		hof.giveUp()
 	}
 	<-hof.done
+	att.stopped = hof.stop == stopConfirmed
 	if otc == outcomeReply && hof.stop != stopNone && !att.rep.IsDelimited() {
 		att.recordIncomplete(logs.MsgResponseAborted, outcomeLost, errRunStopped)
 		otc = outcomeLost
