platform, edge: a status and a record count for their own version order only

After an order that was rolled back a good version got none.

Cause: the operator's PUT leaves the status of the order before in the object, and nothing told one order of a service from another: the state was read without its target, and the record, stops and evidence of a move were kept by service and version.

Our fake store dropped the status at a PUT and hid the fault; it keeps it now, as the platform does.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -188,7 +188,7 @@
 	edg.members.Lagging, edg.members.MayLag = cfg.StaleReads, edg.allowStale
 	edg.rollouts = newRollouts(edg)
 	edg.crashes = crashes{edg: edg, wake: make(chan struct{}, 1)}
-	edg.orders = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.VersionOrder, Handler: feed.Each(edg.rollouts.handleOrder)}
+	edg.orders = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.VersionOrder, Handler: &orderHandler{edg.rollouts.handleOrder, edg}}
 	edg.moves = &feed.Follower{Store: cfg.Store, Kind: wick.KindMove, Handler: feed.Each(edg.rollouts.handleRecord), Active: edg.rollouts.anyInProgress}
 	for _, fol := range []*feed.Follower{edg.config, edg.backends, edg.members, edg.orders} {
 		fol.Outage = &edg.outage
--- /dev/null
+++ b/internal/edge/orders_test.go
@@ -0,0 +1,175 @@
+package edge
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/canary"
+	"github.com/wagtailwick/wagtailwick/internal/fake"
+	"github.com/wagtailwick/wagtailwick/internal/move"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// An orderReader is an entry that reads version orders of service "s".
+type orderReader struct {
+	*testing.T
+	rls *rollouts
+	rev wick.Revision
+}
+
+func newOrderReader(t *testing.T) *orderReader {
+	t.Helper()
+	return &orderReader{T: t, rls: newIdleEdge(&fake.Store{}).rollouts, rev: 1}
+}
+
+// read reads an order at the current revision.
+func (rdr *orderReader) read(target wick.ModelVersion, number int, state wick.VersionOrderState) {
+	rdr.Helper()
+	data, err := json.Marshal(wick.VersionOrder{Service: "s", Target: target, Within: time.Minute, Number: number, State: state})
+	if err != nil {
+		rdr.Fatal(err)
+	}
+	rdr.rls.handleOrder(wick.Object{Key: wick.ObjectKey{Kind: "order", Name: "s"}, Revision: rdr.rev, Data: data})
+}
+
+// change reads an order at the next revision.
+func (rdr *orderReader) change(target wick.ModelVersion, number int, state wick.VersionOrderState) {
+	rdr.Helper()
+	rdr.rev++
+	rdr.read(target, number, state)
+}
+
+// assertWithheld checks that a version gets no requests like any other, since its order is
+// in progress.
+func (rdr *orderReader) assertWithheld(target wick.ModelVersion) {
+	rdr.Helper()
+	cho := rdr.rls.Choose("s", "r", time.Now())
+	if cho.Only == target || cho.Except != target || !rdr.rls.inProgress("s") {
+		rdr.Errorf("choice %+v, want %s to be proved first", cho, target)
+	}
+}
+
+// record reads the record of the current order's move.
+func (rdr *orderReader) record(state move.State, share wick.Share) {
+	rdr.Helper()
+	rdr.rls.mu.Lock()
+	rol := rdr.rls.orders["s"]
+	rec := move.Record{Move: rol.id(), Service: "s", To: rol.ord.Target, State: state, Share: share, WriteID: wick.NewWriteID()}
+	rdr.rls.mu.Unlock()
+	data, err := json.Marshal(rec)
+	if err != nil {
+		rdr.Fatal(err)
+	}
+	rdr.rls.handleRecord(wick.Object{Key: wick.ObjectKey{Kind: wick.KindMove, Name: string(rec.Move)}, Revision: rdr.rev, Data: data})
+}
+
+// TestOrderAfterAnEndedOne guards against an order that counts as ended because an earlier
+// one has: its version got all requests at once, or none.
+func TestOrderAfterAnEndedOne(t *testing.T) {
+	for _, ended := range []wick.VersionOrderState{wick.OrderDone, wick.OrderRolledBack} {
+		for _, target := range []wick.ModelVersion{"v2", "v3"} {
+			t.Run(string(ended)+", then "+string(target), func(t *testing.T) {
+				rdr := newOrderReader(t)
+				rdr.change("v2", 1, wick.OrderRunning)
+				rdr.record(move.StateProving, 0.5)
+				if ended == wick.OrderRolledBack {
+					rdr.rls.jdg.Stop(canary.Stop{Move: moveID(wick.VersionOrder{Service: "s", Target: "v2", Number: 1}), Service: "s", Version: "v2", Reason: "bad"})
+				}
+				rdr.change("v2", 1, ended)
+				rdr.change(target, 2, "")
+				rdr.assertWithheld(target)
+				rdr.record(move.StateProving, 1)
+				if cho := rdr.rls.Choose("s", "r", time.Now()); cho.Only != target {
+					t.Errorf("choice %+v, want the version to be proved", cho)
+				}
+			})
+		}
+	}
+}
+
+// TestOrderIssuedAgain guards against an order that is never carried out because the operator
+// has issued an ended one again without a change, and against an ended order that is carried
+// out again because it is read again.
+func TestOrderIssuedAgain(t *testing.T) {
+	rdr := newOrderReader(t)
+	rdr.change("v2", 1, wick.OrderRunning)
+	rdr.change("v2", 1, wick.OrderRolledBack)
+	rdr.read("v2", 1, wick.OrderRolledBack)
+	if rdr.rls.inProgress("s") {
+		t.Error("an order that is read again is carried out again")
+	}
+	rdr.change("v2", 1, wick.OrderRolledBack)
+	rdr.assertWithheld("v2")
+	rdr.read("v2", 1, wick.OrderRolledBack)
+	rdr.assertWithheld("v2")
+	rdr.change("v2", 2, wick.OrderRunning)
+	rdr.assertWithheld("v2")
+	rdr.change("v2", 2, wick.OrderDone)
+	rdr.rev = wick.Era(1).Revision(1)
+	rdr.read("v2", 2, wick.OrderDone)
+	if rdr.rls.inProgress("s") {
+		t.Error("an order that is read from a restored store is carried out again")
+	}
+}
+
+// TestMoveID guards against the record, evidence or stop of one order that counts for
+// another one.
+func TestMoveID(t *testing.T) {
+	orders := []wick.VersionOrder{
+		{Service: "a", Target: "b-c", Number: 1},
+		{Service: "a-b", Target: "c", Number: 1},
+		{Service: "a", Target: "b-c", Number: 2},
+		{Service: "a", Target: "b", Number: 1},
+		{Service: "a-1", Target: "b", Number: 1},
+		{Service: "a", Target: "1-b", Number: 1},
+		{Service: "a", Target: "b-1", Number: 1},
+	}
+	seen := make(map[wick.MoveID]wick.VersionOrder)
+	for _, ord := range orders {
+		if oth, ok := seen[moveID(ord)]; ok {
+			t.Errorf("orders %+v and %+v have the id %s", ord, oth, moveID(ord))
+		}
+		seen[moveID(ord)] = ord
+	}
+}
+
+// TestRecordOfEarlierOrder guards against a version that is rolled back, or gets all
+// requests, by the record of an earlier order of it.
+func TestRecordOfEarlierOrder(t *testing.T) {
+	for _, state := range []move.State{move.StateDone, move.StateUndone} {
+		rdr := newOrderReader(t)
+		rdr.change("v2", 1, wick.OrderRunning)
+		rdr.rls.mu.Lock()
+		rec := move.Record{Move: rdr.rls.orders["s"].id(), Service: "s", To: "v2", State: state, Share: 1, WriteID: wick.NewWriteID()}
+		rdr.rls.mu.Unlock()
+		rdr.change("v3", 2, "")
+		rdr.change("v2", 3, "")
+		data, err := json.Marshal(rec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rdr.rls.handleRecord(wick.Object{Revision: rdr.rev, Data: data})
+		rdr.assertWithheld("v2")
+		if stops := rdr.rls.jdg.Stops(); len(stops) > 0 {
+			t.Errorf("stopped by the record of an earlier order: %+v", stops)
+		}
+	}
+}
+
+// TestReadyNeedsOrders guards against an entry that starts between two orders and sends
+// requests to a version that is not proved, before it has read the orders.
+func TestReadyNeedsOrders(t *testing.T) {
+	edg := newIdleEdge(&fake.Store{})
+	edg.ready.setPlanLoaded()
+	edg.ready.setBackendsLoaded()
+	edg.ready.setMembersLoaded()
+	if edg.ready.ready() {
+		t.Error("ready without the orders")
+	}
+	edg.orders.Handler.Replace(nil)
+	edg.orders.Handler.Settled()
+	if !edg.ready.ready() {
+		t.Error("not ready although everything is read")
+	}
+}
--- a/internal/edge/ready.go
+++ b/internal/edge/ready.go
@@ -18,9 +18,10 @@
 // A readyServer serves the readiness check of the load balancer. It replies on
 // every path.
 type readyServer struct {
-	// plan, backends and members are set once the first plan and the first lists of
-	// endpoints and of entries are loaded, draining when the entry drains.
-	plan, backends, members, draining atomic.Bool
+	// plan, backends, members and orders are set once the first plan and the first lists
+	// of endpoints, of entries and of version orders are loaded, draining when the entry
+	// drains.
+	plan, backends, members, orders, draining atomic.Bool
 }
 
 func newReadyServer(ctx context.Context, addr string) (*readyServer, error) {
@@ -51,10 +52,11 @@
 func (rds *readyServer) setPlanLoaded()     { rds.plan.Store(true) }
 func (rds *readyServer) setBackendsLoaded() { rds.backends.Store(true) }
 func (rds *readyServer) setMembersLoaded()  { rds.members.Store(true) }
+func (rds *readyServer) setOrdersLoaded()   { rds.orders.Store(true) }
 func (rds *readyServer) setDraining()       { rds.draining.Store(true) }
 
 func (rds *readyServer) ready() bool {
-	return rds.plan.Load() && rds.backends.Load() && rds.members.Load() && !rds.draining.Load()
+	return rds.plan.Load() && rds.backends.Load() && rds.members.Load() && rds.orders.Load() && !rds.draining.Load()
 }
 
 func (rds *readyServer) handle(_ context.Context, rct *app.RequestContext) {
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/canary"
+	"github.com/wagtailwick/wagtailwick/internal/feed"
 	"github.com/wagtailwick/wagtailwick/internal/invar"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/move"
@@ -56,6 +58,23 @@
 	orders map[wick.Service]*rollout
 	// known holds the rollouts of all orders, since a restored store has earlier ones.
 	known map[wick.MoveID]*rollout
+	// reads holds what was last read of the order of each service.
+	reads map[wick.Service]orderRead
+}
+
+// An orderRead is an order as it was read.
+type orderRead struct {
+	ord wick.VersionOrder
+	// repeated is set if the order had ended and was written again without a change, which
+	// makes it a new one.
+	repeated bool
+}
+
+// next returns the order as it was read after rdr.
+func (rdr orderRead) next(ord wick.VersionOrder) orderRead {
+	prev := &rdr.ord
+	unchanged := ord.IsSame(prev) && ord.State == prev.State && ord.Revision.Era() == prev.Revision.Era()
+	return orderRead{ord: ord, repeated: unchanged && ord.Ended() && (rdr.repeated || ord.Revision > prev.Revision)}
 }
 
 // A rollout is this entry's view of a version order.
@@ -84,12 +103,15 @@
 		edg: edg, jdg: canary.New(edg.cfg.ID, edg.cfg.Incarnation, chk),
 		kep:    move.Keeper{Store: edg.cfg.Store, Self: edg.cfg.ID, Checker: chk},
 		orders: make(map[wick.Service]*rollout), known: make(map[wick.MoveID]*rollout),
+		reads: make(map[wick.Service]orderRead),
 	}
 }
 
-// moveID returns the id of an order's move, which is the same at all entries.
+// moveID returns the id of an order's move, which is the same at all entries. The length of
+// the service's name keeps the ids of two services apart, the order's number those of two
+// orders of a version.
 func moveID(ord wick.VersionOrder) wick.MoveID {
-	return wick.MoveID(string(ord.Service) + "-" + string(ord.Target))
+	return wick.MoveID(fmt.Sprintf("%s-%s-%d-%d", ord.Service, ord.Target, len(ord.Service), ord.Number))
 }
 
 // id returns the id of the rollout's move.
@@ -105,11 +127,26 @@
 	rls.setOrder(ord, obj.Revision.Era(), time.Now())
 }
 
+// An orderHandler handles changes of version orders.
+type orderHandler struct {
+	feed.Each
+	edg *Edge
+}
+
+// Settled makes the entry ready: before it knows the orders, it would send requests to
+// versions that are not proved.
+func (hdl *orderHandler) Settled() { hdl.edg.ready.setOrdersLoaded() }
+
 // setOrder stores an order that was read in an era of the store, and starts its rollout if
 // it is new.
 func (rls *rollouts) setOrder(ord wick.VersionOrder, era wick.Era, now time.Time) {
 	rls.mu.Lock()
 	defer rls.mu.Unlock()
+	read := rls.reads[ord.Service].next(ord)
+	rls.reads[ord.Service] = read
+	if read.repeated {
+		ord = ord.Repeated()
+	}
 	rol := rls.known[moveID(ord)]
 	if rol == nil {
 		rol = &rollout{receivedAt: now, era: era, readIn: era}
--- a/internal/edge/rollout_test.go
+++ b/internal/edge/rollout_test.go
@@ -30,7 +30,7 @@
 	})
 	sit.await("the entries know each other", func() bool { return len(sit.edges[stopper].reachablePeers()) > 0 })
 	jdg := sit.edges[stopper].rollouts.jdg
-	jdg.SetMove(canary.Move{ID: "s-v2", Service: "s", To: "v2", Share: 0.5})
+	jdg.SetMove(canary.Move{ID: "s-v2-1-0", Service: "s", To: "v2", Share: 0.5})
 	for num := 0; num < 100 && len(jdg.Stops()) == 0; num++ {
 		cho := jdg.Choose(wick.RouteQuery{Service: "s", Route: "r"})
 		smp := wick.VersionSample{VM: "i", Zone: "z", At: time.Now()}
--- a/internal/edge/rolloutrestore_test.go
+++ b/internal/edge/rolloutrestore_test.go
@@ -33,12 +33,12 @@
 		sit.await("the order is known", func() bool { return edg.rollouts.inProgress("s") })
 	}
 	sit.await("the move is recorded", func() bool {
-		_, err := sit.sto.Get(sit.Context(), wick.ObjectKey{Kind: wick.KindMove, Name: "s-v2"})
+		_, err := sit.sto.Get(sit.Context(), wick.ObjectKey{Kind: wick.KindMove, Name: "s-v2-1-0"})
 		return err == nil
 	})
 	cpy := sit.sto.Backup()
 	for _, edg := range sit.edges {
-		edg.rollouts.jdg.Stop(canary.Stop{Move: "s-v2", Service: "s", Version: "v2", Reason: "bad"})
+		edg.rollouts.jdg.Stop(canary.Stop{Move: "s-v2-1-0", Service: "s", Version: "v2", Reason: "bad"})
 	}
 	for _, edg := range sit.edges {
 		sit.await("the order has ended", func() bool { return !edg.rollouts.inProgress("s") })
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -41,7 +41,9 @@
 }
 
 func (testCatalog) VersionOrder(obj wick.Object) (ord wick.VersionOrder, err error) {
-	return ord, decode(obj, &ord)
+	err = decode(obj, &ord)
+	ord.Revision = obj.Revision
+	return ord, err
 }
 
 // A testDialect uses short header names.
@@ -98,9 +100,19 @@
 
 func (sor storeOrders) SetState(ctx context.Context, ord wick.VersionOrder, state wick.VersionOrderState) error {
 	key := wick.ObjectKey{Kind: "order", Name: string(ord.Service)}
-	return revise.Object(ctx, sor.Store, key, 8, func(wick.Object) ([]byte, error) {
-		ord.State = state
-		return json.Marshal(ord)
+	return revise.Object(ctx, sor.Store, key, 8, func(obj wick.Object) ([]byte, error) {
+		cur, err := testCatalog{}.VersionOrder(obj)
+		if err != nil {
+			return nil, err
+		}
+		if cur.Target != ord.Target || cur.Number > ord.Number {
+			return nil, wick.ErrConflict
+		}
+		if cur.Number == ord.Number && cur.State == state {
+			return nil, nil
+		}
+		cur.State, cur.Number = state, ord.Number
+		return json.Marshal(cur)
 	})
 }
 
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -163,7 +163,8 @@
 )
 
 // VersionOrders records the states of version orders. Errors are those of
-// Store. SetState is idempotent.
+// Store; ErrConflict means that another order of the service has replaced it.
+// SetState is idempotent.
 type VersionOrders interface {
 	SetState(ctx context.Context, ord VersionOrder, state VersionOrderState) error
 }
--- a/pkg/wick/plan.go
+++ b/pkg/wick/plan.go
@@ -137,8 +137,27 @@
 	Target  ModelVersion
 	// Within is the time limit of the move.
 	Within time.Duration
-	// State is "" until one is recorded.
+	// Number counts the orders of the service. It distinguishes orders of the same
+	// version.
+	Number int
+	// State is "" until one is recorded for this very order.
 	State VersionOrderState
+	// Revision is that at which the order was read. A state is recorded only as long as
+	// the order is still the newest of its service.
+	Revision Revision
+}
+
+// IsSame reports whether two values are of the same order, whatever its state is.
+func (vor *VersionOrder) IsSame(oth *VersionOrder) bool {
+	return vor.Service == oth.Service && vor.Target == oth.Target && vor.Within == oth.Within && vor.Number == oth.Number
+}
+
+// Repeated returns the order that follows if the operator issues the same one again.
+func (vor *VersionOrder) Repeated() VersionOrder {
+	out := *vor
+	out.Number++
+	out.State = ""
+	return out
 }
 
 // Ended reports whether the move is recorded as done or rolled back.
