edge, relay: requests in flight at the end of a drain get an answer

It could happen here: new requests are refused from 2.2 s after the signal on, but one that was taken before and that its endpoint had not answered 7.5 s after the signal was cut by the exit of the process, plain ones and streams before their first event too.

Cause: the drain waited for the requests in flight, and ended without telling them.

Change: at its end the requests are ended as their deadlines would end them: what was not sent is refused as not executed, what was sent is answered with 504 and an unknown outcome, and only a stream that has begun is broken off. None is sent again then.

Result: TestDrainEnd failed before (the process exits without an answer) and passes; TestEndRequests (6 kinds), TestEndRequestsBeforeTurn, TestNoRetryAfterEnd pass; TestDrain and TestStopUnderLoad are unchanged and pass.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -210,6 +210,42 @@
 	}
 }
 
+// TestDrainEnd guards against requests that are taken during a planned stop and cut without
+// an answer at the end of the grace period, since their endpoint has not answered by then.
+func TestDrainEnd(t *testing.T) {
+	sit := newSite(t, 1, wick.Quota{})
+	sit.slowDelay = 6 * time.Second
+	con, err := net.Dial("tcp", sit.addrs[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer con.Close()
+	sit.stops[0]()
+	time.Sleep(1500 * time.Millisecond)
+	fmt.Fprint(con, "POST /slow HTTP/1.1\r\nHost: h\r\nX-Id: last\r\nX-Key: k\r\nContent-Length: 0\r\n\r\n")
+	answered := make(chan int, 1)
+	go func() {
+		res, err := http.ReadResponse(bufio.NewReader(con), nil)
+		if err != nil {
+			answered <- 0
+			return
+		}
+		defer res.Body.Close()
+		answered <- res.StatusCode
+	}()
+	select {
+	case status := <-answered:
+		if status != http.StatusGatewayTimeout {
+			t.Errorf("a request in flight at the end of the drain got %d", status)
+		}
+	case <-sit.exited[0]:
+		t.Error("the process exits without an answer to a request that it took")
+	}
+	if _, ran := sit.received.Load("last"); !ran {
+		t.Error("the request was not passed on")
+	}
+}
+
 // TestStopUnderLoad guards against requests that are accepted at the end of a drain and
 // cut by the exit of the process, which follows Run.
 func TestStopUnderLoad(t *testing.T) {
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -151,7 +151,8 @@
 )
 
 // drain reports the entry as not ready, lets in-flight requests complete and
-// refuses new ones after refuseAfter.
+// refuses new ones after refuseAfter. Requests that are still in flight at the end of the
+// grace period get an answer too.
 func (edg *Edge) drain() {
 	start := time.Now()
 	edg.ready.setDraining()
@@ -171,6 +172,7 @@
 			break
 		}
 	}
+	edg.relay.EndRequests()
 	closeCtx, closed := context.WithTimeout(context.Background(), closeTimeout)
 	defer closed()
 	if err := edg.relay.Shutdown(closeCtx); err != nil {
--- /dev/null
+++ b/internal/relay/drainend_test.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/plan"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// TestEndRequests guards against requests that are cut without an answer at the end of a
+// drain because their endpoints have not answered by then: whatever has not begun gets an
+// answer, and a stream that has begun looks broken off.
+func TestEndRequests(t *testing.T) {
+	const endAfter = 150 * time.Millisecond
+	for name, tst := range map[string]struct {
+		path, first string
+		status      int
+		whole       bool
+	}{
+		"booking":                        {"/book/1", "", http.StatusGatewayTimeout, true},
+		"lookup":                         {"/look/1", "", http.StatusGatewayTimeout, true},
+		"lookup, half of the body":       {"/look/1", signedHead + "Content-Length: 10\r\n\r\nhalf", http.StatusGatewayTimeout, true},
+		"stream, before its first event": {"/gen/1", "", http.StatusGatewayTimeout, true},
+		"stream, after its head":         {"/gen/1", signedHead + "\r\n", http.StatusGatewayTimeout, true},
+		"stream, begun":                  {"/gen/1", signedHead + "\r\n" + eventOne, http.StatusOK, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rly := newTestRelay(t, 2, func(_ *http.Request, con net.Conn, _ int) {
+				_, _ = con.Write([]byte(tst.first))
+				time.Sleep(time.Second)
+			})
+			time.AfterFunc(endAfter, rly.srv.EndRequests)
+			began := time.Now()
+			status, body, err := rly.post(tst.path, "X-Model", "m")
+			if (err == nil) != tst.whole || time.Since(began) > endAfter+400*time.Millisecond {
+				t.Errorf("%q, %v after %v", body, err, time.Since(began))
+			}
+			if want := `"executed":"unknown"`; tst.whole && !strings.Contains(body, want) {
+				t.Errorf("body %q, want %s", body, want)
+			}
+			rly.assert(status, tst.status, body, "", 1)
+		})
+	}
+}
+
+// TestEndRequestsBeforeTurn guards against a request that is taken for one whose caller has
+// left because the drain ends while it waits for its turn at an endpoint.
+func TestEndRequestsBeforeTurn(t *testing.T) {
+	rly := newTestRelay(t, 1, nil)
+	now := time.Now()
+	req := &request{
+		srv: rly.srv, service: "s", deadline: now.Add(time.Minute),
+		match: plan.Match{Route: &wick.RoutePlan{Kind: wick.RouteIdempotent}},
+	}
+	limited, err := req.choose(nil, false, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	limited.SetLimit(wick.RateLimit{Set: true, PerSecond: 0.5}, now)
+	if _, err := req.choose(nil, false, time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	time.AfterFunc(20*time.Millisecond, func() { cancel(errDrainEnded) })
+	if _, err := req.pick(ctx, false); !errors.Is(err, errTurnExpired) {
+		t.Errorf("pick: %v, want %v", err, errTurnExpired)
+	}
+}
+
+// TestNoRetryAfterEnd guards against a request that is sent again at the end of a drain and
+// cut there: one that was not sent is refused, as not executed.
+func TestNoRetryAfterEnd(t *testing.T) {
+	rly := newTestRelay(t, 2, func(_ *http.Request, con net.Conn, _ int) { con.Close() })
+	rly.srv.EndRequests()
+	status, body, err := rly.post("/look/1")
+	if err != nil {
+		t.Error(err)
+	}
+	rly.assert(status, http.StatusServiceUnavailable, body, executedNo, 0)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -124,8 +124,14 @@
 	routineLogs *logs.Sampler
 	// buffers bounds the memory of partial replies of all requests.
 	buffers byteBudget
+	// ending is the parent of the requests' contexts, end cancels it.
+	ending context.Context //nolint:containedctx // ends with the server, not with a call
+	end    context.CancelCauseFunc
 }
 
+// errDrainEnded cancels the requests that are in progress at the end of a drain.
+var errDrainEnded = errors.New("the drain has ended")
+
 // New returns a server that accepts connections once Serve is called.
 func New(cfg Config) *Server {
 	if cfg.Crashes == nil {
@@ -135,6 +141,7 @@
 		cfg.EndpointLeaves = func(wick.Backend) {}
 	}
 	srv := &Server{cfg: cfg, routineLogs: logs.NewSampler(routineLogsPerSecond), buffers: byteBudget{limit: maxBufferedBytes}}
+	srv.ending, srv.end = context.WithCancelCause(context.Background())
 	srv.lis = &httpio.Listener{
 		Listener: cfg.Listener, Limit: int64(cfg.MaxConnections), ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, Refusal: func() []byte { return []byte(`{"executed":"no"}`) },
@@ -167,6 +174,11 @@
 // Drain makes the server refuse new requests as not executed.
 func (srv *Server) Drain() { srv.draining.Store(true) }
 
+// EndRequests ends the requests in progress, as their deadlines would: those that were not
+// sent are refused, others answered with an unknown outcome, and only a stream that has
+// begun is broken off.
+func (srv *Server) EndRequests() { srv.end(errDrainEnded) }
+
 // Active returns the number of in-flight requests.
 func (srv *Server) Active() int64 { return srv.active.Load() }
 
@@ -221,6 +233,9 @@
 	defer req.secured.release()
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(timeoutGrace))
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(srv.ending, func() { end(errDrainEnded) })()
 	if req.match.Route.Kind == wick.RouteStream {
 		req.serveStream(ctx)
 	} else {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -40,7 +40,7 @@
 var (
 	// errCallerLeft reports that the caller closed its connection.
 	errCallerLeft = errors.New("caller left")
-	// errTurnExpired reports that the deadline passed.
+	// errTurnExpired reports that the deadline passed, or the entry's drain ended.
 	errTurnExpired = errors.New("deadline passed before the request's turn")
 )
 
@@ -68,7 +68,7 @@
 		}
 		tgt.release()
 		switch {
-		case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errDrainEnded):
 			return nil, errTurnExpired
 		case ctx.Err() != nil:
 			return nil, errCallerLeft
@@ -203,7 +203,7 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errEndpointSilent):
 		return outcomeLost
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errDrainEnded):
 		return outcomeCancelled
 	case errors.Is(err, wick.ErrNotSent):
 		return outcomeNotSent
@@ -225,7 +225,9 @@
 }
 
 // hasTime reports whether there is time for another attempt.
-func (req *request) hasTime() bool { return time.Until(req.deadline) > minRemaining }
+func (req *request) hasTime() bool {
+	return time.Until(req.deadline) > minRemaining && req.srv.ending.Err() == nil
+}
 
 // finishWithoutReply answers a request for which there is no reply to forward.
 func (req *request) finishWithoutReply(act action) {
