relay: a panic next to a request's handler does not end the process

What callers would see: the moves, first copies, releases and probes of runs are made by goroutines of their own. A panic there ended the process, and all requests of its callers without an answer.

Change: these goroutines contain, count and log it, as the handler does. A first copy that panics counts as not made, an order to stop a run as one whose answer is lost.

Result: TestPanicBesideRequest ended the test process before and passes.

--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -80,6 +80,7 @@
 	hof := &handoff{done: make(chan struct{}), giveUp: giveUp}
 	go func() {
 		defer close(hof.done)
+		defer containPanic()
 		select {
 		case <-ctx.Done():
 			return
@@ -134,6 +135,7 @@
 		tgt.release()
 		return
 	}
+	hof.stop = stopUnknown
 	cpy, moved, err := req.srv.cfg.Mover.Move(moveCtx, att.tgt.Backend, tgt.Backend, req.params.ID)
 	hof.stop = stopResult(err)
 	metrics.GetOrRegisterCounter("relay.moves", nil).Inc(1)
@@ -197,13 +199,19 @@
 	go func() {
 		defer cancel()
 		defer close(rsv.done)
+		defer containPanic()
+		rsv.err = errNoCopy
 		rsv.cpy, rsv.err = mvr.Reserve(ctx, from, to, rid)
 	}()
 	return rsv
 }
 
+// errNoCopy is the result of a first copy until it is known.
+var errNoCopy = errors.New("the run was not copied")
+
 // release frees the copy as soon as its handle is known.
 func (rsv *copyReservation) release(mvr wick.Mover) {
+	defer containPanic()
 	if rsv.done == nil {
 		return
 	}
@@ -215,6 +223,7 @@
 
 // releaseCopy frees a copy. A copy that can't be freed expires at its endpoints.
 func releaseCopy(mvr wick.Mover, cpy wick.RunSnapshot) {
+	defer containPanic()
 	ctx, cancel := context.WithTimeout(context.Background(), handoffTimeout)
 	defer cancel()
 	if err := mvr.Release(ctx, cpy); err != nil {
--- a/internal/relay/panic.go
+++ b/internal/relay/panic.go
@@ -21,8 +21,7 @@
 		if cause == nil {
 			return
 		}
-		metrics.GetOrRegisterCounter("relay.panics", nil).Inc(1)
-		log.WithFields(logrus.Fields{logs.FieldError: fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("relay: panic in a request")
+		recordPanic(cause)
 		rct.SetConnectionClose()
 		switch out := rct.Response.GetHijackWriter().(type) {
 		case nil:
@@ -34,3 +33,17 @@
 	}()
 	rct.Next(ctx)
 }
+
+// recordPanic counts and logs a panic.
+func recordPanic(cause any) {
+	metrics.GetOrRegisterCounter("relay.panics", nil).Inc(1)
+	log.WithFields(logrus.Fields{logs.FieldError: fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("relay: panic in a request")
+}
+
+// containPanic is deferred by the goroutines that work for one request next to its handler:
+// a panic there would end the process, and with it the requests of all callers.
+func containPanic() {
+	if cause := recover(); cause != nil {
+		recordPanic(cause)
+	}
+}
--- a/internal/relay/panic_test.go
+++ b/internal/relay/panic_test.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -37,3 +39,66 @@
 		t.Errorf("body %q", body)
 	}
 }
+
+// A panicMover panics in one of its calls.
+type panicMover struct {
+	*testMover
+	reserve, move, release bool
+}
+
+func (mvr panicMover) Reserve(ctx context.Context, from, to wick.Backend, rid wick.RequestID) (wick.RunSnapshot, error) {
+	if mvr.reserve {
+		panic("malformed answer to a first copy")
+	}
+	return mvr.testMover.Reserve(ctx, from, to, rid)
+}
+
+func (mvr panicMover) Move(ctx context.Context, from, to wick.Backend, rid wick.RequestID) (wick.RunSnapshot, bool, error) {
+	if mvr.move {
+		panic("malformed answer to a move")
+	}
+	return mvr.testMover.Move(ctx, from, to, rid)
+}
+
+func (mvr panicMover) Release(ctx context.Context, cpy wick.RunSnapshot) error {
+	if mvr.release {
+		panic("malformed answer to a release")
+	}
+	return mvr.testMover.Release(ctx, cpy)
+}
+
+// TestPanicBesideRequest guards against the requests of all callers that end with the process
+// because the move or the probe of one run panics. That run's own stream goes on.
+func TestPanicBesideRequest(t *testing.T) {
+	for name, setUp := range map[string]func(rly *testRelay){
+		"first copy": func(rly *testRelay) { rly.srv.cfg.Mover = panicMover{testMover: &rly.mover, reserve: true} },
+		"move":       func(rly *testRelay) { rly.srv.cfg.Mover = panicMover{testMover: &rly.mover, move: true} },
+		"release": func(rly *testRelay) {
+			rly.mover.err = wick.ErrNotFound
+			rly.srv.cfg.Mover = panicMover{testMover: &rly.mover, release: true}
+		},
+		"probe": func(rly *testRelay) {
+			rly.mover.err = wick.ErrNotFound
+			rly.srv.cfg.Prober = &testProber{result: func(int) (bool, error) { panic("malformed report") }}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var rly *testRelay
+			rly = newTestRelay(t, 2, func(_ *http.Request, con net.Conn, _ int) {
+				beginStream(con, eventOne)
+				rly.leave()
+				time.Sleep(700 * time.Millisecond)
+				writeEvents(con, eventTwo)
+				endStream(con)
+			})
+			setUp(rly)
+			status, body, err := rly.post("/long/1", "X-Model", "m")
+			if err != nil {
+				t.Error(err)
+			}
+			rly.assert(status, http.StatusOK, body, eventOne+eventTwo, 1)
+			time.Sleep(50 * time.Millisecond)
+		})
+	}
+}
--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -125,6 +125,7 @@
 // check probes the endpoint once silenceTimeout has passed without data, and
 // cancels the attempt if two consecutive probes fail and another attempt is possible.
 func (wdg *watchdog) check(ctx context.Context) {
+	defer containPanic()
 	if ctx.Err() != nil {
 		return
 	}
