edge: the version of an earlier order stays withheld

Cause: only the newest order's version was held back; the verdict on a version ended with the order that named it, and entries that started later never had it.

Change: an order lists the versions of earlier orders that were rolled back or replaced before they were proved. The list stands in the order's status and excludes these versions from every choice, fallbacks too, until they are ordered again. A query excludes several versions in place of one.

--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -45,7 +46,7 @@
 func (rdr *orderReader) assertWithheld(target wick.ModelVersion) {
 	rdr.Helper()
 	cho := rdr.rls.Choose("s", "r", time.Now())
-	if cho.Only == target || cho.Except != target || !rdr.rls.inProgress("s") {
+	if cho.Only == target || !slices.Contains(cho.Except, target) || !rdr.rls.inProgress("s") {
 		rdr.Errorf("choice %+v, want %s to be proved first", cho, target)
 	}
 }
@@ -173,3 +174,48 @@
 		t.Error("not ready although everything is read")
 	}
 }
+
+// TestVersionOfEarlierOrder guards against a version that was rolled back, or was being
+// proved when another one was ordered, and gets requests like any other from then on.
+func TestVersionOfEarlierOrder(t *testing.T) {
+	for _, tst := range []struct {
+		name string
+		// state is that of the order of v2 when v3 is ordered.
+		state wick.VersionOrderState
+		// withheld is set if v2 gets no requests.
+		withheld bool
+	}{
+		{"not begun", "", true},
+		{"replaced while it ran", wick.OrderRunning, true},
+		{"rolled back", wick.OrderRolledBack, true},
+		{"proved", wick.OrderDone, false},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			rdr := newOrderReader(t)
+			rdr.change("v2", 1, "")
+			if tst.state != "" {
+				rdr.change("v2", 1, tst.state)
+			}
+			for _, state := range []wick.VersionOrderState{"", wick.OrderRunning, wick.OrderRolledBack, wick.OrderDone} {
+				rdr.change("v3", 2, state)
+				rdr.assertExcept("v2", tst.withheld)
+			}
+			rdr.change("v4", 3, wick.OrderRunning)
+			rdr.record(move.StateProving, 1)
+			rdr.assertExcept("v2", tst.withheld)
+			rdr.change("v2", 4, wick.OrderDone)
+			rdr.assertExcept("v2", false)
+			rdr.change("v5", 5, "")
+			rdr.assertExcept("v2", false)
+			rdr.assertExcept("v4", true)
+		})
+	}
+}
+
+// assertExcept checks whether a version is excluded from the choice for a request.
+func (rdr *orderReader) assertExcept(target wick.ModelVersion, want bool) {
+	rdr.Helper()
+	if cho := rdr.rls.Choose("s", "r", time.Now()); slices.Contains(cho.Except, target) != want {
+		rdr.Errorf("choice %+v, want %s excluded: %t", cho, target, want)
+	}
+}
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -147,6 +148,7 @@
 	if read.repeated {
 		ord = ord.Repeated()
 	}
+	rls.withhold(&ord)
 	rol := rls.known[moveID(ord)]
 	if rol == nil {
 		rol = &rollout{receivedAt: now, era: era, readIn: era}
@@ -160,6 +162,27 @@
 	rls.updateJudge(rol)
 }
 
+// withhold adds the versions of earlier orders that this entry knows to have been rolled
+// back or replaced before they were proved. The object lacks those that were replaced
+// before any state was recorded.
+func (rls *rollouts) withhold(ord *wick.VersionOrder) {
+	latest := make(map[wick.ModelVersion]*wick.VersionOrder)
+	for _, rol := range rls.known {
+		ver := rol.ord.Target
+		if rol.ord.Service != ord.Service || rol.ord.Number >= ord.Number {
+			continue
+		}
+		if last := latest[ver]; last == nil || last.Number < rol.ord.Number {
+			latest[ver] = &rol.ord
+		}
+	}
+	for ver, last := range latest {
+		if last.State != wick.OrderDone {
+			ord.Withhold(ver)
+		}
+	}
+}
+
 // updateJudge applies the state of a rollout to the judge.
 func (rls *rollouts) updateJudge(rol *rollout) {
 	if rol.ord.Ended() {
@@ -204,16 +227,21 @@
 	case rol == nil:
 		return relay.Choice{Done: observe}
 	case ord.State == wick.OrderDone:
-		return relay.Choice{Only: ord.Target, Fallback: true, Done: observe}
+		return relay.Choice{Only: ord.Target, Except: ord.Withheld, Fallback: true, Done: observe}
 	case ord.State == wick.OrderRolledBack:
-		return relay.Choice{Except: ord.Target, Done: observe}
+		return relay.Choice{Except: unproved(&ord), Done: observe}
 	}
 	vch := rls.jdg.Choose(wick.RouteQuery{Service: svc, Route: string(route), Now: now})
-	cho := relay.Choice{Except: ord.Target, Done: vch.Done}
 	if vch.Candidate {
-		cho.Only, cho.Except, cho.Fallback = ord.Target, "", true
+		return relay.Choice{Only: ord.Target, Except: ord.Withheld, Fallback: true, Done: vch.Done}
 	}
-	return cho
+	return relay.Choice{Except: unproved(&ord), Done: vch.Done}
+}
+
+// unproved returns the versions that are not in force: the order's own and those that are
+// withheld.
+func unproved(ord *wick.VersionOrder) []wick.ModelVersion {
+	return append(slices.Clip(ord.Withheld), ord.Target)
 }
 
 // run evaluates and advances the active rollouts until ctx is cancelled.
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -46,9 +46,10 @@
 	// Resumed is set for a request that continues an earlier answer, whose times
 	// say nothing about the length of its prompt.
 	Resumed bool
-	// OnlyVersion is the only allowed version and ExceptVersion a disallowed one, unless
-	// they are "".
-	OnlyVersion, ExceptVersion wick.ModelVersion
+	// OnlyVersion is the only allowed version unless it is "", and ExceptVersions are
+	// disallowed.
+	OnlyVersion    wick.ModelVersion
+	ExceptVersions []wick.ModelVersion
 	// Exclude lists endpoints that the request was already sent to.
 	Exclude []wick.VMID
 	// MaxWait is how long the request may wait until an endpoint that limits its
@@ -64,7 +65,7 @@
 
 // allowsVersion reports whether the query allows the endpoint's version.
 func (que *Query) allowsVersion(end *endpoint) bool {
-	return (que.OnlyVersion == "" || end.bke.Version == que.OnlyVersion) && (que.ExceptVersion == "" || end.bke.Version != que.ExceptVersion)
+	return (que.OnlyVersion == "" || end.bke.Version == que.OnlyVersion) && !slices.Contains(que.ExceptVersions, end.bke.Version)
 }
 
 // An Assignment is the assignment of an endpoint to one request.
@@ -210,7 +211,7 @@
 		return [2]*endpoint{}
 	}
 	return grp.ring.preferred(string(que.Parts[len(que.Parts)-2].ID), func(end *endpoint) bool {
-		return !end.bke.Leaving && (que.ExceptVersion == "" || end.bke.Version != que.ExceptVersion)
+		return !end.bke.Leaving && !slices.Contains(que.ExceptVersions, end.bke.Version)
 	})
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,9 +65,10 @@
 
 // A Choice restricts the endpoints of one attempt by model version.
 type Choice struct {
-	// Only is the sole version allowed and Except a version excluded, each
-	// unless it is "".
-	Only, Except wick.ModelVersion
+	// Only is the sole version allowed unless it is "".
+	Only wick.ModelVersion
+	// Except are versions excluded.
+	Except []wick.ModelVersion
 	// Fallback lifts the restriction to Only, but not that of Except, when no
 	// endpoint of that version is available.
 	Fallback bool
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -83,7 +83,7 @@
 	choice := req.srv.cfg.Versions.Choose(req.service, req.match.Route.Name, now)
 	que := pool.Query{
 		Service: req.service, Model: len(req.params.Parts) > 0, Parts: req.params.Parts, InputTokens: req.params.InputTokens,
-		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersion: choice.Except, Exclude: tried, Resumed: resumed,
+		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersions: choice.Except, Exclude: tried, Resumed: resumed,
 		MaxWait: maxWait, Now: now,
 	}
 	asg, err := req.srv.cfg.Pool.Pick(que)
--- a/pkg/wick/plan.go
+++ b/pkg/wick/plan.go
@@ -1,6 +1,9 @@
 package wick
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 type (
 	// A RouteName names one route of a plan.
@@ -142,6 +145,9 @@
 	Number int
 	// State is "" until one is recorded for this very order.
 	State VersionOrderState
+	// Withheld are the versions of earlier orders that were rolled back, or replaced before
+	// they were proved. They get no requests until they are ordered again.
+	Withheld []ModelVersion
 	// Revision is that at which the order was read. A state is recorded only as long as
 	// the order is still the newest of its service.
 	Revision Revision
@@ -152,6 +158,15 @@
 	return vor.Service == oth.Service && vor.Target == oth.Target && vor.Within == oth.Within && vor.Number == oth.Number
 }
 
+// Withhold adds versions to those that are withheld, but not the order's own.
+func (vor *VersionOrder) Withhold(vers ...ModelVersion) {
+	for _, ver := range vers {
+		if ver != "" && ver != vor.Target && !slices.Contains(vor.Withheld, ver) {
+			vor.Withheld = append(slices.Clip(vor.Withheld), ver)
+		}
+	}
+}
+
 // Repeated returns the order that follows if the operator issues the same one again.
 func (vor *VersionOrder) Repeated() VersionOrder {
 	out := *vor
