wire: a target that begins with two slashes is sent as it is

Cause: net/http takes an opaque target that begins with two slashes for a host, so the whole target was set as the path, which is escaped anew.

Change: path, escapes and query of such a target are set apart. One that net/http would still change (with characters that no path may have) is not sent.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -44,6 +45,7 @@
 	errExpired        = errors.New("call's deadline passed before it was sent")
 	errUndelimited    = errors.New("reply has neither a Content-Length nor chunked encoding")
 	errFraming        = errors.New("reply consists mostly of the sizes of its chunks")
+	errTarget         = errors.New("a request target that begins with two slashes has characters that can't be sent as they are")
 	errProtocolSwitch = errors.New("unexpected protocol switch")
 )
 
@@ -191,7 +193,10 @@
 	if call.Header != nil {
 		req.Header = call.Header.Clone()
 	}
-	call.applyOverrides(req)
+	if err := call.applyOverrides(req); err != nil {
+		cancel(err)
+		return nil, NewError(wick.ErrNotSent, call.Method, err)
+	}
 	rep.timer = time.AfterFunc(rep.stallTimeout, func() { cancel(errStallTimeout) })
 	connTimer := time.AfterFunc(orDefault(cli.ConnTimeout, defaultConnTimeout), func() {
 		if grd.abandon() {
@@ -223,19 +228,29 @@
 	return rep, nil
 }
 
-// applyOverrides applies the call's Host and Target to req.
-func (call *Call) applyOverrides(req *http.Request) {
+// applyOverrides applies the call's Host and Target to req, or returns errTarget.
+func (call *Call) applyOverrides(req *http.Request) error {
 	if call.Host != "" {
 		req.Host = call.Host
 	}
-	if call.Target != "" {
-		// net/http sends Opaque unless it begins with two slashes.
-		if strings.HasPrefix(call.Target, "//") {
-			req.URL.Path, req.URL.RawPath = call.Target, ""
-		} else {
-			req.URL.Opaque, req.URL.RawQuery = call.Target, ""
-		}
+	if call.Target == "" {
+		return nil
+	}
+	if !strings.HasPrefix(call.Target, "//") {
+		req.URL.Opaque, req.URL.RawQuery = call.Target, ""
+		return nil
+	}
+	// net/http takes an Opaque that begins with two slashes for a host.
+	path, query, hasQuery := strings.Cut(call.Target, "?")
+	decoded, err := url.PathUnescape(path)
+	if err != nil {
+		return errTarget
+	}
+	req.URL.Path, req.URL.RawPath, req.URL.RawQuery, req.URL.ForceQuery = decoded, path, query, hasQuery
+	if req.URL.RequestURI() != call.Target {
+		return errTarget
 	}
+	return nil
 }
 
 // Read reads from the reply's body. A body that is shorter than its declared
