lease, wire: the suspension of a machine counts for a lease

Cause: leases, and the deadlines of duty calls, were measured on Go's monotonic clock, which does not count the time of a suspension.

Duty calls check it before their first byte.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -59,7 +59,7 @@
 // An Option configures a Keeper.
 type Option func(kee *Keeper)
 
-// WithClock replaces the system clock.
+// WithClock replaces the clock, which counts the suspension of the machine.
 func WithClock(clk wick.Clock) Option { return func(kee *Keeper) { kee.clk = clk } }
 
 // WithHooks sets the functions that start and stop duties.
@@ -80,7 +80,7 @@
 // renewal.
 func NewKeeper(sto wick.Store, id wick.EntryID, inc wick.Incarnation, members func() []wick.Member, desired DesiredFunc, opts ...Option) *Keeper {
 	kee := &Keeper{
-		sto: sto, clk: wick.SystemClock{}, id: id, inc: inc, members: members, desired: desired,
+		sto: sto, clk: wick.BootClock{}, id: id, inc: inc, members: members, desired: desired,
 		timing: Timing{Renew: RenewInterval, Expiry: Expiry},
 		leases: make(map[wick.Duty]*Lease), started: make(map[wick.Duty]wick.Fence),
 	}
@@ -274,7 +274,7 @@
 	_, ok := lea.Holds()
 	lea.mu.Lock()
 	defer lea.mu.Unlock()
-	return lea.acquiredAt, ok
+	return lea.local(lea.acquiredAt), ok
 }
 
 // ValidUntil returns when the lease of a duty expires unless it is renewed, the zero
@@ -327,7 +327,7 @@
 	}
 	lea.mu.Lock()
 	defer lea.mu.Unlock()
-	return lea.rev.Era(), lea.eraSince
+	return lea.rev.Era(), lea.local(lea.eraSince)
 }
 
 // Holds returns the fencing token of a duty, and whether this entry holds its
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -149,9 +149,13 @@
 	}
 	lea.mu.Lock()
 	defer lea.mu.Unlock()
-	return lea.renewedAt.Add(lea.expiry)
+	return lea.local(lea.renewedAt.Add(lea.expiry))
 }
 
+// local returns the time on Go's clock that corresponds to one on the lease's clock, which
+// also counts suspension. The caller must hold mu.
+func (lea *Lease) local(at time.Time) time.Time { return time.Now().Add(at.Sub(lea.clk.Now())) }
+
 // Step acquires a free or expired lease or renews a held one, and returns the
 // resulting state. After Lost, the next Step starts from Free.
 func (lea *Lease) Step(ctx context.Context) (State, error) {
@@ -302,7 +306,7 @@
 	base, startedAt := lea.rev, lea.clk.Now()
 	rec := Record{
 		Holder: lea.id, Incarnation: lea.inc, Fence: lea.fence, Era: base.Era(),
-		Renewed: startedAt, Released: release, WriteID: wick.NewWriteID(),
+		Renewed: lea.local(startedAt), Released: release, WriteID: wick.NewWriteID(),
 	}
 	if lea.state != Held && lea.state != Suspect {
 		rec.Fence = lea.nextFence()
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -19,6 +19,11 @@
 	// byte is not written after it, even if the process was paused and the
 	// context's timer has not fired yet.
 	deadline time.Time
+	// suspended returns how long the machine has been suspended, which brings the deadline
+	// nearer, and suspendedAt is what it returned when the call began. Nil if suspension
+	// doesn't count.
+	suspended   func() time.Duration
+	suspendedAt time.Duration
 
 	// own is the connection that the call was assigned to last, and received the number
 	// of bytes that had been received on it before; nil for connections of other types.
@@ -54,6 +59,18 @@
 	}
 }
 
+// expired reports whether the deadline has passed.
+func (grd *sendGuard) expired() bool {
+	if grd.deadline.IsZero() {
+		return false
+	}
+	now := time.Now()
+	if grd.suspended != nil {
+		now = now.Add(grd.suspended() - grd.suspendedAt)
+	}
+	return !now.Before(grd.deadline)
+}
+
 // beginWrite records a write of the call to con, or returns an error if the
 // write is not allowed.
 func (grd *sendGuard) beginWrite(con net.Conn) error {
@@ -62,7 +79,7 @@
 	switch {
 	case grd.abandoned:
 		return errAbandoned
-	case grd.usedConn == nil && !grd.deadline.IsZero() && !time.Now().Before(grd.deadline):
+	case grd.usedConn == nil && grd.expired():
 		grd.abandoned = true
 		return errExpired
 	case grd.usedConn == nil:
--- a/internal/wire/conn_test.go
+++ b/internal/wire/conn_test.go
@@ -106,3 +106,24 @@
 		}
 	})
 }
+
+// TestSendGuardSuspended guards against a call that is sent on a permission that ran out
+// while the machine was suspended, which the clock of its deadline does not count.
+func TestSendGuardSuspended(t *testing.T) {
+	for _, tst := range []struct {
+		suspended time.Duration
+		sent      bool
+	}{{0, true}, {50 * time.Second, true}, {70 * time.Second, false}} {
+		grd := &sendGuard{
+			deadline: time.Now().Add(time.Minute), suspendedAt: time.Hour,
+			suspended: func() time.Duration { return time.Hour + tst.suspended },
+		}
+		rcn := &recordingConn{}
+		con := &conn{Conn: rcn}
+		grd.bind(con)
+		_, err := con.Write([]byte("x"))
+		if (err == nil) != tst.sent || (rcn.written > 0) != tst.sent || !tst.sent && !errors.Is(err, errExpired) {
+			t.Errorf("suspended for %v: %d bytes written, error %v", tst.suspended, rcn.written, err)
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -69,6 +69,9 @@
 	// TCP RST (SO_LINGER 0). A cancelled call that a network partition delays
 	// is then not delivered when the partition heals.
 	ResetOnClose bool
+	// Suspended returns how long the machine has been suspended in all. If it is set, that
+	// time counts for the deadlines of calls: they depend on a permission that runs out.
+	Suspended func() time.Duration
 	// Meter is NAME in the counters wire.NAME.calls, .sent and .received of
 	// the default registry. Nothing is counted if it is "".
 	Meter string
@@ -178,6 +181,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	grd := &sendGuard{once: call.NoRetry, cancel: cancel}
 	grd.deadline, _ = ctx.Deadline()
+	if grd.suspended = cli.Suspended; grd.suspended != nil {
+		grd.suspendedAt = grd.suspended()
+	}
 	rep := &Reply{grd: grd, stallTimeout: orDefault(call.StallTimeout, defaultStallTimeout), cancel: cancel}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
