--- a/internal/relay/drainend_test.go
+++ b/internal/relay/drainend_test.go
@@ -8,9 +8,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"github.com/wagtailwick/wagtailwick/internal/plan"
-	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
 // TestEndRequests guards against requests that are cut without an answer at the end of a
@@ -53,20 +50,7 @@
 // TestEndRequestsBeforeTurn guards against a request that is taken for one whose caller has
 // left because the drain ends while it waits for its turn at an endpoint.
 func TestEndRequestsBeforeTurn(t *testing.T) {
-	rly := newTestRelay(t, 1, nil)
-	now := time.Now()
-	req := &request{
-		srv: rly.srv, service: "s", deadline: now.Add(time.Minute),
-		match: plan.Match{Route: &wick.RoutePlan{Kind: wick.RouteIdempotent}},
-	}
-	limited, err := req.choose(nil, false, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	limited.SetLimit(wick.RateLimit{Set: true, PerSecond: 0.5}, now)
-	if _, err := req.choose(nil, false, time.Minute); err != nil {
-		t.Fatal(err)
-	}
+	req := newQueuedRequest(t)
 	ctx, cancel := context.WithCancelCause(t.Context())
 	time.AfterFunc(20*time.Millisecond, func() { cancel(errDrainEnded) })
 	if _, err := req.pick(ctx, false); !errors.Is(err, errTurnExpired) {
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -57,7 +57,7 @@
 	stopConfirmed
 )
 
-// stopResult returns what an answer to the order to stop a run says of it.
+// stopResult returns what is known of an order to stop a run, given its result.
 func stopResult(err error) runStop {
 	switch {
 	case err == nil:
--- a/internal/relay/panic_test.go
+++ b/internal/relay/panic_test.go
@@ -68,7 +68,7 @@
 }
 
 // TestPanicBesideRequest guards against the requests of all callers that end with the process
-// because the move or the probe of one run panics. That run's own stream goes on.
+// because the move or the probe of one run panics. That run's own stream continues.
 func TestPanicBesideRequest(t *testing.T) {
 	for name, setUp := range map[string]func(rly *testRelay){
 		"first copy": func(rly *testRelay) { rly.srv.cfg.Mover = panicMover{testMover: &rly.mover, reserve: true} },
--- a/internal/relay/stopped_test.go
+++ b/internal/relay/stopped_test.go
@@ -67,9 +67,9 @@
 	lost bool
 	// soon is set if the endpoint leaves so soon that there is no first copy.
 	soon bool
-	// snapshot is the copy from which the run goes on, path the route.
+	// snapshot is the copy from which the run is resumed, path the route.
 	snapshot, path string
-	// broken is set if the run can't go on.
+	// broken is set if the run can't be resumed.
 	broken bool
 }
 
@@ -126,14 +126,14 @@
 }
 
 // newStoppingRelay returns a relay whose first endpoint leaves after the first event. Its
-// run is stopped, and goes on elsewhere.
+// run is stopped, and is resumed elsewhere.
 func newStoppingRelay(t *testing.T, frm framing, tst *stopCase) *testRelay {
 	t.Helper()
 	var rly *testRelay
 	rly = newTestRelay(t, 3, func(req *http.Request, con net.Conn, num int) {
 		if num > 0 {
 			if req.Header.Get("X-Copy") != tst.snapshot || req.Header.Get("X-Last") != "1" {
-				t.Errorf("goes on with copy %q after event %q", req.Header.Get("X-Copy"), req.Header.Get("X-Last"))
+				t.Errorf("resumed with copy %q after event %q", req.Header.Get("X-Copy"), req.Header.Get("X-Last"))
 			}
 			beginStream(con, eventTwo)
 			endStream(con)
@@ -190,7 +190,7 @@
 
 // TestRunEndedAsStopped guards against a stream that never ends for its caller because its
 // run had produced its last event when it was stopped: no events are left for the run that
-// goes on. With chunks or a length, the stream's own end decides.
+// is resumed. With chunks or a length, the stream's own end decides.
 func TestRunEndedAsStopped(t *testing.T) {
 	for name, frm := range framings {
 		if frm.reset {
--- a/internal/relay/turn_test.go
+++ b/internal/relay/turn_test.go
@@ -29,22 +29,7 @@
 		}, errCallerLeft},
 	} {
 		t.Run(tst.name, func(t *testing.T) {
-			rly := newTestRelay(t, 1, nil)
-			now := time.Now()
-			req := &request{
-				srv: rly.srv, service: "s", deadline: now.Add(time.Minute),
-				match: plan.Match{Route: &wick.RoutePlan{Kind: wick.RouteIdempotent}},
-			}
-			limited, err := req.choose(nil, false, 0)
-			if err != nil {
-				t.Fatal(err)
-			}
-			limited.SetLimit(wick.RateLimit{Set: true, PerSecond: 0.5}, now)
-			// The limiter begins with a random part of a request. Once another request waits for
-			// its turn, the next one is at least a whole request later.
-			if _, err := req.choose(nil, false, time.Minute); err != nil {
-				t.Fatal(err)
-			}
+			req := newQueuedRequest(t)
 			ctx, cancel := tst.ctx()
 			defer cancel()
 			if _, err := req.pick(ctx, false); !errors.Is(err, tst.want) {
@@ -53,3 +38,25 @@
 		})
 	}
 }
+
+// newQueuedRequest returns a request whose turn at the only endpoint, which limits its
+// requests, is seconds away: the limiter begins with a random part of a request, but another
+// request waits for its turn there, so that this one is at least a whole request later.
+func newQueuedRequest(t *testing.T) *request {
+	t.Helper()
+	rly := newTestRelay(t, 1, nil)
+	now := time.Now()
+	req := &request{
+		srv: rly.srv, service: "s", deadline: now.Add(time.Minute),
+		match: plan.Match{Route: &wick.RoutePlan{Kind: wick.RouteIdempotent}},
+	}
+	limited, err := req.choose(nil, false, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	limited.SetLimit(wick.RateLimit{Set: true, PerSecond: 0.5}, now)
+	if _, err := req.choose(nil, false, time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	return req
+}
--- a/pkg/wick/store.go
+++ b/pkg/wick/store.go
@@ -31,8 +31,8 @@
 	// Revision is never zero for an object that exists. Every write to any
 	// object of a platform increases the platform's revision.
 	Revision Revision
-	// Created identifies the creation of the object, "" if the platform doesn't tell. It
-	// changes if an object is deleted and created again.
+	// Created identifies the creation of the object, "" if it is unknown. It changes if an
+	// object is deleted and created again.
 	Created string
 	// Data is JSON of at most MaxObjectBytes. It is empty for a deleted
 	// object reported by a watch.
