ledger: TestRetention no longer depends on random shards

The test filled segments with keys of random customers. Change: fillSegments claims its keys in each shard, the same number in all; the checks are unchanged, and now every shard must be swept in every run.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -37,10 +37,16 @@
 
 // queryAt returns a query with a new attempt whose key is in shard 0.
 func queryAt(num int) wick.ClaimQuery {
+	return queryIn("c", num, 0)
+}
+
+// queryIn returns a query of a customer with a new attempt whose key is in the
+// given shard.
+func queryIn(cst wick.Customer, num int, shd wick.Shard) wick.ClaimQuery {
 	for try := 0; ; try++ {
 		key := fmt.Sprintf("key%d.%d", num, try)
-		if digestOf("c", key).bits()%2 == 0 {
-			return wick.ClaimQuery{Customer: "c", Key: wick.IdempotencyKey(key), Attempt: wick.NewAttemptID()}
+		if wick.Shard(digestOf(string(cst), key).bits()%2) == shd {
+			return wick.ClaimQuery{Customer: cst, Key: wick.IdempotencyKey(key), Attempt: wick.NewAttemptID()}
 		}
 	}
 }
@@ -193,9 +199,9 @@
 				}()
 				time.Sleep(time.Second)
 				assertClaim(t, two, newAttempt(query), wick.ClaimGranted)
-				fillSegments(t, two, 40)
+				fillSegments(t, two, 20)
 				time.Sleep(pause)
-				fillSegments(t, two, 40)
+				fillSegments(t, two, 20)
 				last := queryAt(2)
 				assertClaim(t, two, last, wick.ClaimGranted)
 				one.resume()
@@ -206,13 +212,14 @@
 	}
 }
 
-// fillSegments claims num new keys; 40 are enough to seal segments.
+// fillSegments claims num new keys in each shard; 20 are enough to seal
+// segments.
 func fillSegments(tb testing.TB, nod *node, num int) {
 	tb.Helper()
 	for range num {
-		query := queryAt(0)
-		query.Customer = wick.Customer(wick.NewAttemptID())
-		assertClaim(tb, nod, query, wick.ClaimGranted)
+		for shd := range wick.Shard(2) {
+			assertClaim(tb, nod, queryIn(wick.Customer(wick.NewAttemptID()), 0, shd), wick.ClaimGranted)
+		}
 	}
 }
 
@@ -345,7 +352,7 @@
 	simulate(t, func(t *scenario) {
 		query := queryAt(1)
 		assertClaim(t, t.one, query, wick.ClaimGranted)
-		fillSegments(t, t.one, 60)
+		fillSegments(t, t.one, 30)
 		obj, err := t.sim.sto.Get(t.Context(), sealedKey(0, 1))
 		if err != nil {
 			t.Fatal(err)
@@ -371,7 +378,7 @@
 		assertClaim(t, one, query, wick.ClaimGranted)
 		large := strings.Repeat("x", 4*InlineReplyBytes)
 		assertRecord(t, one, query, doneOutcome(large))
-		fillSegments(t, one, 40)
+		fillSegments(t, one, 20)
 		time.Sleep(Retention)
 		fillSegments(t, one, 1)
 		if res := assertClaim(t, two, newAttempt(query), wick.ClaimDone); !bytes.Equal(res.Reply.Body, []byte(large)) {
