relay: one budget bounds the memory of request bodies and partial replies

Cause: hertz read each body whole, into a buffer of twice its size, before the request was admitted. Only the size of one body was bounded, at a fixed 8 MiB; memory_mb and the configuration's max_body_bytes were not read. Change: the relay reads bodies itself (internal/relay/body.go). Memory is reserved before it is allocated: by Content-Length before the body is read, for chunked bodies as they grow. Bodies and partial replies share 0.4 of memory_mb, of which a quarter is kept for replies. Without memory a request is refused at once (503, not executed, Retry-After) and the rest of its body discarded; slow senders lose their memory once others need it. max_body_bytes is enforced. Ruled out: that GC settings alone would do; live bodies were 240 MB and more. Not done: unread bytes in kernel buffers; the configuration's other three limits.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -133,6 +133,8 @@
 	// disables the listener.
 	CallerAddr, ReadyAddr, AdminAddr, PeerAddr string
 	MaxConnections                             int
+	// Memory is that of the machine in bytes; zero is unknown.
+	Memory int64
 }
 
 // An Edge is an entry.
@@ -314,7 +316,7 @@
 		return eris.Wrap(err, "edge: listen for callers")
 	}
 	edg.relay = relay.New(relay.Config{
-		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
+		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Memory: edg.cfg.Memory, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
 		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Prober: edg.cfg.Prober, Crashes: &edg.crashes, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
 		PlanConfirmed: edg.planConfirmed, EndpointLeaves: edg.announceLeaving,
 		RegistryAge: func() time.Duration { return time.Since(edg.backends.LastSuccess()) },
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// maxBufferedBytes bounds the memory of partial replies of all requests, beyond
-	// freeBufferBytes of each.
+	// maxBufferedBytes bounds the memory of partial replies beyond freeBufferBytes of each
+	// and the bodies of requests beyond freeBodyBytes, unless Config.Memory is set.
 	maxBufferedBytes = 48 << 20
 	// freeBufferBytes is the memory that a reply may use without a reservation, so
 	// that endless replies don't fail the usual ones.
@@ -31,10 +31,13 @@
 
 // take takes a number of bytes and reports whether they were available. One that fails
 // never counts, not even for a moment, in which it would fail others.
-func (bud *byteBudget) take(num int64) bool {
+func (bud *byteBudget) take(num int64) bool { return bud.takeBelow(num, bud.limit) }
+
+// takeBelow takes bytes if no more than limit are in use then.
+func (bud *byteBudget) takeBelow(num, limit int64) bool {
 	for {
 		used := bud.used.Load()
-		if used+num > bud.limit {
+		if used+num > limit {
 			return false
 		}
 		if bud.used.CompareAndSwap(used, used+num) {
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -34,6 +34,10 @@
 	refusalNoRoute        = refusal{404, logs.ReasonNoRoute, executedNo, 0}
 	refusalNoCustomer     = refusal{401, logs.ReasonNoCustomer, executedNo, 0}
 	refusalDraining       = refusal{503, logs.ReasonDraining, executedNo, 50 * time.Millisecond}
+	refusalNoMemory       = refusal{503, logs.ReasonNoMemory, executedNo, 500 * time.Millisecond}
+	refusalBodySize       = refusal{413, logs.ReasonBodySize, executedNo, 0}
+	refusalBodySlow       = refusal{408, logs.ReasonBodySlow, executedNo, 0}
+	refusalBodyBroken     = refusal{400, logs.ReasonBodyBroken, executedNo, 0}
 	refusalQuota          = refusal{429, logs.ReasonQuota, executedNo, 0}
 	refusalPromptBlocked  = refusal{503, logs.ReasonPromptBlocked, executedNo, 0}
 	refusalLimited        = refusal{503, logs.ReasonEndpointsLimited, executedNo, 0}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -34,9 +35,12 @@
 
 var log = logrus.WithField("component", "relay")
 
+// bufferedShare is the part of Config.Memory that request bodies and partial replies may
+// hold. The rest is for everything else, and for what the collector hasn't freed yet.
+const bufferedShare = 0.4
+
 // Limits of the HTTP server.
 const (
-	maxBodyBytes   = 8 << 20
 	maxHeaderBytes = 64 << 10
 	readTimeout    = 10 * time.Second
 	idleTimeout    = 60 * time.Second
@@ -87,17 +91,19 @@
 	Listener net.Listener
 	// MaxConnections bounds the callers' open connections.
 	MaxConnections int
-	Dialect        wick.Dialect
-	Plans          *plan.Current
-	Pool           *pool.Pool
-	Quotas         Quotas
-	Versions       Versions
-	Mover          wick.Mover
-	Prober         wick.RunProber
-	Crashes        Crashes
-	Budget         *retry.Budget
-	Client         *wire.Client
-	Meter          Meter
+	// Memory is that of the machine in bytes. Zero is unknown.
+	Memory   int64
+	Dialect  wick.Dialect
+	Plans    *plan.Current
+	Pool     *pool.Pool
+	Quotas   Quotas
+	Versions Versions
+	Mover    wick.Mover
+	Prober   wick.RunProber
+	Crashes  Crashes
+	Budget   *retry.Budget
+	Client   *wire.Client
+	Meter    Meter
 	// PlanConfirmed reports whether the current plan was recently confirmed to
 	// be the latest. If it wasn't, an unknown route or key may have been added
 	// by a newer plan.
@@ -122,8 +128,10 @@
 	// routineLogs samples the log lines of requests that the first endpoint
 	// answered in time.
 	routineLogs *logs.Sampler
-	// buffers bounds the memory of partial replies of all requests.
+	// buffers bounds the memory of partial replies and of request bodies, bodies that of
+	// the latter.
 	buffers byteBudget
+	bodies  bodyBudget
 	// ending is the parent of the requests' contexts, end cancels it.
 	ending context.Context //nolint:containedctx // ends with the server, not with a call
 	end    context.CancelCauseFunc
@@ -141,6 +149,10 @@
 		cfg.EndpointLeaves = func(wick.Backend) {}
 	}
 	srv := &Server{cfg: cfg, routineLogs: logs.NewSampler(routineLogsPerSecond), buffers: byteBudget{limit: maxBufferedBytes}}
+	if cfg.Memory > 0 {
+		srv.buffers.limit = int64(float64(cfg.Memory) * bufferedShare)
+	}
+	srv.bodies.bud = &srv.buffers
 	srv.ending, srv.end = context.WithCancelCause(context.Background())
 	srv.lis = &httpio.Listener{
 		Listener: cfg.Listener, Limit: int64(cfg.MaxConnections), ReadTimeout: readTimeout,
@@ -148,7 +160,7 @@
 	}
 	srv.hrz = server.New(
 		server.WithListener(srv.lis), server.WithTransport(standard.NewTransporter),
-		server.WithSenseClientDisconnection(true), server.WithMaxRequestBodySize(maxBodyBytes),
+		server.WithSenseClientDisconnection(true), server.WithStreamBody(true), server.WithMaxRequestBodySize(math.MaxInt),
 		server.WithMaxHeaderBytes(maxHeaderBytes), server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout), server.WithDisablePrintRoute(true),
 		server.WithDisablePreParseMultipartForm(true), server.WithRedirectTrailingSlash(false),
@@ -199,6 +211,7 @@
 	tried []wick.VMID
 	// header is a copy of the caller's end-to-end headers.
 	header http.Header
+	body   []byte
 	// prompt is that of a model request.
 	prompt crash.Prompt
 	// fate is closed once it is known whether the endpoint of the last attempt has
@@ -213,6 +226,14 @@
 // serve handles one request.
 func (srv *Server) serve(ctx context.Context, rct *app.RequestContext) {
 	defer rct.Abort()
+	hdr := endToEndHeader(rct)
+	req := &request{srv: srv, rct: rct, header: hdr, arrived: time.Now(), buffered: reservation{bud: &srv.buffers}}
+	req.params = srv.cfg.Dialect.ReadRequest(hdr)
+	endBody, ok := req.receiveBody()
+	if !ok {
+		return
+	}
+	defer endBody()
 	srv.active.Add(1)
 	defer srv.active.Add(-1)
 	now := time.Now()
@@ -220,9 +241,7 @@
 	if srv.closing.Load() {
 		rct.SetConnectionClose()
 	}
-	hdr := endToEndHeader(rct)
-	req := &request{srv: srv, rct: rct, header: hdr, arrived: now, buffered: reservation{bud: &srv.buffers}}
-	req.params = srv.cfg.Dialect.ReadRequest(hdr)
+	req.arrived = now
 	req.prompt = crash.NewPrompt(req.params.Parts)
 	if rfl, ok := req.admit(ctx, now); !ok {
 		req.writeRefusal(logs.MsgRefused, rfl)
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -143,7 +143,7 @@
 	rep, err := req.srv.cfg.Client.Do(ctx, wire.Call{
 		Method: string(req.rct.Method()), URL: "http://" + tgt.Backend.Address,
 		Host: string(req.rct.Request.Header.Host()), Target: string(req.rct.Request.Header.RequestURI()),
-		Header: hdr, Body: req.rct.Request.Body(), NoRetry: true, CloseConn: req.ownConnection(),
+		Header: hdr, Body: req.body, NoRetry: true, CloseConn: req.ownConnection(),
 		StallTimeout: req.deadline.Sub(att.sentAt) + 2*timeoutGrace,
 	})
 	if err != nil {
--- a/pkg/wick/plan.go
+++ b/pkg/wick/plan.go
@@ -36,6 +36,8 @@
 	Routes    []RoutePlan
 	Services  []ServicePlan
 	Customers []CustomerPlan
+	// MaxBodyBytes bounds the body of a request; 0 leaves the bound to the entry.
+	MaxBodyBytes int64
 }
 
 // A RoutePlan sends the requests of a host and path prefix to services.
