edge: what an entry knows of earlier orders no longer overrides the object

Callers could see: (1) an entry that had missed the end of an order withheld its version, the one in force, as soon as the next order came, and wrote that into the status: nearly all requests of the service were refused; (2) a version whose order was replaced before any state was recorded got requests like any other. Cause: one for both. An entry decided on the versions of earlier orders by the last state that it had read itself and by the orders' numbers. A watch skips states, and an order without a recorded state leaves its number to the next one. Change: the status lists proved versions beside the withheld ones. An entry corrects the lists only where it knows that the object lacks a state: a later order has no higher number, or a restore came after it read "done". Orders are compared by the sequence in which the entry first read them; the id of a move has the order's time limit, too. TestRestoredOrder asks moveID for the id that it had spelled out.

--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -42,9 +42,10 @@
 
 // moveID returns the id of an order's move, which is the same at all entries. The length of
 // the service's name keeps the ids of two services apart, the order's number those of two
-// orders of a version.
+// orders of a version, and its time limit those of two orders whose numbers are equal because
+// a restore of the store has lost the first one's state.
 func moveID(ord wick.VersionOrder) wick.MoveID {
-	return wick.MoveID(fmt.Sprintf("%s-%s-%d-%d", ord.Service, ord.Target, len(ord.Service), ord.Number))
+	return wick.MoveID(fmt.Sprintf("%s-%s-%d-%d-%d", ord.Service, ord.Target, len(ord.Service), ord.Number, ord.Within.Milliseconds()))
 }
 
 // handleOrder handles a change of a version order.
@@ -77,12 +78,13 @@
 	if read.repeated {
 		ord = ord.Repeated()
 	}
-	rls.withhold(&ord)
+	rls.withhold(&ord, era)
 	rol := rls.known[moveID(ord)]
 	if rol == nil {
-		rol = &rollout{receivedAt: now, era: era, readIn: era}
+		rol = &rollout{receivedAt: now, era: era, readIn: era, place: len(rls.known)}
 		rls.known[moveID(ord)] = rol
 	}
+	rol.unrecorded = false
 	rls.orders[ord.Service] = rol
 	if rol.ord.State != ord.State || rol.ord.Target != ord.Target {
 		log.WithFields(logrus.Fields{logs.FieldService: ord.Service, "version": ord.Target, "state": ord.State, "within": ord.Within.String()}).Info("edge: version order changed")
@@ -91,27 +93,43 @@
 	rls.updateJudge(rol)
 }
 
-// withhold adds the versions of earlier orders that this entry knows to have been rolled
-// back or replaced before they were proved. The object lacks those that were replaced
-// before any state was recorded.
-func (rls *rollouts) withhold(ord *wick.VersionOrder) {
-	latest := make(map[wick.ModelVersion]*wick.VersionOrder)
-	for _, rol := range rls.known {
-		ver := rol.ord.Target
-		if rol.ord.Service != ord.Service || rol.ord.Number >= ord.Number {
+// withhold corrects the versions that the order withholds by what this entry has read. The
+// object knows all orders for which a state was recorded, also those whose end this entry
+// has missed, but not those that were replaced before, or whose states a restore of the
+// store has discarded: their numbers are given out again.
+func (rls *rollouts) withhold(ord *wick.VersionOrder, era wick.Era) {
+	current := moveID(*ord)
+	latest := make(map[wick.ModelVersion]*rollout)
+	for mid, rol := range rls.known {
+		if rol.ord.Service != ord.Service || mid == current {
 			continue
 		}
-		if last := latest[ver]; last == nil || last.Number < rol.ord.Number {
-			latest[ver] = &rol.ord
+		if last := latest[rol.ord.Target]; last == nil || rol.follows(last) {
+			latest[rol.ord.Target] = rol
 		}
 	}
 	for ver, last := range latest {
-		if last.State != wick.OrderDone {
+		last.unrecorded = last.unrecorded || last.ord.Number >= ord.Number
+		switch {
+		case last.ord.State == wick.OrderDone:
+			if last.unrecorded || last.era < era {
+				ord.Prove(ver)
+			}
+		case last.unrecorded && last.ord.State != "", !slices.Contains(ord.Proved, ver):
 			ord.Withhold(ver)
 		}
 	}
 }
 
+// follows reports whether the rollout decides on its version rather than oth, another one
+// of the same version. One without a state leaves the version as it was.
+func (rol *rollout) follows(oth *rollout) bool {
+	if (rol.ord.State == "") != (oth.ord.State == "") {
+		return oth.ord.State == ""
+	}
+	return rol.place > oth.place
+}
+
 // unproved returns the versions that are not in force: the order's own and those that are
 // withheld.
 func unproved(ord *wick.VersionOrder) []wick.ModelVersion {
--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -125,6 +125,7 @@
 		{Service: "a-1", Target: "b", Number: 1},
 		{Service: "a", Target: "1-b", Number: 1},
 		{Service: "a", Target: "b-1", Number: 1},
+		{Service: "a", Target: "b-1", Number: 1, Within: time.Second},
 	}
 	seen := make(map[wick.MoveID]wick.VersionOrder)
 	for _, ord := range orders {
@@ -220,6 +221,20 @@
 	}
 }
 
+// TestMissedEnd guards against an entry that withholds the version in force because it has
+// missed the end of its order: the next one came before it had read the state.
+func TestMissedEnd(t *testing.T) {
+	for _, missed := range []wick.VersionOrderState{"", wick.OrderRunning} {
+		rdr := newOrderReader(t)
+		rdr.change("v2", 1, missed)
+		rdr.rev++
+		data := []byte(`{"Service":"s","Target":"v3","Within":60000000000,"Number":2,"Proved":["v2"]}`)
+		rdr.rls.handleOrder(wick.Object{Key: wick.ObjectKey{Kind: "order", Name: "s"}, Revision: rdr.rev, Data: data})
+		rdr.assertWithheld("v3")
+		rdr.assertExcept("v2", false)
+	}
+}
+
 // TestOrderRewritten guards against a completed order that is carried out anew because the
 // operator writes it again after a restore of the store: the endpoints of the version
 // before have stopped.
@@ -234,3 +249,16 @@
 		t.Errorf("choice %+v, want the version in force", cho)
 	}
 }
+
+// TestOrderWithoutState guards against a version that is served like any other although its
+// order was replaced before any state was recorded, which leaves the order's number to the
+// next one.
+func TestOrderWithoutState(t *testing.T) {
+	rdr := newOrderReader(t)
+	rdr.change("v2", 1, "")
+	rdr.change("v3", 1, "")
+	rdr.assertExcept("v2", true)
+	rdr.change("v3", 1, wick.OrderDone)
+	rdr.change("v4", 2, "")
+	rdr.assertExcept("v2", true)
+}
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -71,6 +71,13 @@
 	goneBack time.Time
 	// readIn is the latest era in which the order was read.
 	readIn wick.Era
+	// place is that of the order in the sequence in which this entry first read them. The
+	// numbers of orders don't do: one that is replaced before any state is recorded, or that
+	// a restored store has lost, leaves its number to another one.
+	place int
+	// unrecorded is set if the object doesn't know the order's state: a later order has a
+	// number that isn't higher.
+	unrecorded bool
 	// receivedAt is when this entry received the order.
 	receivedAt time.Time
 	// rec is the latest record of the move, recordEra the store's era in which it was read.
--- a/internal/edge/rolloutrestore_test.go
+++ b/internal/edge/rolloutrestore_test.go
@@ -28,17 +28,18 @@
 // order whose state is not written again.
 func TestRestoredOrder(t *testing.T) {
 	sit := newSite(t, 2, wick.Quota{})
-	sit.put("order", "s", 0, wick.VersionOrder{Service: "s", Target: "v2", Within: time.Minute, State: wick.OrderRunning})
+	ord := wick.VersionOrder{Service: "s", Target: "v2", Within: time.Minute, State: wick.OrderRunning}
+	sit.put("order", "s", 0, ord)
 	for _, edg := range sit.edges {
 		sit.await("the order is known", func() bool { return edg.rollouts.inProgress("s") })
 	}
 	sit.await("the move is recorded", func() bool {
-		_, err := sit.sto.Get(sit.Context(), wick.ObjectKey{Kind: wick.KindMove, Name: "s-v2-1-0"})
+		_, err := sit.sto.Get(sit.Context(), wick.ObjectKey{Kind: wick.KindMove, Name: string(moveID(ord))})
 		return err == nil
 	})
 	cpy := sit.sto.Backup()
 	for _, edg := range sit.edges {
-		edg.rollouts.jdg.Stop(canary.Stop{Move: "s-v2-1-0", Service: "s", Version: "v2", Reason: "bad"})
+		edg.rollouts.jdg.Stop(canary.Stop{Move: moveID(ord), Service: "s", Version: "v2", Reason: "bad"})
 	}
 	for _, edg := range sit.edges {
 		sit.await("the order has ended", func() bool { return !edg.rollouts.inProgress("s") })
--- a/pkg/wick/plan.go
+++ b/pkg/wick/plan.go
@@ -150,6 +150,9 @@
 	// Withheld are the versions of earlier orders that were rolled back, or replaced before
 	// they were proved. They get no requests until they are ordered again.
 	Withheld []ModelVersion
+	// Proved are the versions of earlier orders that were done. A version of an earlier
+	// order that is in neither list was replaced before any state was recorded.
+	Proved []ModelVersion
 	// Revision is that at which the order was read. A state is recorded only as long as
 	// the order is still the newest of its service.
 	Revision Revision
@@ -162,11 +165,28 @@
 
 // Withhold adds versions to those that are withheld, but not the order's own.
 func (vor *VersionOrder) Withhold(vers ...ModelVersion) {
+	vor.Withheld, vor.Proved = moveVersions(vor.Withheld, vor.Proved, vor.Target, vers)
+}
+
+// Prove adds versions to those of earlier orders that were done, but not the order's own.
+func (vor *VersionOrder) Prove(vers ...ModelVersion) {
+	vor.Proved, vor.Withheld = moveVersions(vor.Proved, vor.Withheld, vor.Target, vers)
+}
+
+// moveVersions returns to with vers added and from without them, and leaves out the version
+// own. It changes neither list.
+func moveVersions(to, from []ModelVersion, own ModelVersion, vers []ModelVersion) (added, rest []ModelVersion) {
+	to, from = slices.Clip(to), slices.Clone(from)
 	for _, ver := range vers {
-		if ver != "" && ver != vor.Target && !slices.Contains(vor.Withheld, ver) {
-			vor.Withheld = append(slices.Clip(vor.Withheld), ver)
+		if ver == "" || ver == own {
+			continue
+		}
+		if !slices.Contains(to, ver) {
+			to = append(to, ver)
 		}
+		from = slices.DeleteFunc(from, func(oth ModelVersion) bool { return oth == ver })
 	}
+	return to, from
 }
 
 // Repeated returns the order that follows if the operator issues the same one again.
