edge: a silent watch of the version orders is found by the pollers' notices

Callers could see: at an entry whose watch of the orders had gone silent, the version of a new order got requests like any other for up to 9 s. Cause: the watches of the other kinds have limits of 3 s or hear of changes from other entries; that of the orders had neither (8 s of waiting and 1 s for the call). Change: the load notices, each 0.4 s, carry the highest revision of an order that their sender has read. An entry that hears for 1 s of one beyond its own reads the orders again. Evidence: edge.TestOrderNotice fails without the reaction ("not within 12 s: the order is known") and passes with it (1 to 4 s). Ruled out: a shorter watch; each entry would make 2.5 times as many calls. Partial: an entry that hears no poller still waits for up to 9 s.

--- a/internal/edge/informants.go
+++ b/internal/edge/informants.go
@@ -20,6 +20,9 @@
 	// relistInterval is the least time between two reads of a plan for the same
 	// version.
 	relistInterval = 500 * time.Millisecond
+	// ordersPatience is how long a watch of the version orders may lag behind another
+	// entry's before its connection counts as dead.
+	ordersPatience = time.Second
 )
 
 // informants tracks what the pollers of the zones tell an entry. While they do, the
@@ -35,6 +38,9 @@
 	// relistedFor is the version for which the plan was last reread, at relistedAt.
 	relistedFor wick.PlanVersion
 	relistedAt  time.Time
+	// ordersBehindSince is when another entry was first heard to have a newer version
+	// order, the zero time if none has one.
+	ordersBehindSince time.Time
 }
 
 // heard records a notice of a poller with a current registry.
@@ -109,6 +115,26 @@
 	return true
 }
 
+// mayRelistOrders reports whether the version orders may be reread because another entry
+// has read revision rev, and this one only own: the watch of a sound connection shows a
+// change within ordersPatience.
+func (inf *informants) mayRelistOrders(rev, own wick.Revision, now time.Time) bool {
+	inf.mu.Lock()
+	defer inf.mu.Unlock()
+	if rev <= own {
+		inf.ordersBehindSince = time.Time{}
+		return false
+	}
+	if inf.ordersBehindSince.IsZero() {
+		inf.ordersBehindSince = now
+	}
+	if now.Sub(inf.ordersBehindSince) < ordersPatience {
+		return false
+	}
+	inf.ordersBehindSince = now
+	return true
+}
+
 // informed reports whether other entries tell this one what they read in the registry.
 // Pollers read it themselves.
 func (edg *Edge) informed() bool {
--- a/internal/edge/informants_test.go
+++ b/internal/edge/informants_test.go
@@ -92,6 +92,54 @@
 	}
 }
 
+// A deadWatch is a store whose connection has gone silent: its watches never end.
+type deadWatch struct{ wick.Store }
+
+func (dwt deadWatch) Watch(ctx context.Context, _ wick.Kind, _ wick.Revision) ([]wick.Object, wick.Revision, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// TestOrderNotice guards against a version that gets requests like any other, and is not
+// proved, at an entry whose watch of the orders is dead.
+func TestOrderNotice(t *testing.T) {
+	sit := newSite(t, 0, wick.Quota{})
+	edg := newIdleEdge(sit.sto)
+	edg.orders.Store = deadWatch{sit.sto}
+	go edg.orders.Run(t.Context())
+	sit.await("the orders were read once", func() bool { return !edg.orders.LastSuccess().IsZero() })
+	rev := sit.put("order", "s", 0, wick.VersionOrder{Service: "s", Target: "v2", Within: time.Minute, Number: 1})
+	notify := func(rev wick.Revision) {
+		data, err := peer.Encode(loadNotice{Orders: rev})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := edg.handleLoadNotice(t.Context(), "other", data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(ordersPatience / 2)
+	if edg.rollouts.inProgress("s") {
+		t.Fatal("the watch is not dead")
+	}
+	start := time.Now()
+	sit.await("the order is known", func() bool {
+		notify(rev)
+		return edg.rollouts.inProgress("s")
+	})
+	if took := time.Since(start); took < ordersPatience || took > 4*ordersPatience {
+		t.Errorf("read again after %v, want it soon after %v", took, ordersPatience)
+	}
+	reads := sit.sto.Calls().Reads
+	for range 3 {
+		notify(rev)
+		time.Sleep(ordersPatience / 2)
+	}
+	if more := sit.sto.Calls().Reads - reads; more > 0 {
+		t.Errorf("%d more reads although no entry is ahead", more)
+	}
+}
+
 // TestWithinLease guards against a call of the control duty that is sent after the lease
 // has run out, for instance because the process was paused after it had checked it.
 func TestWithinLease(t *testing.T) {
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -40,6 +40,8 @@
 	Left []leavingEndpoint `cbor:"3,keyasint,omitempty"`
 	// Plan is the version of the plan in force.
 	Plan wick.PlanVersion `cbor:"4,keyasint,omitempty"`
+	// Orders is the highest revision of a version order that was read.
+	Orders wick.Revision `cbor:"5,keyasint,omitempty"`
 }
 
 // An endpointLoad is the load of one endpoint.
@@ -69,6 +71,7 @@
 		if tbl := edg.plans.Load(); tbl != nil {
 			ntc.Plan = tbl.Plan.Version
 		}
+		ntc.Orders = edg.rollouts.newestRevision()
 		edg.notify(ctx, wick.MsgLoad, ntc, edg.reachablePeers())
 	}
 }
@@ -172,6 +175,7 @@
 	edg.applyLoads(ntc)
 	edg.markLeft(from, ntc.Left)
 	edg.notePlan(from, ntc.Plan)
+	edg.noteOrders(from, ntc.Orders)
 	if ntc.Current {
 		edg.informants.heard(time.Now())
 	}
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -138,6 +138,16 @@
 	}
 }
 
+// noteOrders rereads the version orders if another entry has read a newer one and this
+// entry's own watch doesn't show it.
+func (edg *Edge) noteOrders(from wick.EntryID, rev wick.Revision) {
+	if !edg.informants.mayRelistOrders(rev, edg.rollouts.newestRevision(), time.Now()) {
+		return
+	}
+	log.WithFields(logrus.Fields{"revision": rev, "from": from}).Info("edge: another entry has a newer version order")
+	edg.orders.Relist()
+}
+
 // notePlan rereads the plan if another entry has a newer one, and asks that entry for it: a
 // store that was restored may not have it.
 func (edg *Edge) notePlan(from wick.EntryID, ver wick.PlanVersion) {
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -50,6 +50,9 @@
 
 // handleOrder handles a change of a version order.
 func (rls *rollouts) handleOrder(obj wick.Object) {
+	rls.mu.Lock()
+	rls.newest = max(rls.newest, obj.Revision)
+	rls.mu.Unlock()
 	ord, err := rls.edg.cfg.Catalog.VersionOrder(obj)
 	if err != nil || ord.Service == "" || ord.Target == "" {
 		log.WithError(err).WithField("order", obj.Key.Name).Warn("edge: malformed version order ignored")
@@ -58,6 +61,13 @@
 	rls.setOrder(ord, obj.Revision.Era(), time.Now())
 }
 
+// newestRevision returns the highest revision of an order that was read.
+func (rls *rollouts) newestRevision() wick.Revision {
+	rls.mu.Lock()
+	defer rls.mu.Unlock()
+	return rls.newest
+}
+
 // An orderHandler handles changes of version orders.
 type orderHandler struct {
 	feed.Each
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -58,6 +58,8 @@
 	known map[wick.MoveID]*rollout
 	// reads holds what was last read of the order of each service.
 	reads map[wick.Service]orderRead
+	// newest is the highest revision of an order that was read.
+	newest wick.Revision
 }
 
 // A rollout is this entry's view of a version order.
