--- a/internal/edge/informants.go
+++ b/internal/edge/informants.go
@@ -38,8 +38,8 @@
 	// relistedFor is the version for which the plan was last reread, at relistedAt.
 	relistedFor wick.PlanVersion
 	relistedAt  time.Time
-	// ordersBehindSince is when another entry was first heard to have a newer version
-	// order, the zero time if none has one.
+	// ordersBehindSince is when a notice first had a higher revision of the version orders
+	// than this entry has read, the zero time if none has.
 	ordersBehindSince time.Time
 }
 
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -40,10 +40,10 @@
 	return out
 }
 
-// moveID returns the id of an order's move, which is the same at all entries. The length of
-// the service's name keeps the ids of two services apart, the order's number those of two
-// orders of a version, and its time limit those of two orders whose numbers are equal because
-// a restore of the store has lost the first one's state.
+// moveID returns the id of an order's move, which is the same at all entries. It has the
+// length of the service's name, because names may contain dashes; the order's number, because
+// a version may be ordered twice; and its time limit, because two orders have the same number
+// if a restore of the store has discarded the state of the first one.
 func moveID(ord wick.VersionOrder) wick.MoveID {
 	return wick.MoveID(fmt.Sprintf("%s-%s-%d-%d-%d", ord.Service, ord.Target, len(ord.Service), ord.Number, ord.Within.Milliseconds()))
 }
--- a/internal/relay/stopped_test.go
+++ b/internal/relay/stopped_test.go
@@ -59,7 +59,8 @@
 	}
 }
 
-// A stopCase is what comes of the order to stop a run for its move.
+// A stopCase is one outcome of the call by which the relay stops a run before it moves it
+// to another endpoint.
 type stopCase struct {
 	name  string
 	moved bool
