httpio, relay, front: the end of a caller's input is no longer taken for its departure

What callers saw: a caller that closed its sending side after its request got 502 (callerLeft), or a stream cut after its first event, although endpoints answered.

Cause: hertz watches the connection while a request is processed and cancels the request as soon as a read returns the end of the input. The class of fault: a sign that only says 'no more requests' is taken for 'nobody reads'.

Change: the connection is watched by httpio.CallerConn instead, for both data paths. After the end of the input the request continues. Whether the caller still reads shows by what it receives: the response, or after 0.3 s without one an informational response; a caller that has closed its connection answers either by a reset, and only that cancels the request. HTTP/1.0 callers, which don't know informational responses, are served in any case.

TestCallerLeftStatus, which asked for 502, described the fault. Its replacement TestHalfClosedCaller asks for the whole answer. TestCallerLeaves keeps the other side: endpoints stop within 0.5 s after a caller has left.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -109,14 +109,14 @@
 	}
 	hrz := server.New(
 		server.WithListener(lis), server.WithTransport(standard.NewTransporter),
-		server.WithSenseClientDisconnection(true),
+		httpio.OnAccept(),
 		server.WithMaxRequestBodySize(cfg.MaxBody), server.WithMaxHeaderBytes(cfg.MaxHeader),
 		server.WithReadTimeout(cfg.ReadTimeout), server.WithIdleTimeout(cfg.IdleTimeout),
 		server.WithDisablePrintRoute(true), server.WithDisablePreParseMultipartForm(true),
 		server.WithRedirectTrailingSlash(false),
 	)
 	srv := &Server{cfg: cfg, hrz: hrz, lis: lis}
-	hrz.Use(recovery.Recovery())
+	hrz.Use(recovery.Recovery(), watchCaller)
 	hrz.GET("/readyz", srv.readyz)
 	hrz.POST(routeChat, srv.withCaller(srv.chat))
 	hrz.POST(routeText, srv.withCaller(srv.text))
@@ -129,6 +129,13 @@
 	return srv
 }
 
+// watchCaller cancels a request's context once its caller has left.
+func watchCaller(ctx context.Context, rct *app.RequestContext) {
+	ctx, endWatch := httpio.WatchCaller(ctx, rct)
+	defer endWatch()
+	rct.Next(ctx)
+}
+
 // Serve accepts connections until Shutdown.
 func (srv *Server) Serve() error { return eris.Wrap(srv.hrz.Run(), "front") }
 
--- a/internal/httpio/listen.go
+++ b/internal/httpio/listen.go
@@ -80,13 +80,13 @@
 		}
 		if lis.open.Add(1) <= lis.Limit {
 			// hertz sets a read timeout only from a connection's second request
-			// on. Its detection of closed connections clears this deadline.
+			// on. A watch of the connection clears this deadline.
 			if err := con.SetReadDeadline(time.Now().Add(lis.ReadTimeout)); err != nil {
 				lis.open.Add(-1)
 				_ = con.Close()
 				continue
 			}
-			return &limitConn{Conn: con, lis: lis}, nil
+			return &CallerConn{Conn: &limitConn{Conn: con, lis: lis}, raw: con}, nil
 		}
 		lis.open.Add(-1)
 		metrics.GetOrRegisterCounter("front.connectionsRefused", nil).Inc(1)
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -199,15 +199,9 @@
 	return next, nil
 }
 
-// A senser detects that the peer has closed the connection.
-type senser interface {
-	DetectConnectionClose()
-	AbortBlockingRead()
-}
-
 // receiveBody reads the caller's body, and refuses the request and returns false if it
-// can't. The returned function must be called when the request has ended.
-func (req *request) receiveBody() (end func(), ok bool) {
+// can't. The returned function releases its memory.
+func (req *request) receiveBody() (release func(), ok bool) {
 	rct := req.rct
 	if !rct.Request.IsBodyStream() {
 		return func() {}, true
@@ -227,17 +221,7 @@
 		req.skipBody(size - bdr.received.Load())
 		return func() {}, false
 	}
-	// hertz watches the connection only of requests whose body it has read itself.
-	sns, watched := rct.GetConn().(senser)
-	if watched {
-		sns.DetectConnectionClose()
-	}
-	return func() {
-		if watched {
-			sns.AbortBlockingRead()
-		}
-		bdr.release()
-	}, true
+	return bdr.release, true
 }
 
 // skipBody sends the response and then discards the rest of the body: size bytes, or the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -160,7 +160,7 @@
 	}
 	srv.hrz = server.New(
 		server.WithListener(srv.lis), server.WithTransport(standard.NewTransporter),
-		server.WithSenseClientDisconnection(true), server.WithStreamBody(true), server.WithMaxRequestBodySize(math.MaxInt),
+		httpio.OnAccept(), server.WithStreamBody(true), server.WithMaxRequestBodySize(math.MaxInt),
 		server.WithMaxHeaderBytes(maxHeaderBytes), server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout), server.WithDisablePrintRoute(true),
 		server.WithDisablePreParseMultipartForm(true), server.WithRedirectTrailingSlash(false),
@@ -229,11 +229,13 @@
 	hdr := endToEndHeader(rct)
 	req := &request{srv: srv, rct: rct, header: hdr, arrived: time.Now(), buffered: reservation{bud: &srv.buffers}}
 	req.params = srv.cfg.Dialect.ReadRequest(hdr)
-	endBody, ok := req.receiveBody()
+	releaseBody, ok := req.receiveBody()
 	if !ok {
 		return
 	}
-	defer endBody()
+	defer releaseBody()
+	ctx, endWatch := httpio.WatchCaller(ctx, rct)
+	defer endWatch()
 	srv.active.Add(1)
 	defer srv.active.Add(-1)
 	now := time.Now()
