httpio: a connection is no longer closed over unread input

What callers saw: the end of a large response was lost with a reset when the server closed the connection (Connection: close, as each response of a drain has it) while the caller had already sent more than was read, such as its next request.

Cause: closing a socket with unread input resets the connection, and what the kernel had not yet sent of the response is discarded. The class of fault: a connection is given up in one direction while the other is still in use.

Change: CallerConn.Close closes the sending side first and discards the caller's input until it ends, for 1 s at most. Connections whose input has ended, failed or timed out are closed at once, as before.

--- a/internal/httpio/caller.go
+++ b/internal/httpio/caller.go
@@ -25,6 +25,8 @@
 	// maxProbes bounds the probes of one request. Clients limit the number of informational
 	// responses that they accept.
 	maxProbes = 5
+	// lingerTimeout bounds how long a connection stays open for a caller that still sends.
+	lingerTimeout = time.Second
 )
 
 // probe is an informational response, which a client must skip (RFC 9110, section 15.2).
@@ -47,6 +49,8 @@
 	begun bool
 	// ahead holds the bytes that a watch has read. The next Read returns them.
 	ahead []byte
+	// ended is set once a read has failed or has reached the end of the input.
+	ended bool
 }
 
 // Read returns the bytes that a watch has read, then those of the connection.
@@ -56,7 +60,9 @@
 		con.ahead = con.ahead[num:]
 		return num, nil
 	}
-	return con.Conn.Read(buf) //nolint:wrapcheck // net.Conn returns net errors
+	num, err := con.Conn.Read(buf)
+	con.ended = con.ended || err != nil
+	return num, err //nolint:wrapcheck // net.Conn returns net errors
 }
 
 // Write writes a part of the response.
@@ -67,6 +73,18 @@
 	return con.Conn.Write(buf) //nolint:wrapcheck // net.Conn returns net errors
 }
 
+// Close closes the connection. If the caller may have sent more than was read, it first
+// waits for the end of its input for up to lingerTimeout: closing a connection with unread
+// input resets it, and the end of a response that is still being sent would be lost.
+func (con *CallerConn) Close() error {
+	half, ok := con.raw.(interface{ CloseWrite() error })
+	if ok && con.begun && !con.ended && half.CloseWrite() == nil &&
+		con.raw.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		_, _ = io.Copy(io.Discard, con.raw) // the connection is closed in any case
+	}
+	return con.Conn.Close() //nolint:wrapcheck // net.Conn returns net errors
+}
+
 // A watch detects that a caller leaves while its request is processed.
 type watch struct {
 	con *CallerConn
@@ -108,9 +126,11 @@
 		wat.con.ahead = buf[:num]
 	case errors.Is(err, os.ErrDeadlineExceeded):
 	case errors.Is(err, io.EOF):
+		wat.con.ended = true
 		metrics.GetOrRegisterCounter("front.inputsEnded", nil).Inc(1)
 		wat.probe()
 	default:
+		wat.con.ended = true
 		wat.callerLeft()
 	}
 }
--- a/internal/httpio/caller_test.go
+++ b/internal/httpio/caller_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -33,6 +34,29 @@
 	return raw.Addr().String()
 }
 
+// TestCloseWithUnreadInput guards against a response whose end is lost, because the server
+// closed the connection while the caller had sent more than was read: that resets it.
+func TestCloseWithUnreadInput(t *testing.T) {
+	const size = 1 << 20
+	addr := newCallerServer(t, func(_ context.Context, rct *app.RequestContext) {
+		rct.SetConnectionClose()
+		rct.Response.SetBody(bytes.Repeat([]byte("x"), size))
+		rct.Abort()
+	})
+	con, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer con.Close()
+	next := bytes.Repeat([]byte("y"), 64<<10)
+	fmt.Fprintf(con, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n%s", next)
+	time.Sleep(300 * time.Millisecond)
+	got, err := io.Copy(io.Discard, con)
+	if err != nil || got < size {
+		t.Errorf("%d bytes, %v, want more than %d", got, err, size)
+	}
+}
+
 // TestPipelinedRequest guards against the loss of the bytes of a next request that a watch
 // of the connection has read.
 func TestPipelinedRequest(t *testing.T) {
