--- a/internal/relay/drainend_test.go
+++ b/internal/relay/drainend_test.go
@@ -29,15 +29,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			rly := newTestRelay(t, 2, func(_ *http.Request, con net.Conn, _ int) {
+			var rly *testRelay
+			sent := make(chan time.Time, 1)
+			rly = newTestRelay(t, 2, func(_ *http.Request, con net.Conn, _ int) {
+				sent <- time.Now()
+				time.AfterFunc(endAfter, rly.srv.EndRequests)
 				_, _ = con.Write([]byte(tst.first))
 				time.Sleep(time.Second)
 			})
-			time.AfterFunc(endAfter, rly.srv.EndRequests)
-			began := time.Now()
 			status, body, err := rly.post(tst.path, "X-Model", "m")
-			if (err == nil) != tst.whole || time.Since(began) > endAfter+400*time.Millisecond {
-				t.Errorf("%q, %v after %v", body, err, time.Since(began))
+			if took := time.Since(<-sent); (err == nil) != tst.whole || took > endAfter+400*time.Millisecond {
+				t.Errorf("%q, %v after %v", body, err, took)
 			}
 			if want := `"executed":"unknown"`; tst.whole && !strings.Contains(body, want) {
 				t.Errorf("body %q, want %s", body, want)
