httpio: a response is cut for lack of progress, not for its length

Cause: limitConn.Write set one deadline of WriteTimeout for all bytes, and a reply of up to 8 MiB is one write. Change: the progress is checked four times per WriteTimeout. A write fails once the caller has taken no byte for WriteTimeout, or less than 16 KiB/s on average since WriteTimeout has passed. The rate bounds how long a slow caller holds a reply, whose memory is not counted while it is sent: 9 minutes for 8 MiB. A write that no check interrupts is one call of net.Conn.Write as before (TestWriteAtOnce). An error is returned with the number of bytes written, as io.Writer requires.

--- a/internal/httpio/listen.go
+++ b/internal/httpio/listen.go
@@ -33,7 +33,8 @@
 	// Limit is the maximum number of open connections.
 	Limit int64
 	// ReadTimeout bounds the time until the first request of a connection has
-	// been read; WriteTimeout bounds each write.
+	// been read; WriteTimeout bounds the time in which a caller takes no byte of a
+	// write.
 	ReadTimeout  time.Duration
 	WriteTimeout time.Duration
 	// Refusal returns the JSON body of the 503 response to a connection over
@@ -127,7 +128,7 @@
 }
 
 // A limitConn is counted against the listener's limit until it is closed. It
-// bounds each write, so that a caller that doesn't read can't occupy resources
+// bounds writes, so that a caller that doesn't read can't occupy resources
 // for long.
 type limitConn struct {
 	net.Conn
@@ -135,13 +136,8 @@
 	once sync.Once
 }
 
-// Write writes with the listener's write timeout.
-func (con *limitConn) Write(buf []byte) (int, error) {
-	if err := con.SetWriteDeadline(time.Now().Add(con.lis.WriteTimeout)); err != nil {
-		return 0, err //nolint:wrapcheck // net.Conn returns net errors
-	}
-	return con.Conn.Write(buf) //nolint:wrapcheck // net.Conn returns net errors
-}
+// Write writes to a caller that takes bytes within the listener's write timeout.
+func (con *limitConn) Write(buf []byte) (int, error) { return con.write(buf, con.lis.WriteTimeout) }
 
 // Close closes the connection and removes it from the count of open ones.
 func (con *limitConn) Close() error {
