relay: idle connections of callers stay open as long as the plan's limit

A connection that was opened but not used is closed after 10 s whatever the limit is. Cause: the plan did not carry the limit, and the entry closed idle connections after a constant 60 s, which hertz takes once at its start. Change: wick.Plan.IdleTimeout (0 to 365 days, as other durations of the platform). httpio.Listener gets IdleTimeout and MinIdleTimeout; hertz's own option is KeepIdle, by which the connection recognizes the start of an idle time and sets the limit in force, at least 60 s and at most 1 h. A connection keeps a longer limit until its next use, and a limit that grows meanwhile holds for connections that are already idle. An unused connection is held for the plan's limit, at least 10 s as before. No fault within 60 s: TestReuseWithinIdleLimit (limit 1.5 s, reuse after 1.2 s) passes before, without the limit in the plan, and after.

--- a/internal/httpio/listen.go
+++ b/internal/httpio/listen.go
@@ -32,11 +32,16 @@
 	net.Listener
 	// Limit is the maximum number of open connections.
 	Limit int64
-	// ReadTimeout bounds the time until the first request of a connection has
-	// been read; WriteTimeout bounds the time in which a caller takes no byte of a
-	// write.
+	// ReadTimeout bounds the time in which a request is read; WriteTimeout bounds
+	// the time in which a caller takes no byte of a write.
 	ReadTimeout  time.Duration
 	WriteTimeout time.Duration
+	// IdleTimeout returns how long a connection may be idle. A connection that is idle
+	// while it changes keeps the longer time. Nil leaves the time to the server, which
+	// otherwise has KeepIdle as its own limit.
+	IdleTimeout func() time.Duration
+	// MinIdleTimeout is the least idle time of a connection after its first request.
+	MinIdleTimeout time.Duration
 	// Refusal returns the JSON body of the 503 response to a connection over
 	// the limit.
 	Refusal func() []byte
@@ -80,14 +85,12 @@
 			return nil, err
 		}
 		if lis.open.Add(1) <= lis.Limit {
-			// hertz sets a read timeout only from a connection's second request
-			// on. A watch of the connection clears this deadline.
-			if err := con.SetReadDeadline(time.Now().Add(lis.ReadTimeout)); err != nil {
-				lis.open.Add(-1)
-				_ = con.Close()
+			lim := &limitConn{Conn: con, lis: lis}
+			if lim.awaitFirst() != nil {
+				_ = lim.Close()
 				continue
 			}
-			return &CallerConn{Conn: &limitConn{Conn: con, lis: lis}, raw: con}, nil
+			return &CallerConn{Conn: lim, raw: con}, nil
 		}
 		lis.open.Add(-1)
 		metrics.GetOrRegisterCounter("front.connectionsRefused", nil).Inc(1)
@@ -134,6 +137,7 @@
 	net.Conn
 	lis  *Listener
 	once sync.Once
+	idle idleState
 }
 
 // Write writes to a caller that takes bytes within the listener's write timeout.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,7 +43,6 @@
 const (
 	maxHeaderBytes = 64 << 10
 	readTimeout    = 10 * time.Second
-	idleTimeout    = 60 * time.Second
 	writeTimeout   = 10 * time.Second
 	// defaultTimeout applies if neither the request nor its route sets one.
 	defaultTimeout = 30 * time.Second
@@ -156,13 +155,13 @@
 	srv.ending, srv.end = context.WithCancelCause(context.Background())
 	srv.lis = &httpio.Listener{
 		Listener: cfg.Listener, Limit: int64(cfg.MaxConnections), ReadTimeout: readTimeout,
-		WriteTimeout: writeTimeout, Refusal: func() []byte { return []byte(`{"executed":"no"}`) },
+		WriteTimeout: writeTimeout, IdleTimeout: srv.idleTimeout, MinIdleTimeout: minIdleTimeout, Refusal: func() []byte { return []byte(`{"executed":"no"}`) },
 	}
 	srv.hrz = server.New(
 		server.WithListener(srv.lis), server.WithTransport(standard.NewTransporter),
 		httpio.OnAccept(), server.WithStreamBody(true), server.WithMaxRequestBodySize(math.MaxInt),
 		server.WithMaxHeaderBytes(maxHeaderBytes), server.WithReadTimeout(readTimeout),
-		server.WithIdleTimeout(idleTimeout), server.WithDisablePrintRoute(true),
+		server.WithIdleTimeout(httpio.KeepIdle), server.WithDisablePrintRoute(true),
 		server.WithDisablePreParseMultipartForm(true), server.WithRedirectTrailingSlash(false),
 		config.Option{F: func(opt *config.Options) {
 			opt.NoDefaultServerHeader, opt.NoDefaultContentType = true, true
--- a/pkg/wick/plan.go
+++ b/pkg/wick/plan.go
@@ -38,6 +38,9 @@
 	Customers []CustomerPlan
 	// MaxBodyBytes bounds the body of a request; 0 leaves the bound to the entry.
 	MaxBodyBytes int64
+	// IdleTimeout is how long callers may leave a connection idle before they use it
+	// again; 0 leaves the limit to the entry.
+	IdleTimeout time.Duration
 }
 
 // A RoutePlan sends the requests of a host and path prefix to services.
