relay: the time for a request's header follows the plan

Seen: by reading the code and in the test below: with limits.header_timeout_ms above 10 s a caller that stays within it gets 408. Cause: one constant deadline of 10 s for header and body; the plan did not carry the limit. Before (the limit not added; read time 200 ms, limit 800 ms, header sent in 720 ms), on a new connection and on a kept one: idle_test.go:184: status 408 After: answered, and a header that is not finished is closed after 1 s.

--- a/internal/httpio/idle.go
+++ b/internal/httpio/idle.go
@@ -7,12 +7,19 @@
 	"time"
 )
 
-// KeepIdle is hertz's option IdleTimeout of a server whose Listener has the function of
-// that name, which limits the idle time instead. hertz's own option can't change.
-const KeepIdle = 24 * time.Hour
+// KeepIdle and KeepReading are hertz's options IdleTimeout and ReadTimeout of a server whose
+// Listener has the function IdleTimeout. They can't change, so the Listener sets its own
+// limits instead of deadlines that are about so far ahead.
+const (
+	KeepIdle    = 48 * time.Hour
+	KeepReading = 24 * time.Hour
+)
 
 // isKeepIdle reports whether hertz has set a read deadline by the option KeepIdle.
-func isKeepIdle(at time.Time) bool { return time.Until(at) > KeepIdle/2 }
+func isKeepIdle(at time.Time) bool { return time.Until(at) > (KeepIdle+KeepReading)/2 }
+
+// isKeepReading reports whether hertz has set a read deadline by the option KeepReading.
+func isKeepReading(at time.Time) bool { return !isKeepIdle(at) && time.Until(at) > KeepReading/2 }
 
 // An idleState tells whether a connection waits for a request. The mutex is held while a
 // read deadline that depends on the state is set.
@@ -35,8 +42,17 @@
 	return max(least, lis.IdleTimeout())
 }
 
+// readLimit returns how long a caller may take for a request. The limit of its header is
+// added to that of the body, since one deadline holds for both.
+func (lis *Listener) readLimit() time.Duration {
+	if lis.HeaderTimeout == nil {
+		return lis.ReadTimeout
+	}
+	return lis.ReadTimeout + lis.HeaderTimeout()
+}
+
 // awaitFirst sets the read deadline of a new connection. hertz sets one only from the
-// second request on, and its detection of closed connections clears this one.
+// second request on, and a watch of the connection clears this one.
 func (con *limitConn) awaitFirst() error {
 	if con.lis.IdleTimeout == nil {
 		return con.Conn.SetReadDeadline(time.Now().Add(con.lis.ReadTimeout)) //nolint:wrapcheck // net.Conn returns net errors
@@ -52,12 +68,15 @@
 	return con.Conn.SetReadDeadline(con.idle.since.Add(con.lis.idleLimit(con.idle.kept))) //nolint:wrapcheck // net.Conn returns net errors
 }
 
-// SetReadDeadline sets the deadline of reads, or that of an idle connection instead if
-// hertz has set it by the option KeepIdle.
+// SetReadDeadline sets the deadline of reads, or the listener's limit instead if hertz has
+// set it by the options KeepIdle and KeepReading.
 func (con *limitConn) SetReadDeadline(at time.Time) error {
 	if con.lis.IdleTimeout != nil && isKeepIdle(at) {
 		return con.await()
 	}
+	if con.lis.IdleTimeout != nil && isKeepReading(at) {
+		at = time.Now().Add(con.lis.readLimit())
+	}
 	con.idle.mu.Lock()
 	defer con.idle.mu.Unlock()
 	con.idle.since = time.Time{}
@@ -89,7 +108,7 @@
 	con.idle.since = time.Time{}
 	if !con.idle.kept {
 		con.idle.kept = true
-		_ = con.Conn.SetReadDeadline(time.Now().Add(con.lis.ReadTimeout)) // a closed connection fails at its next use
+		_ = con.Conn.SetReadDeadline(time.Now().Add(con.lis.readLimit())) // a closed connection fails at its next use
 	}
 }
 
--- a/internal/httpio/idle_test.go
+++ b/internal/httpio/idle_test.go
@@ -20,6 +20,8 @@
 	*testing.T
 	lis   *Listener
 	limit atomic.Int64
+	// header is the limit of a request's header.
+	header time.Duration
 }
 
 const (
@@ -28,19 +30,25 @@
 )
 
 func newIdleServer(t *testing.T, limit time.Duration) *idleServer {
+	t.Helper()
+	return newHeaderServer(t, limit, 0)
+}
+
+func newHeaderServer(t *testing.T, limit, header time.Duration) *idleServer {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	isv := &idleServer{T: t}
+	isv := &idleServer{T: t, header: header}
 	isv.setLimit(limit)
 	isv.lis = &Listener{
 		Listener: raw, Limit: 10, ReadTimeout: testReadTimeout, WriteTimeout: time.Second, MinIdleTimeout: testMinIdle,
-		IdleTimeout: func() time.Duration { return time.Duration(isv.limit.Load()) },
+		IdleTimeout:   func() time.Duration { return time.Duration(isv.limit.Load()) },
+		HeaderTimeout: func() time.Duration { return isv.header },
 	}
 	srv := server.New(server.WithListener(isv.lis), server.WithTransport(standard.NewTransporter),
-		server.WithSenseClientDisconnection(true), server.WithReadTimeout(testReadTimeout), server.WithIdleTimeout(KeepIdle))
+		OnAccept(), server.WithReadTimeout(KeepReading), server.WithIdleTimeout(KeepIdle))
 	srv.GET("/", func(_ context.Context, rct *app.RequestContext) { rct.String(http.StatusOK, "ok") })
 	go func() { _ = srv.Run() }()
 	t.Cleanup(func() {
@@ -69,6 +77,11 @@
 	if _, err := fmt.Fprint(con, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 		isv.Error(err)
 	}
+	isv.assertAnswer(con)
+}
+
+func (isv *idleServer) assertAnswer(con net.Conn) {
+	isv.Helper()
 	_ = con.SetReadDeadline(time.Now().Add(stopTimeout))
 	res, err := http.ReadResponse(bufio.NewReader(con), nil)
 	if err != nil {
@@ -149,6 +162,34 @@
 	})
 }
 
+// TestHeaderLimit guards against a caller that is cut although it sends its header within
+// the limit, and against one that holds its connection by a header that it doesn't finish.
+func TestHeaderLimit(t *testing.T) {
+	const header = 800 * time.Millisecond
+	for _, requests := range []int{0, 1} {
+		t.Run(fmt.Sprintf("after %d requests", requests), func(t *testing.T) {
+			t.Parallel()
+			isv := newHeaderServer(t, stopTimeout, header)
+			con := isv.dial()
+			for range requests {
+				isv.assertServed(con)
+			}
+			if _, err := fmt.Fprint(con, "GET / HTTP/1.1\r\nA: "); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(header * 9 / 10)
+			if _, err := fmt.Fprint(con, "b\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			isv.assertAnswer(con)
+			if _, err := fmt.Fprint(con, "GET / HT"); err != nil {
+				t.Fatal(err)
+			}
+			isv.assertClosed(con, header+testReadTimeout)
+		})
+	}
+}
+
 // TestReadTimeoutOfFirstRequest guards against a caller that holds its connection by a
 // request that it doesn't finish.
 func TestReadTimeoutOfFirstRequest(t *testing.T) {
--- a/internal/httpio/listen.go
+++ b/internal/httpio/listen.go
@@ -38,8 +38,11 @@
 	WriteTimeout time.Duration
 	// IdleTimeout returns how long a connection may be idle. A connection that is idle
 	// while it changes keeps the longer time. Nil leaves the time to the server, which
-	// otherwise has KeepIdle as its own limit.
+	// otherwise has the options KeepIdle and KeepReading.
 	IdleTimeout func() time.Duration
+	// HeaderTimeout returns the time for the header of a request, which is added to
+	// ReadTimeout. It may be nil.
+	HeaderTimeout func() time.Duration
 	// MinIdleTimeout is the least idle time of a connection after its first request.
 	MinIdleTimeout time.Duration
 	// Refusal returns the JSON body of the 503 response to a connection over
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -155,12 +155,13 @@
 	srv.ending, srv.end = context.WithCancelCause(context.Background())
 	srv.lis = &httpio.Listener{
 		Listener: cfg.Listener, Limit: int64(cfg.MaxConnections), ReadTimeout: readTimeout,
-		WriteTimeout: writeTimeout, IdleTimeout: srv.idleTimeout, MinIdleTimeout: minIdleTimeout, Refusal: func() []byte { return []byte(`{"executed":"no"}`) },
+		WriteTimeout: writeTimeout, IdleTimeout: srv.idleTimeout, MinIdleTimeout: minIdleTimeout, HeaderTimeout: srv.headerTimeout,
+		Refusal: func() []byte { return []byte(`{"executed":"no"}`) },
 	}
 	srv.hrz = server.New(
 		server.WithListener(srv.lis), server.WithTransport(standard.NewTransporter),
 		httpio.OnAccept(), server.WithStreamBody(true), server.WithMaxRequestBodySize(math.MaxInt),
-		server.WithMaxHeaderBytes(maxHeaderBytes), server.WithReadTimeout(readTimeout),
+		server.WithMaxHeaderBytes(maxHeaderBytes), server.WithReadTimeout(httpio.KeepReading),
 		server.WithIdleTimeout(httpio.KeepIdle), server.WithDisablePrintRoute(true),
 		server.WithDisablePreParseMultipartForm(true), server.WithRedirectTrailingSlash(false),
 		config.Option{F: func(opt *config.Options) {
--- a/pkg/wick/plan.go
+++ b/pkg/wick/plan.go
@@ -41,6 +41,9 @@
 	// IdleTimeout is how long callers may leave a connection idle before they use it
 	// again; 0 leaves the limit to the entry.
 	IdleTimeout time.Duration
+	// HeaderTimeout is how long callers may take for the header of a request; 0 leaves
+	// the limit to the entry.
+	HeaderTimeout time.Duration
 }
 
 // A RoutePlan sends the requests of a host and path prefix to services.
