--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -188,8 +188,12 @@
 	return rly
 }
 
-// addEndpoint starts an endpoint and adds it to the pool.
-func (rly *testRelay) addEndpoint(vid wick.VMID, run script) {
+// addEndpoint starts an endpoint of the service s and adds it to the pool.
+func (rly *testRelay) addEndpoint(vid wick.VMID, run script) { rly.addEndpointOf("s", vid, run) }
+
+// addEndpointOf starts an endpoint of a service and adds it to the pool.
+func (rly *testRelay) addEndpointOf(svc wick.Service, vid wick.VMID, run script) {
+	rly.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		rly.Fatal(err)
@@ -208,7 +212,7 @@
 	rly.addrs[vid] = lis.Addr().String()
 	rly.mu.Unlock()
 	rly.pool.Set(wick.Backend{
-		ID: vid, Service: "s", Zone: "a", Address: lis.Addr().String(), Slots: 4, Reclaimable: true,
+		ID: vid, Service: svc, Zone: "a", Address: lis.Addr().String(), Slots: 4, Reclaimable: true,
 	}, time.Now())
 }
 
