--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -14,9 +14,9 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// silentRouteTimeout is the timeout of the routes in the tests of silent endpoints. It leaves
+// kindRouteTimeout is the timeout of these routes. It leaves
 // more than a second to the longest silence.
-const silentRouteTimeout = 4 * time.Second
+const kindRouteTimeout = 4 * time.Second
 
 // Names of table entries that tests refer to.
 const (
@@ -25,8 +25,8 @@
 	beforeEnd      = "before the end"
 )
 
-// silenceRoutes has a route of each kind.
-var silenceRoutes = map[string]wick.RoutePlan{
+// kindRoutes has a route of each kind.
+var kindRoutes = map[string]wick.RoutePlan{
 	"once":         {Kind: wick.RouteOnce, MaxAttempts: 1},
 	"idempotent":   {Kind: wick.RouteIdempotent, MaxAttempts: 2},
 	"stream":       {Kind: wick.RouteStream, MaxAttempts: 1},
@@ -148,7 +148,7 @@
 			rly.addEndpointOf(svc, wick.VMID(fmt.Sprint(svc, "-", idx)), cas.serve)
 		}
 		cas.route.Name, cas.route.Host, cas.route.PathPrefix = wick.RouteName(svc), "h", fmt.Sprint("/", svc, "/")
-		cas.route.Timeout, cas.route.Splits = silentRouteTimeout, []wick.Split{{Service: svc, Weight: 1}}
+		cas.route.Timeout, cas.route.Splits = kindRouteTimeout, []wick.Split{{Service: svc, Weight: 1}}
 		pln.Routes = append(pln.Routes, cas.route)
 	}
 	rly.srv.cfg.Plans.Adopt(pln)
@@ -187,7 +187,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var cases []*silenceCase
-			for route, rpl := range silenceRoutes {
+			for route, rpl := range kindRoutes {
 				for frame, spl := range splitAnswers {
 					for place, pnt := range silencePoints {
 						if route == resumableRoute && frame == undelimited && place == beforeEnd {
@@ -213,7 +213,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			assertSilences(t, sil.endpoints, []*silenceCase{{
-				name: resumableRoute, route: silenceRoutes[resumableRoute], split: splitAnswers[undelimited], point: silencePoints[beforeEnd],
+				name: resumableRoute, route: kindRoutes[resumableRoute], split: splitAnswers[undelimited], point: silencePoints[beforeEnd],
 				length: sil.length, everywhere: sil.everywhere,
 			}})
 		})
