--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -193,6 +193,13 @@
 
 // addEndpointOf starts an endpoint of a service and adds it to the pool.
 func (rly *testRelay) addEndpointOf(svc wick.Service, vid wick.VMID, run script) {
+	rly.Helper()
+	rly.addListener(svc, vid, func(con net.Conn) { rly.serveConn(vid, con, run) })
+}
+
+// addListener starts an endpoint that serves its connections in any way and adds it to the
+// pool.
+func (rly *testRelay) addListener(svc wick.Service, vid wick.VMID, serve func(con net.Conn)) {
 	rly.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -205,7 +212,7 @@
 			if err != nil {
 				return
 			}
-			go rly.serveConn(vid, con, run)
+			go serve(con)
 		}
 	}()
 	rly.mu.Lock()
