audit: count callers' requests at their connections

Cause: whether a request that was read has got its answer could only be seen from the lines of the relay, which logs its own decisions.

Change: internal/audit wraps the connections of httpio.Listener and follows the framing of requests and responses. Each request that was read whole ends as answered, refused, broken off with who and why, or unanswered, which is a fault with a counter and an error line; response bytes without a request are one, too. The relay and the front declare why they break a stream off, through httpio.CallerConn. Heads are parsed by net/http, bodies are skipped. What an entry leaves open at its end is reported as unanswered. The audit has the bytes and errors that the server has, and those of the watch of the connection.

The end of a caller's input is no end of its request: a connection that is then closed without a response is unanswered unless the watch has found that the caller left.

All tests of internal/relay check at their end that nothing was unanswered or unasked.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -135,6 +135,8 @@
 	MaxConnections                             int
 	// Memory is that of the machine in bytes; zero is unknown.
 	Memory int64
+	// IDHeader is the request header with the request's id, for log lines; it may be "".
+	IDHeader string
 }
 
 // An Edge is an entry.
@@ -318,7 +320,7 @@
 	edg.relay = relay.New(relay.Config{
 		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Memory: edg.cfg.Memory, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
 		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Prober: edg.cfg.Prober, Crashes: &edg.crashes, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
-		PlanConfirmed: edg.planConfirmed, EndpointLeaves: edg.announceLeaving,
+		IDHeader: edg.cfg.IDHeader, PlanConfirmed: edg.planConfirmed, EndpointLeaves: edg.announceLeaving,
 		RegistryAge: func() time.Duration { return time.Since(edg.backends.LastSuccess()) },
 	})
 	edg.ready, err = newReadyServer(ctx, edg.cfg.ReadyAddr)
--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -178,5 +178,6 @@
 	if err := edg.relay.Shutdown(closeCtx); err != nil {
 		log.WithError(err).Debug("edge: connections are open after the drain")
 	}
+	edg.relay.ReportUnanswered()
 	log.WithFields(logrus.Fields{"active": edg.relay.Active(), "ms": time.Since(start).Milliseconds()}).Info("edge: drained")
 }
--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 
+	"github.com/wagtailwick/wagtailwick/internal/audit"
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
 	"github.com/wagtailwick/wagtailwick/internal/stream"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
@@ -24,6 +25,7 @@
 	wri := sse.NewWriter(rct)
 	if err := sendEvents(ctx, wri, rdr, first); err != nil {
 		abw.Aborted = true
+		httpio.Caller(ctx).BrokenOff(abortedBy(ctx, err))
 		// After a handover the client reconnects, so no error event is sent.
 		if !errors.Is(err, stream.ErrHandedOver) && ctx.Err() == nil {
 			prb := problemOf(err)
@@ -33,6 +35,18 @@
 	}
 }
 
+// abortedBy returns who ended a stream with an error, and why.
+func abortedBy(ctx context.Context, err error) (audit.Party, string) {
+	switch {
+	case errors.Is(err, stream.ErrHandedOver):
+		return audit.Entry, "handedOver"
+	case ctx.Err() != nil:
+		return audit.Caller, "left"
+	default:
+		return audit.Endpoint, "failed"
+	}
+}
+
 // sendEvents sends all events up to and including the end marker.
 func sendEvents(ctx context.Context, wri *sse.Writer, rdr *stream.Reader, first *stream.Batch) error {
 	var enc encoder
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -140,8 +140,10 @@
 func (srv *Server) Serve() error { return eris.Wrap(srv.hrz.Run(), "front") }
 
 // Shutdown closes the listener and waits for open connections until ctx ends.
-// Call Table.Drain first.
+// Call Table.Drain first. Requests without a complete response are then reported, because
+// the process ends next.
 func (srv *Server) Shutdown(ctx context.Context) error {
+	defer srv.lis.Audit.Stop()
 	return eris.Wrap(httpio.Shutdown(ctx, srv.hrz, srv.lis), "front")
 }
 
--- a/internal/httpio/caller.go
+++ b/internal/httpio/caller.go
@@ -13,6 +13,8 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/wagtailwick/wagtailwick/internal/audit"
 )
 
 const (
@@ -40,6 +42,7 @@
 // the caller has left. A caller that only closes its sending side has not.
 type CallerConn struct {
 	net.Conn
+	audit *audit.Conn
 	// raw is the connection below all wrappers.
 	raw net.Conn
 
@@ -85,6 +88,14 @@
 	return con.Conn.Close() //nolint:wrapcheck // net.Conn returns net errors
 }
 
+// BrokenOff declares that the response in progress is deliberately left incomplete. On a nil
+// CallerConn it does nothing.
+func (con *CallerConn) BrokenOff(pty audit.Party, why string) {
+	if con != nil {
+		con.audit.BrokenOff(pty, why)
+	}
+}
+
 // A watch detects that a caller leaves while its request is processed.
 type watch struct {
 	con *CallerConn
@@ -137,6 +148,7 @@
 
 func (wat *watch) callerLeft() {
 	metrics.GetOrRegisterCounter("front.callersLeft", nil).Inc(1)
+	wat.con.BrokenOff(audit.Caller, "left")
 	wat.left()
 }
 
@@ -201,8 +213,8 @@
 // callerKey is the key of a connection's CallerConn in the contexts of its requests.
 type callerKey struct{}
 
-// OnAccept makes the connections of a Listener known to WatchCaller. It is an option of the
-// server.
+// OnAccept makes the connections of a Listener known to the handlers of their requests. It
+// is an option of the server.
 func OnAccept() config.Option {
 	return config.Option{F: func(opt *config.Options) {
 		opt.OnAccept = func(con net.Conn) context.Context {
@@ -211,12 +223,18 @@
 	}}
 }
 
+// Caller returns the connection of a request, or nil.
+func Caller(ctx context.Context) *CallerConn {
+	con, _ := ctx.Value(callerKey{}).(*CallerConn)
+	return con
+}
+
 // WatchCaller returns a context of a request that is cancelled once its caller has left.
 // The returned function ends the watch; it must be called before the handler returns. The
 // body must have been read.
 func WatchCaller(ctx context.Context, rct *app.RequestContext) (context.Context, func()) {
-	con, ok := ctx.Value(callerKey{}).(*CallerConn)
-	if !ok {
+	con := Caller(ctx)
+	if con == nil {
 		return ctx, func() {}
 	}
 	return con.Watch(ctx, rct.Request.Header.IsHTTP11())
--- a/internal/httpio/listen.go
+++ b/internal/httpio/listen.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/wagtailwick/wagtailwick/internal/audit"
 )
 
 // refusalTimeout bounds the refusal of a connection over the limit.
@@ -48,6 +50,8 @@
 	// Refusal returns the JSON body of the 503 response to a connection over
 	// the limit.
 	Refusal func() []byte
+	// Audit accounts for the requests of the connections.
+	Audit audit.Tracker
 
 	once sync.Once
 	open atomic.Int64
@@ -93,7 +97,8 @@
 				_ = lim.Close()
 				continue
 			}
-			return &CallerConn{Conn: lim, raw: con}, nil
+			aud := lis.Audit.Wrap(lim)
+			return &CallerConn{Conn: aud, audit: aud, raw: con}, nil
 		}
 		lis.open.Add(-1)
 		metrics.GetOrRegisterCounter("front.connectionsRefused", nil).Inc(1)
--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -18,6 +18,9 @@
 	MsgRunNotMoved     = "relay: no endpoint to move a run to"
 	MsgCopyNotReleased = "relay: copy of a run not released"
 
+	MsgUnanswered = "front: connection closed without an answer"
+	MsgUnasked    = "front: answer without a request"
+
 	MsgStarted                 = "edge: started"
 	MsgDraining                = "edge: draining"
 	MsgStopped                 = "edge: stopped"
--- a/internal/relay/callerlimits_test.go
+++ b/internal/relay/callerlimits_test.go
@@ -7,14 +7,6 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// adopt changes the plan in force.
-func (rly *testRelay) adopt(change func(pln *wick.Plan)) {
-	pln := rly.srv.cfg.Plans.Load().Plan
-	pln.Version++
-	change(&pln)
-	rly.srv.cfg.Plans.Adopt(pln)
-}
-
 // assertServed sends a request on the caller's connection and asserts its answer.
 func (cal *rawCaller) assertServed() {
 	cal.Helper()
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/wagtailwick/wagtailwick/internal/plan"
 	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
@@ -179,11 +181,13 @@
 		},
 		PlanConfirmed: func() bool { return true }, RegistryAge: func() time.Duration { return 0 },
 	})
+	rly.srv.lis.Audit.Metrics = metrics.NewRegistry()
 	go func() { _ = rly.srv.Serve() }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 		defer cancel()
 		_ = rly.srv.Shutdown(ctx)
+		rly.assertAccounts()
 	})
 	return rly
 }
--- a/internal/relay/panic.go
+++ b/internal/relay/panic.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/audit"
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 )
@@ -28,6 +29,7 @@
 			refusalOutcomeUnknown.write(rct)
 		case *httpio.AbortWriter:
 			out.Aborted = true
+			httpio.Caller(ctx).BrokenOff(audit.Entry, "panic")
 		}
 		rct.Abort()
 	}()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/audit"
 	"github.com/wagtailwick/wagtailwick/internal/crash"
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
@@ -113,6 +114,9 @@
 	// RegistryAge returns the time since the list of endpoints was last
 	// confirmed. It is only logged.
 	RegistryAge func() time.Duration
+	// IDHeader is the request header with the request's id, for the log lines of the
+	// listener's audit. It may be "".
+	IDHeader string
 }
 
 // A Server serves callers on one listener.
@@ -156,6 +160,7 @@
 	srv.lis = &httpio.Listener{
 		Listener: cfg.Listener, Limit: int64(cfg.MaxConnections), ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, IdleTimeout: srv.idleTimeout, MinIdleTimeout: minIdleTimeout, HeaderTimeout: srv.headerTimeout,
+		Audit:   audit.Tracker{IDHeader: cfg.IDHeader},
 		Refusal: func() []byte { return []byte(`{"executed":"no"}`) },
 	}
 	srv.hrz = server.New(
@@ -194,10 +199,20 @@
 // Active returns the number of in-flight requests.
 func (srv *Server) Active() int64 { return srv.active.Load() }
 
+// Unanswered returns the number of requests that were read whole and whose responses are
+// not written completely. Their handlers may have returned.
+func (srv *Server) Unanswered() int64 { return srv.lis.Audit.Open() }
+
+// ReportUnanswered counts and logs the requests that the end of the process leaves without
+// complete responses.
+func (srv *Server) ReportUnanswered() { srv.lis.Audit.Stop() }
+
 // A request is the state of one caller's request.
 type request struct {
-	srv     *Server
-	rct     *app.RequestContext
+	srv *Server
+	rct *app.RequestContext
+	// con is the caller's connection, or nil.
+	con     *httpio.CallerConn
 	params  wick.RequestMeta
 	match   plan.Match
 	service wick.Service
@@ -227,7 +242,7 @@
 func (srv *Server) serve(ctx context.Context, rct *app.RequestContext) {
 	defer rct.Abort()
 	hdr := endToEndHeader(rct)
-	req := &request{srv: srv, rct: rct, header: hdr, arrived: time.Now(), buffered: reservation{bud: &srv.buffers}}
+	req := &request{srv: srv, rct: rct, con: httpio.Caller(ctx), header: hdr, arrived: time.Now(), buffered: reservation{bud: &srv.buffers}}
 	req.params = srv.cfg.Dialect.ReadRequest(hdr)
 	releaseBody, ok := req.receiveBody()
 	if !ok {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/audit"
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/wire"
@@ -302,7 +303,20 @@
 // mistake it for a complete one.
 func (fwd *forwarder) abort(reason string) {
 	fwd.out.Aborted = true
+	fwd.req.con.BrokenOff(abortedBy(reason), reason)
 	fwd.req.rct.SetConnectionClose()
 	metrics.GetOrRegisterCounter(logs.MetricCutOff+reason, nil).Inc(1)
 	fwd.req.logEvent(logs.MsgCutOff, logrus.Fields{logs.FieldReason: reason, logs.FieldDenied: fwd.req.retries.denied, "events": fwd.eventCount, "lastEvent": fwd.lastEventID})
 }
+
+// abortedBy returns who ended a stream for a reason.
+func abortedBy(reason string) audit.Party {
+	switch reason {
+	case logs.ReasonCallerLeft:
+		return audit.Caller
+	case logs.ReasonTimeout:
+		return audit.Entry
+	default:
+		return audit.Endpoint
+	}
+}
