netem: the proxy passes the end of one direction on as such

What tests saw: nothing, and that was the fault: a half-closed caller behind the proxy of the soak never got an answer, so the soak could not play one. Cause: the proxy closed the whole other side at the end of one side's input. Change: it closes the sending side there, and both sides after an error.

--- a/internal/netem/netem.go
+++ b/internal/netem/netem.go
@@ -4,6 +4,8 @@
 package netem
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -124,17 +126,27 @@
 		return
 	}
 	defer prx.untrack(out)
-	go func() {
-		prx.relay(out, con, func(flt Fault) bool { return flt.DropToServer })
-		_ = out.Close()
-	}()
-	prx.relay(con, out, func(flt Fault) bool { return flt.DropToClient })
+	var grp sync.WaitGroup
+	grp.Go(func() { prx.relay(out, con, func(flt Fault) bool { return flt.DropToServer }) })
+	grp.Go(func() { prx.relay(con, out, func(flt Fault) bool { return flt.DropToClient }) })
+	grp.Wait()
+}
+
+// endOutput passes the end of one side's input on to the other, and closes both after an
+// error.
+func endOutput(dst, src net.Conn, err error) {
+	half, ok := dst.(interface{ CloseWrite() error })
+	if ok && errors.Is(err, io.EOF) && half.CloseWrite() == nil {
+		return
+	}
+	_ = dst.Close()
+	_ = src.Close()
 }
 
 // bufferBytes is the maximum size of one read.
 const bufferBytes = 16 << 10
 
-// relay copies data from src to dst until either side closes.
+// relay copies data from src to dst until the input ends or a side fails.
 func (prx *Proxy) relay(dst, src net.Conn, drop func(flt Fault) bool) {
 	buf := make([]byte, bufferBytes)
 	for {
@@ -145,10 +157,12 @@
 		}
 		if num > 0 && !drop(flt) {
 			if _, werr := dst.Write(buf[:num]); werr != nil {
+				endOutput(dst, src, werr)
 				return
 			}
 		}
 		if err != nil {
+			endOutput(dst, src, err)
 			return
 		}
 	}
