httpio: an unused connection is closed without a response

What callers saw: 408 on a connection on which they had sent nothing, for instance a spare one of a connection pool. Cause: hertz treats a time-out before the first byte of a connection's first request like one inside it. Change: the end of the wait for a request is the end of the input to hertz. Measured: TestUnusedConnection fails before (a 408) and passes now.

--- a/internal/httpio/idle.go
+++ b/internal/httpio/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 	"sync"
 	"time"
@@ -92,6 +93,9 @@
 			con.received()
 		case errors.Is(err, os.ErrDeadlineExceeded) && con.waitOn():
 			continue
+		case errors.Is(err, os.ErrDeadlineExceeded) && con.isIdle():
+			// hertz answers a time-out of the first read by 408, a response to no request.
+			return num, io.EOF
 		}
 		return num, err //nolint:wrapcheck // net.Conn returns net errors
 	}
@@ -112,6 +116,13 @@
 	}
 }
 
+// isIdle reports whether the connection waits for a request.
+func (con *limitConn) isIdle() bool {
+	con.idle.mu.Lock()
+	defer con.idle.mu.Unlock()
+	return !con.idle.since.IsZero()
+}
+
 // waitOn reports whether an idle connection whose deadline has passed waits on, because
 // the limit has grown since.
 func (con *limitConn) waitOn() bool {
--- a/internal/httpio/idle_test.go
+++ b/internal/httpio/idle_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -200,3 +201,16 @@
 	}
 	isv.assertClosed(con, testReadTimeout)
 }
+
+// TestUnusedConnection guards against a response to no request: 408 on a connection on
+// which nothing was sent.
+func TestUnusedConnection(t *testing.T) {
+	t.Parallel()
+	isv := newIdleServer(t, 0)
+	con := isv.dial()
+	_ = con.SetReadDeadline(time.Now().Add(stopTimeout))
+	got, err := io.ReadAll(con)
+	if err != nil || len(got) > 0 {
+		t.Errorf("%q, %v, want a close without a response", got, err)
+	}
+}
