--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -93,7 +93,7 @@
 	}
 	trk.mu.Unlock()
 	for _, con := range conns {
-		con.settle()
+		con.Settle()
 	}
 }
 
--- a/internal/audit/conn.go
+++ b/internal/audit/conn.go
@@ -74,7 +74,7 @@
 
 // Close closes the connection and accounts for the requests that are open.
 func (con *Conn) Close() error {
-	con.settle()
+	con.Settle()
 	return con.Conn.Close() //nolint:wrapcheck // net.Conn returns net errors
 }
 
@@ -114,8 +114,8 @@
 	}
 }
 
-// settle ends the accounting of the connection.
-func (con *Conn) settle() {
+// Settle ends the accounting of the connection, as its close does.
+func (con *Conn) Settle() {
 	con.mu.Lock()
 	defer con.mu.Unlock()
 	open := con.open
--- a/internal/httpio/listen.go
+++ b/internal/httpio/listen.go
@@ -98,7 +98,7 @@
 				continue
 			}
 			aud := lis.Audit.Wrap(lim)
-			return &CallerConn{Conn: aud, audit: aud, raw: con}, nil
+			return &CallerConn{Conn: aud, audit: aud, lim: lim}, nil
 		}
 		lis.open.Add(-1)
 		metrics.GetOrRegisterCounter("front.connectionsRefused", nil).Inc(1)
@@ -151,8 +151,11 @@
 // Write writes to a caller that takes bytes within the listener's write timeout.
 func (con *limitConn) Write(buf []byte) (int, error) { return con.write(buf, con.lis.WriteTimeout) }
 
+// release removes the connection from the count of open ones.
+func (con *limitConn) release() { con.once.Do(func() { con.lis.open.Add(-1) }) }
+
 // Close closes the connection and removes it from the count of open ones.
 func (con *limitConn) Close() error {
-	con.once.Do(func() { con.lis.open.Add(-1) })
+	con.release()
 	return con.Conn.Close() //nolint:wrapcheck // net.Conn returns net errors
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -250,6 +250,7 @@
 	if err := fwd.out.Flush(); err != nil {
 		return false
 	}
+	fwd.req.con.BetweenChunks()
 	fwd.eventCount++
 	att.noteProgress(time.Now())
 	if evt.id != "" {
