httpio: a lingering connection waits for its response, outside the limit

- A connection that waited for the end of its caller's input counted against the limit of connections, so that a caller that had seen the end of its response got 503 for its next connection (TestLingerWithinLimit: limit 1, second and third caller).
It no longer counts, and at most 64 wait at once.
- After 1 s the connection was closed although the kernel still held a part of the response; input after that reset it (TestCloseBeforeResponseIsSent: 128,163 of 1,048,576 bytes).
It now waits as long as bytes are unsent, for 30 s at most.

Measured: both tests fail before and pass now.

--- a/internal/httpio/caller.go
+++ b/internal/httpio/caller.go
@@ -12,13 +12,18 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/common/config"
+	"golang.org/x/sys/unix"
 
 	"github.com/wagtailwick/wagtailwick/internal/audit"
 )
 
 const (
-	// lingerTimeout bounds how long a connection stays open for a caller that still sends.
+	// lingerTimeout is how long a connection stays open for a caller that still sends, and
+	// maxLinger for one that also still takes its response.
 	lingerTimeout = time.Second
+	maxLinger     = 30 * time.Second
+	// maxLingering bounds the connections of a listener that stay open for that reason.
+	maxLingering = 64
 )
 
 // A CallerConn is the connection of a caller. While a request is processed, it detects that
@@ -98,17 +103,42 @@
 	return con.Conn.Close() //nolint:wrapcheck // net.Conn returns net errors
 }
 
-// linger closes the sending side and discards the caller's input until it ends.
+// linger closes the sending side and discards the caller's input until it ends. The
+// connection no longer counts against the limit, so that a caller that has seen the end of
+// its response may open the next one.
 func (con *limitConn) linger() {
 	half, ok := con.Conn.(interface{ CloseWrite() error })
 	if !ok {
 		return
 	}
-	if half.CloseWrite() == nil && con.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
-		_, _ = io.Copy(io.Discard, con.Conn) // the connection is closed in any case
+	defer con.lis.lingering.Add(-1)
+	if con.lis.lingering.Add(1) > maxLingering {
+		return
+	}
+	con.release()
+	if half.CloseWrite() != nil {
+		return
+	}
+	for began := time.Now(); time.Since(began) < maxLinger; {
+		if con.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+			return
+		}
+		_, err := io.Copy(io.Discard, con.Conn)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || con.unsent() == 0 {
+			return
+		}
 	}
 }
 
+// unsent returns the number of bytes that the kernel still holds for the caller.
+func (con *limitConn) unsent() int {
+	num := 0
+	_ = control(con.Conn, func(fd int) { // without the number the connection is closed
+		num, _ = unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+	})
+	return num
+}
+
 // errNoSocket is returned for connections that are no sockets.
 var errNoSocket = errors.New("connection is no socket")
 
--- a/internal/httpio/listen.go
+++ b/internal/httpio/listen.go
@@ -55,6 +55,8 @@
 
 	once sync.Once
 	open atomic.Int64
+	// lingering is the number of connections that await the end of their callers' input.
+	lingering atomic.Int64
 	// refusalSlots limits concurrent refusals to maxConcurrentRefusals.
 	refusalSlots chan struct{}
 }
