edge: a drain waits until the responses are written

Cause: a drain ended when the last handler had returned, and the process 0.3 s later. hertz writes a response after its handler has returned, so a caller that read a large answer slowly got a part of it (docs/incidents/request-without-answer.md, "What remains").

Change: the drain also waits until the audit of the connections has no request that was read and whose response is not written, within the grace period as before. The line "edge: drained" has the number that is left.

Measured: platform.TestSlowReaderAcrossStop (7.7 MB, read with 64 KiB each 100 ms for 4 s) failed without the wait: 5,327,872 of 7,680,016 bytes, unexpected EOF, and the audit's line "front: connection closed without an answer" of that request.

--- a/internal/edge/loops.go
+++ b/internal/edge/loops.go
@@ -151,8 +151,9 @@
 )
 
 // drain reports the entry as not ready, lets in-flight requests complete and
-// refuses new ones after refuseAfter. Requests that are still in flight at the end of the
-// grace period get an answer too.
+// refuses new ones after refuseAfter. It waits until their responses are written, since the
+// exit of the process cuts those that callers read slowly. Requests that are still in flight
+// at the end of the grace period get an answer too.
 func (edg *Edge) drain() {
 	start := time.Now()
 	edg.ready.setDraining()
@@ -168,7 +169,8 @@
 		if elapsed > refuseAfter {
 			edg.relay.Drain()
 		}
-		if elapsed > minDrainTime && edg.relay.Active() == 0 {
+		// A handler returns before its response is written.
+		if elapsed > minDrainTime && edg.relay.Active() == 0 && edg.relay.Unanswered() == 0 {
 			break
 		}
 	}
@@ -178,6 +180,7 @@
 	if err := edg.relay.Shutdown(closeCtx); err != nil {
 		log.WithError(err).Debug("edge: connections are open after the drain")
 	}
+	unanswered := edg.relay.Unanswered()
 	edg.relay.ReportUnanswered()
-	log.WithFields(logrus.Fields{"active": edg.relay.Active(), "ms": time.Since(start).Milliseconds()}).Info("edge: drained")
+	log.WithFields(logrus.Fields{"active": edg.relay.Active(), "unanswered": unanswered, "ms": time.Since(start).Milliseconds()}).Info("edge: drained")
 }
