httpio: no request is read that the server can't answer before it ends

Seen: a caller that uses a kept connection at the moment an entry exits has its request read, and the connection ends without an answer. Cause: at its end an entry waits 0.3 s for open connections and then exits. hertz goes on reading requests from idle connections until the process ends. A connection that begins to wait later gets 10 ms. Servers without Listener.IdleTimeout (internal/front) are as before.

--- a/internal/httpio/idle.go
+++ b/internal/httpio/idle.go
@@ -36,6 +36,9 @@
 // idleLimit returns how long a connection may wait for its next request, or for its first
 // one if kept is false.
 func (lis *Listener) idleLimit(kept bool) time.Duration {
+	if lis.conns.closing.Load() {
+		return closeIdleDelay
+	}
 	least := lis.ReadTimeout
 	if kept {
 		least = lis.MinIdleTimeout
--- a/internal/httpio/listen.go
+++ b/internal/httpio/listen.go
@@ -53,8 +53,9 @@
 	// Audit accounts for the requests of the connections.
 	Audit audit.Tracker
 
-	once sync.Once
-	open atomic.Int64
+	once  sync.Once
+	open  atomic.Int64
+	conns connSet
 	// lingering is the number of connections that await the end of their callers' input.
 	lingering atomic.Int64
 	// refusalSlots limits concurrent refusals to maxConcurrentRefusals.
@@ -95,6 +96,7 @@
 		}
 		if lis.open.Add(1) <= lis.Limit {
 			lim := &limitConn{Conn: con, lis: lis}
+			lis.conns.add(lim)
 			if lim.awaitFirst() != nil {
 				_ = lim.Close()
 				continue
@@ -154,7 +156,12 @@
 func (con *limitConn) Write(buf []byte) (int, error) { return con.write(buf, con.lis.WriteTimeout) }
 
 // release removes the connection from the count of open ones.
-func (con *limitConn) release() { con.once.Do(func() { con.lis.open.Add(-1) }) }
+func (con *limitConn) release() {
+	con.once.Do(func() {
+		con.lis.open.Add(-1)
+		con.lis.conns.remove(con)
+	})
+}
 
 // Close closes the connection and removes it from the count of open ones.
 func (con *limitConn) Close() error {
