--- a/internal/crash/sim_test.go
+++ b/internal/crash/sim_test.go
@@ -73,6 +73,23 @@
 	// their deadly part.
 	crashedAt, sentAt map[wick.PartID][]time.Time
 	refused           int
+	// firsts are the first attempts of sound requests.
+	firsts []soundFirst
+}
+
+// A soundFirst is the first attempt of a sound request, with the part that its prompt
+// begins with.
+type soundFirst struct {
+	part    wick.PartID
+	at      time.Time
+	refused bool
+}
+
+// noteFirst records a first attempt of a sound request.
+func (smt *sim) noteFirst(run *simRun, refused bool) {
+	if run.attempt == 1 && deadlyPart(run.pro) == "" {
+		smt.firsts = append(smt.firsts, soundFirst{run.pro.Shared[0], smt.now, refused})
+	}
 }
 
 func newSim(t *testing.T, seed uint64, entries, endpoints int) *sim {
@@ -143,9 +160,11 @@
 	if smt.trackers[run.entry].Check(run.pro, func(string) int { return run.entry }, smt.now).Blocked {
 		if deadlyPart(run.pro) == "" {
 			smt.refused++
+			smt.noteFirst(run, true)
 		}
 		return
 	}
+	smt.noteFirst(run, false)
 	best, top := -1, uint64(0)
 	for idx := range smt.endpoints {
 		if smt.now.Before(smt.endpoints[idx].upAt) {
