--- a/internal/relay/audit_test.go
+++ b/internal/relay/audit_test.go
@@ -152,14 +152,15 @@
 	})
 }
 
-// TestUnansweredIsCounted guards against an audit that depends on the relay: a connection
-// that the entry closes without a response is a fault that it must show.
-func TestUnansweredIsCounted(t *testing.T) {
+// TestUnansweredAtStop guards against requests that the end of the process cuts without a
+// trace.
+func TestUnansweredAtStop(t *testing.T) {
 	rly := newTestRelay(t, 1, auditScript)
 	cal := rly.dial()
 	io.WriteString(cal, "GET /late/slow HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Key: k\r\n\r\n")
 	time.Sleep(50 * time.Millisecond)
 	rly.srv.ReportUnanswered()
 	rly.awaitAccounts(map[string]int64{"read": 1, "unanswered": 1})
+	// The check at the end of the test expects no fault.
 	rly.srv.lis.Audit.Metrics.UnregisterAll()
 }
