wick, platform: decode regions, cold endpoints, gaps, memory and runs

Cause: evacuated zones, cold endpoints, regions of routes and customers, the memory of endpoints and the progress of their runs are in the operators' configuration, the registry and the load reports, and were not decoded.

Change: fields in pkg/wick and their decoding. Nothing uses them yet, so no decision changes. ReadLoad also returns the runs of the report.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -103,6 +103,12 @@
 	HandoverDelay time.Duration
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
+	// Evacuation is the time after which no request may reach an endpoint in an evacuated
+	// availability zone. It is 0 where operators evacuate none.
+	Evacuation time.Duration
+	// In any second, a cold endpoint may receive ColdOvershoot times the rate of its
+	// service's plan, plus ColdSlack requests, from all entries together.
+	ColdOvershoot, ColdSlack float64
 	// Entries is the assumed number of entries until their records are read.
 	Entries int
 }
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -132,7 +132,7 @@
 			grp.Go(func() error {
 				ctx, cancel := context.WithTimeout(ctx, loadPollTimeout)
 				defer cancel()
-				load, err := edg.cfg.Loads.ReadLoad(ctx, bke)
+				load, _, err := edg.cfg.Loads.ReadLoad(ctx, bke)
 				mu.Lock()
 				defer mu.Unlock()
 				// One that does not answer is polled like an idle one.
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -91,11 +91,23 @@
 	Limit RateLimit
 	// Leaving is set when the endpoint signals that it leaves.
 	Leaving bool
+	// MemoryUsed is the memory in tokens that cached prompts can't free, MemoryTotal all
+	// memory; 0 if the endpoint doesn't report them.
+	MemoryUsed, MemoryTotal Tokens
+}
+
+// A BackendRun is a run in an endpoint's load report.
+type BackendRun struct {
+	ID RequestID
+	// Events is the number of events that the run has generated.
+	Events int
 }
 
 // A LoadReader reads the load of model endpoints. Errors wrap ErrUnavailable.
 type LoadReader interface {
-	ReadLoad(ctx context.Context, bke Backend) (BackendLoad, error)
+	// ReadLoad returns the load of an endpoint and the requests that it runs, none if it
+	// doesn't list them.
+	ReadLoad(ctx context.Context, bke Backend) (BackendLoad, []BackendRun, error)
 }
 
 // A RunProber checks what became of a request's endpoint. Errors wrap
--- a/pkg/wick/plan.go
+++ b/pkg/wick/plan.go
@@ -44,6 +44,8 @@
 	// HeaderTimeout is how long callers may take for the header of a request; 0 leaves
 	// the limit to the entry.
 	HeaderTimeout time.Duration
+	// MaxHeaderBytes bounds the header of a request; 0 leaves the bound to the entry.
+	MaxHeaderBytes int
 }
 
 // A RoutePlan sends the requests of a host and path prefix to services.
@@ -60,6 +62,9 @@
 	// Target is the latency objective: to the first event of a stream, to
 	// the whole answer otherwise.
 	Target time.Duration
+	// TargetGap is the longest pause between two events with which a stream still meets
+	// its latency objective; 0 is no bound.
+	TargetGap time.Duration
 	// MaxAttempts is the number of endpoints that may run one request.
 	MaxAttempts int
 	Rank        Rank
@@ -68,6 +73,9 @@
 	// Resumable streams may continue on another endpoint after their last
 	// event.
 	Resumable bool
+	// Regions are the only ones whose endpoints may receive the route's requests, all
+	// regions if it is empty.
+	Regions []Region
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -87,6 +95,11 @@
 	Name Service
 	// Model is set for services whose endpoints generate tokens.
 	Model bool
+	// ColdStart is how long an endpoint is cold after its start, 0 if it never is.
+	ColdStart time.Duration
+	// ColdRate is the number of requests per second that all entries together may send to
+	// a cold endpoint, 0 for no limit.
+	ColdRate float64
 	// Scaling is nil when wagtailwick doesn't manage the number of endpoints.
 	Scaling *ScalingPlan
 }
@@ -111,6 +124,8 @@
 	Rank    Rank
 	HasRank bool
 	Quota   Quota
+	// Regions restrict the endpoints like those of a route. Both apply.
+	Regions []Region
 }
 
 // A Quota limits the request rate of a customer across all entries.
@@ -140,6 +155,9 @@
 	Reclaimable bool
 	// Born distinguishes successive starts of an endpoint with the same id.
 	Born int64
+	// ColdFor is how much longer the endpoint was going to be cold when the registry entry
+	// was written.
+	ColdFor time.Duration
 }
 
 // A VersionOrder requests the move of a service to endpoints of a version.
