edge, pool, scale: evacuated availability zones; regions of routes and customers

Cause: an operator's evacuation of a zone and the allowed regions of routes and customers were not read, so that requests reached endpoints which they exclude.

Change: entries follow the evacuations where the settings have their bound, and are not ready before the first list. The pool assigns no endpoint of an evacuated zone, also not to requests that wait, secured attempts, moved runs and runs that would continue in place. The planner orders nothing there and counts the other zones only. The pollers' notices carry the evacuated zones, by which a silent watch is found. Queries carry the regions of the route and the customer.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,6 +77,8 @@
 // Kinds are the names of the object kinds that operators and endpoints write.
 type Kinds struct {
 	Plan, Backend, VersionOrder wick.Kind
+	// Evacuation is only read if Bounds.Evacuation is set.
+	Evacuation wick.Kind
 }
 
 // Bounds are the service-level bounds agreed with the platform.
@@ -119,7 +121,9 @@
 	ID          wick.EntryID
 	Incarnation wick.Incarnation
 	Zone        wick.Zone
-	Store       wick.Store
+	// Regions maps each availability zone to its region. It may be nil.
+	Regions map[wick.Zone]wick.Region
+	Store   wick.Store
 	// StaleReads is Store with cheaper reads that may be seconds out of date. It
 	// is nil if the store has none.
 	StaleReads wick.Store
@@ -159,6 +163,7 @@
 	peers         atomic.Pointer[peer.Transport]
 	rollouts      *rollouts
 	orders        *feed.Follower
+	evacuations   evacuations
 	moves         *feed.Follower
 	budget        retry.Budget
 	tally         usage.Tally
@@ -200,7 +205,9 @@
 	edg.crashes = crashes{edg: edg, wake: make(chan struct{}, 1)}
 	edg.orders = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.VersionOrder, Handler: &orderHandler{edg.rollouts.handleOrder, edg}}
 	edg.moves = &feed.Follower{Store: cfg.Store, Kind: wick.KindMove, Handler: feed.Each(edg.rollouts.handleRecord), Active: edg.rollouts.anyInProgress}
-	for _, fol := range []*feed.Follower{edg.config, edg.backends, edg.members, edg.orders} {
+	edg.pool.SetRegions(cfg.Regions)
+	edg.evacuations.init(edg)
+	for _, fol := range []*feed.Follower{edg.config, edg.backends, edg.members, edg.orders, &edg.evacuations.fol} {
 		fol.Outage = &edg.outage
 	}
 	edg.leases = lease.NewKeeper(cfg.Store, cfg.ID, cfg.Incarnation,
@@ -288,7 +295,7 @@
 	var grp errgroup.Group
 	for _, loop := range []func(context.Context){
 		edg.config.Run, edg.backends.Run, edg.members.Run, edg.publishLoop, edg.allocationLoop, edg.peerLoop,
-		edg.orders.Run, edg.moves.Run, edg.rollouts.run, edg.loadLoop, edg.crashes.run,
+		edg.orders.Run, edg.moves.Run, edg.rollouts.run, edg.loadLoop, edg.crashes.run, edg.evacuations.run,
 	} {
 		grp.Go(func() error { loop(loopCtx); return nil })
 	}
@@ -333,6 +340,7 @@
 	if err != nil {
 		return err
 	}
+	edg.ready.needsEvacuations.Store(edg.evacuations.enabled)
 	if edg.cfg.AdminAddr == "" {
 		return nil
 	}
--- /dev/null
+++ b/internal/edge/evacuate.go
@@ -0,0 +1,164 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailwick/wagtailwick/internal/feed"
+	"github.com/wagtailwick/wagtailwick/internal/logs"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// evacuations follows the operators' evacuations of availability zones: an object named
+// by a zone exists as long as the zone's endpoints get no requests. It is a feed.Handler.
+type evacuations struct {
+	edg *Edge
+	fol feed.Follower
+	// enabled is set where operators may evacuate zones.
+	enabled bool
+	// recoveredAt is that of the follower.
+	recoveredAt func() time.Time
+
+	mu sync.Mutex
+	// zones holds the evacuated zones. The value is true for one that is in the store,
+	// false for one that a restore of the store may have lost.
+	zones map[wick.Zone]bool
+	// differsSince is when the zones of another entry first differed from these. Entries
+	// that agree are missing.
+	differsSince map[wick.EntryID]time.Time
+}
+
+// init sets the fields that depend on the entry.
+func (evc *evacuations) init(edg *Edge) {
+	evc.edg = edg
+	evc.zones, evc.differsSince = make(map[wick.Zone]bool), make(map[wick.EntryID]time.Time)
+	evc.recoveredAt = evc.fol.RecoveredAt
+	evc.enabled = edg.cfg.Bounds.Evacuation > 0
+	evc.fol.Store, evc.fol.Kind, evc.fol.Handler = edg.cfg.Store, edg.cfg.Kinds.Evacuation, evc
+}
+
+// run follows the evacuations where operators may evacuate zones.
+func (evc *evacuations) run(ctx context.Context) {
+	if evc.enabled {
+		evc.fol.Run(ctx)
+	}
+}
+
+// Replace handles a list of all evacuations. A zone that is missing from it after a
+// restore of the store, or after an outage, stays evacuated for rewriteTime: the operator
+// writes a lost object again within that time.
+func (evc *evacuations) Replace(objs []wick.Object) {
+	listed := make(map[wick.Zone]bool, len(objs))
+	for idx := range objs {
+		listed[wick.Zone(objs[idx].Key.Name)] = true
+	}
+	wait := rewriteTime - time.Since(evc.recoveredAt())
+	evc.mu.Lock()
+	defer evc.mu.Unlock()
+	if missing := evc.unlisted(listed); wait > 0 && len(missing) > 0 {
+		maps.Copy(listed, missing)
+		time.AfterFunc(wait, evc.fol.Relist)
+	}
+	for zone := range evc.zones {
+		if _, ok := listed[zone]; !ok {
+			evc.logChange(zone, false)
+		}
+	}
+	for zone := range listed {
+		if _, ok := evc.zones[zone]; !ok {
+			evc.logChange(zone, true)
+		}
+	}
+	evc.zones = listed
+}
+
+// unlisted returns the evacuated zones that are not listed, with the value false. evc.mu
+// must be held.
+func (evc *evacuations) unlisted(listed map[wick.Zone]bool) map[wick.Zone]bool {
+	out := make(map[wick.Zone]bool)
+	for zone := range evc.zones {
+		if !listed[zone] {
+			out[zone] = false
+		}
+	}
+	return out
+}
+
+// Change handles a change of one evacuation. Its content does not matter.
+func (evc *evacuations) Change(obj wick.Object) {
+	zone := wick.Zone(obj.Key.Name)
+	evc.mu.Lock()
+	defer evc.mu.Unlock()
+	if _, ok := evc.zones[zone]; ok == obj.Deleted {
+		evc.logChange(zone, !obj.Deleted)
+	}
+	if obj.Deleted {
+		delete(evc.zones, zone)
+	} else {
+		evc.zones[zone] = true
+	}
+}
+
+// Settled applies the evacuations. Only then may callers come.
+func (evc *evacuations) Settled() {
+	evc.edg.pool.SetEvacuated(evc.list())
+	evc.edg.ready.setEvacuationsLoaded()
+}
+
+// logChange logs and counts the begin or the end of an evacuation.
+func (evc *evacuations) logChange(zone wick.Zone, begun bool) {
+	msg, name := logs.MsgZoneEvacuated, "edge.evacuationsBegun"
+	if !begun {
+		msg, name = logs.MsgZoneReturned, "edge.evacuationsEnded"
+	}
+	metrics.GetOrRegisterCounter(name, nil).Inc(1)
+	log.WithField("zone", zone).Info(msg)
+}
+
+// list returns the evacuated zones in ascending order.
+func (evc *evacuations) list() []wick.Zone {
+	evc.mu.Lock()
+	defer evc.mu.Unlock()
+	return slices.Sorted(maps.Keys(evc.zones))
+}
+
+// evacuationLag is how long the evacuated zones of two entries may differ before a watch
+// counts as dead: the watch of a sound connection shows a change sooner.
+const evacuationLag = time.Second
+
+// compare lists the evacuations again if another entry has had different ones for
+// evacuationLag.
+func (evc *evacuations) compare(from wick.EntryID, zones []wick.Zone, now time.Time) {
+	if !evc.enabled || !evc.differs(from, zones, now) {
+		return
+	}
+	log.WithFields(logrus.Fields{"from": from, "zones": zones}).Info("edge: another entry has other evacuations")
+	evc.fol.Relist()
+}
+
+// differs reports whether another entry's zones have differed for evacuationLag, and starts
+// anew if so.
+func (evc *evacuations) differs(from wick.EntryID, zones []wick.Zone, now time.Time) bool {
+	own := evc.list()
+	evc.mu.Lock()
+	defer evc.mu.Unlock()
+	if slices.Equal(own, zones) {
+		delete(evc.differsSince, from)
+		return false
+	}
+	since, ok := evc.differsSince[from]
+	if !ok {
+		evc.differsSince[from] = now
+	}
+	if !ok || now.Sub(since) < evacuationLag {
+		return false
+	}
+	clear(evc.differsSince)
+	return true
+}
--- /dev/null
+++ b/internal/edge/evacuate_test.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/fake"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// An evacuationReader is an entry that reads evacuations.
+type evacuationReader struct {
+	*testing.T
+	edg *Edge
+}
+
+func newEvacuationReader(t *testing.T) *evacuationReader {
+	t.Helper()
+	edg := newIdleEdge(&fake.Store{})
+	edg.evacuations.enabled = true
+	edg.ready.needsEvacuations.Store(true)
+	return &evacuationReader{t, edg}
+}
+
+func evacuation(zone string) wick.Object {
+	return wick.Object{Key: wick.ObjectKey{Kind: "evacuation", Name: zone}, Data: []byte(`{"`)}
+}
+
+func (rdr *evacuationReader) list(zones ...string) {
+	var objs []wick.Object
+	for _, zone := range zones {
+		objs = append(objs, evacuation(zone))
+	}
+	rdr.edg.evacuations.Replace(objs)
+	rdr.edg.evacuations.Settled()
+}
+
+func (rdr *evacuationReader) change(obj wick.Object) {
+	rdr.edg.evacuations.Change(obj)
+	rdr.edg.evacuations.Settled()
+}
+
+func (rdr *evacuationReader) assertZones(want ...wick.Zone) {
+	rdr.Helper()
+	if got := rdr.edg.evacuations.list(); !slices.Equal(got, want) {
+		rdr.Errorf("evacuated zones %v, want %v", got, want)
+	}
+}
+
+// TestEvacuations guards against an evacuation that is not applied, or not taken back,
+// also if its content can't be read.
+func TestEvacuations(t *testing.T) {
+	rdr := newEvacuationReader(t)
+	rdr.change(evacuation("b"))
+	rdr.change(evacuation("a"))
+	rdr.assertZones("a", "b")
+	gone := evacuation("b")
+	gone.Deleted = true
+	rdr.change(gone)
+	rdr.assertZones("a")
+	rdr.list("c")
+	rdr.assertZones("c")
+}
+
+// TestReadyNeedsEvacuations guards against an entry that starts during an evacuation and
+// sends requests to the zone before it has read it.
+func TestReadyNeedsEvacuations(t *testing.T) {
+	rdr := newEvacuationReader(t)
+	rds := rdr.edg.ready
+	rds.setPlanLoaded()
+	rds.setBackendsLoaded()
+	rds.setMembersLoaded()
+	rds.setOrdersLoaded()
+	if rds.ready() {
+		t.Error("ready without the evacuations")
+	}
+	rdr.list()
+	if !rds.ready() {
+		t.Error("not ready although everything is read")
+	}
+}
+
+// TestEvacuationAfterRestore guards against requests to an evacuated zone while a restored
+// store lacks the evacuation, which the operator writes again.
+func TestEvacuationAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rdr := newEvacuationReader(t)
+		rdr.list("a", "b")
+		now := time.Now()
+		rdr.edg.evacuations.recoveredAt = func() time.Time { return now }
+		rdr.list("b")
+		rdr.assertZones("a", "b")
+		time.Sleep(rewriteTime + time.Millisecond)
+		rdr.list("b")
+		rdr.assertZones("b")
+	})
+}
+
+// TestEvacuationNotice guards against a silent watch that hides an evacuation, and against
+// a list for each notice that only arrives before the watch's answer.
+func TestEvacuationNotice(t *testing.T) {
+	rdr := newEvacuationReader(t)
+	now := time.Now()
+	evc := &rdr.edg.evacuations
+	for _, tst := range []struct {
+		after time.Duration
+		from  wick.EntryID
+		zones []wick.Zone
+		want  bool
+	}{
+		{0, "p1", []wick.Zone{"a"}, false},
+		{evacuationLag / 2, "p2", nil, false},
+		{evacuationLag, "p1", []wick.Zone{"a"}, true},
+		{evacuationLag, "p1", []wick.Zone{"a"}, false},
+		{2 * evacuationLag, "p1", nil, false},
+		{3 * evacuationLag, "p1", []wick.Zone{"a"}, false},
+	} {
+		if got := evc.differs(tst.from, tst.zones, now.Add(tst.after)); got != tst.want {
+			t.Errorf("notice of %s with %v after %v: list again %v, want %v", tst.from, tst.zones, tst.after, got, tst.want)
+		}
+	}
+}
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -42,6 +42,8 @@
 	Plan wick.PlanVersion `cbor:"4,keyasint,omitempty"`
 	// Orders is the highest revision of a version order that was read.
 	Orders wick.Revision `cbor:"5,keyasint,omitempty"`
+	// Evacuated lists the availability zones that are evacuated.
+	Evacuated []wick.Zone `cbor:"6,keyasint,omitempty"`
 }
 
 // An endpointLoad is the load of one endpoint.
@@ -72,6 +74,7 @@
 			ntc.Plan = tbl.Plan.Version
 		}
 		ntc.Orders = edg.rollouts.newestRevision()
+		ntc.Evacuated = edg.evacuations.list()
 		edg.notify(ctx, wick.MsgLoad, ntc, edg.reachablePeers())
 	}
 }
@@ -176,6 +179,7 @@
 	edg.markLeft(from, ntc.Left)
 	edg.notePlan(from, ntc.Plan)
 	edg.noteOrders(from, ntc.Orders)
+	edg.evacuations.compare(from, ntc.Evacuated, time.Now())
 	if ntc.Current {
 		edg.informants.heard(time.Now())
 	}
--- a/internal/edge/ready.go
+++ b/internal/edge/ready.go
@@ -22,6 +22,9 @@
 	// of endpoints, of entries and of version orders are loaded, draining when the entry
 	// drains.
 	plan, backends, members, orders, draining atomic.Bool
+	// needsEvacuations is set until the first list of evacuations is loaded, if they are
+	// read at all.
+	needsEvacuations atomic.Bool
 }
 
 func newReadyServer(ctx context.Context, addr string) (*readyServer, error) {
@@ -53,10 +56,13 @@
 func (rds *readyServer) setBackendsLoaded() { rds.backends.Store(true) }
 func (rds *readyServer) setMembersLoaded()  { rds.members.Store(true) }
 func (rds *readyServer) setOrdersLoaded()   { rds.orders.Store(true) }
-func (rds *readyServer) setDraining()       { rds.draining.Store(true) }
+
+func (rds *readyServer) setEvacuationsLoaded() { rds.needsEvacuations.Store(false) }
+
+func (rds *readyServer) setDraining() { rds.draining.Store(true) }
 
 func (rds *readyServer) ready() bool {
-	return rds.plan.Load() && rds.backends.Load() && rds.members.Load() && rds.orders.Load() && !rds.draining.Load()
+	return rds.plan.Load() && rds.backends.Load() && rds.members.Load() && rds.orders.Load() && !rds.needsEvacuations.Load() && !rds.draining.Load()
 }
 
 func (rds *readyServer) handle(_ context.Context, rct *app.RequestContext) {
--- a/internal/edge/scale.go
+++ b/internal/edge/scale.go
@@ -139,6 +139,12 @@
 func (sca *scaler) observe(svc *wick.ServicePlan) scale.State {
 	now := time.Now()
 	sta := scale.State{Plan: *svc.Scaling, Live: make(map[wick.Zone]scale.Count), Load: -1, Now: now}
+	for _, zone := range sca.edg.evacuations.list() {
+		if sta.Evacuated == nil {
+			sta.Evacuated = make(map[wick.Zone]bool)
+		}
+		sta.Evacuated[zone] = true
+	}
 	for zone, sum := range sca.edg.pool.Summaries()[svc.Name] {
 		sta.Live[zone] = scale.Count{OnDemand: sum.Live - sum.Spot, Spot: sum.Spot}
 	}
--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -29,6 +29,8 @@
 	MsgEndpointLeavingReported = "edge: endpoint leaves, says another entry"
 	MsgEndpointLeavingAnswered = "edge: endpoint leaves, says its answer"
 	MsgEndpointGone            = "edge: endpoint gone"
+	MsgZoneEvacuated           = "edge: availability zone evacuated"
+	MsgZoneReturned            = "edge: availability zone no longer evacuated"
 	MsgReserveUnreachable      = "edge: reserve not reached"
 	MsgStoreLost               = "feed: store lost"
 	MsgStoreRecovered          = "feed: store answers again"
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -44,6 +44,10 @@
 	// goneUntil is until when the endpoint counts as removed from the registry,
 	// although this entry has not read the removal yet.
 	goneUntil time.Time
+	// region is that of the endpoint's availability zone, "" if unknown. evacuated is set
+	// while no requests may be sent to the zone's endpoints.
+	region    wick.Region
+	evacuated bool
 	// leavesAt is when a leaving endpoint terminates, if known.
 	leavesAt time.Time
 	inFlight int
@@ -90,7 +94,7 @@
 
 func (end *endpoint) availability(now time.Time) availability {
 	switch {
-	case end.bke.Leaving, now.Before(end.goneUntil), end.pause.active(now):
+	case end.bke.Leaving, end.evacuated, now.Before(end.goneUntil), end.pause.active(now):
 		return unavailable
 	case !end.graceUntil.IsZero() && now.After(end.graceUntil):
 		return unavailable
--- a/internal/pool/pause.go
+++ b/internal/pool/pause.go
@@ -113,7 +113,7 @@
 	least, found := maxLimitWait, false
 	for _, end := range grp.all {
 		switch {
-		case !que.allowsVersion(end) || end.bke.Leaving || que.Now.Before(end.goneUntil):
+		case !que.allows(end) || end.bke.Leaving || end.evacuated || que.Now.Before(end.goneUntil):
 		case end.pause.active(que.Now):
 			least, found = min(least, max(end.pause.until.Sub(que.Now), end.limit.wait(que.Now))), true
 		case end.availability(que.Now) != unavailable && !end.limit.Set:
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -50,6 +50,8 @@
 	// disallowed.
 	OnlyVersion    wick.ModelVersion
 	ExceptVersions []wick.ModelVersion
+	// Regions and CustomerRegions are the only allowed regions, all if empty. Both apply.
+	Regions, CustomerRegions []wick.Region
 	// Exclude lists endpoints that the request was already sent to.
 	Exclude []wick.VMID
 	// MaxWait is how long the request may wait until an endpoint that limits its
@@ -60,11 +62,14 @@
 
 // matches reports whether the query allows the endpoint.
 func (que *Query) matches(end *endpoint) bool {
-	return que.allowsVersion(end) && !slices.Contains(que.Exclude, end.bke.ID)
+	return que.allows(end) && !slices.Contains(que.Exclude, end.bke.ID)
 }
 
-// allowsVersion reports whether the query allows the endpoint's version.
-func (que *Query) allowsVersion(end *endpoint) bool {
+// allows reports whether the query allows the endpoint's version and region.
+func (que *Query) allows(end *endpoint) bool {
+	if !allowsRegion(que.Regions, end.region) || !allowsRegion(que.CustomerRegions, end.region) {
+		return false
+	}
 	return (que.OnlyVersion == "" || end.bke.Version == que.OnlyVersion) && !slices.Contains(que.ExceptVersions, end.bke.Version)
 }
 
@@ -211,16 +216,20 @@
 		return [2]*endpoint{}
 	}
 	return grp.ring.preferred(string(que.Parts[len(que.Parts)-2].ID), func(end *endpoint) bool {
-		return !end.bke.Leaving && !slices.Contains(que.ExceptVersions, end.bke.Version)
+		return !end.bke.Leaving && !end.evacuated && !slices.Contains(que.ExceptVersions, end.bke.Version) &&
+			allowsRegion(que.Regions, end.region) && allowsRegion(que.CustomerRegions, end.region)
 	})
 }
 
 // Duplicate returns a second assignment to the same endpoint, for a run that
 // continues there although the endpoint is leaving. Its Leaving channel is never
-// closed.
+// closed. It returns nil if the endpoint's availability zone is evacuated.
 func (asg *Assignment) Duplicate(now time.Time) *Assignment {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
+	if asg.end.evacuated {
+		return nil
+	}
 	asg.end.inFlight++
 	asg.end.limit.take(now)
 	return &Assignment{Backend: asg.Backend, Leaving: make(chan struct{}), Band: asg.Band, pl: asg.pl, grp: asg.grp, end: asg.end}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -28,6 +28,7 @@
 	groupByVM map[wick.VMID]*group
 	// limitShare is the initial limitShare of new groups.
 	limitShare float64
+	places     places
 }
 
 // New returns an empty pool for an entry in a zone.
@@ -37,6 +38,8 @@
 
 // A group holds the endpoints of one service.
 type group struct {
+	places *places
+
 	mu  sync.Mutex
 	eps map[wick.VMID]*endpoint
 	// all and byZone list the endpoints in no particular order, for samples.
@@ -67,7 +70,7 @@
 	pl.mu.Lock()
 	grp := pl.groups[bke.Service]
 	if grp == nil {
-		grp = &group{limitShare: pl.limitShare, eps: make(map[wick.VMID]*endpoint), byZone: make(map[wick.Zone][]*endpoint)}
+		grp = &group{places: &pl.places, limitShare: pl.limitShare, eps: make(map[wick.VMID]*endpoint), byZone: make(map[wick.Zone][]*endpoint)}
 		pl.groups[bke.Service] = grp
 	}
 	old := pl.groupByVM[bke.ID]
@@ -323,6 +326,7 @@
 		grp.add(end)
 	}
 	end.bke = bke
+	end.region, end.evacuated = grp.places.find(bke.Zone)
 	end.graceUntil = time.Time{}
 	if bke.Leaving {
 		end.leavesAt = time.Time{}
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -145,8 +145,12 @@
 		hof.tgt, hof.cpy = tgt, cpy
 	case err == nil:
 		// The run was stopped, but its memory was not copied: it continues on
-		// the same endpoint.
-		hof.tgt, hof.cpy = &target{Assignment: att.tgt.Duplicate(time.Now()), choice: Choice{}}, cpy
+		// the same endpoint, unless that may get no requests.
+		if asg := att.tgt.Duplicate(time.Now()); asg != nil {
+			hof.tgt, hof.cpy = &target{Assignment: asg}, cpy
+		} else {
+			go releaseCopy(req.srv.cfg.Mover, cpy)
+		}
 		tgt.release()
 	case rsv.cpy != "" && errors.Is(err, wick.ErrUnavailable):
 		// The answer is lost. If the run's stream closes, the run was stopped and
--- a/internal/relay/secure.go
+++ b/internal/relay/secure.go
@@ -69,7 +69,7 @@
 }
 
 // takeSecured returns the endpoint of a secured attempt, nil if there is none or the
-// endpoint has begun to leave meanwhile.
+// endpoint can't be used any more.
 func (req *request) takeSecured() *target {
 	tgt := req.secured.take()
 	if tgt == nil {
@@ -80,6 +80,10 @@
 		tgt.release()
 		return nil
 	default:
-		return tgt
 	}
+	if tgt.Evacuated() {
+		tgt.release()
+		return nil
+	}
+	return tgt
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -86,6 +86,7 @@
 		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersions: choice.Except, Exclude: tried, Resumed: resumed,
 		MaxWait: maxWait, Now: now,
 	}
+	que.Regions, que.CustomerRegions = req.regions()
 	asg, err := req.srv.cfg.Pool.Pick(que)
 	if err != nil && choice.Fallback {
 		que.OnlyVersion = ""
@@ -103,16 +104,26 @@
 // pickHandoffTarget picks an endpoint of the same version as old to move a run
 // to.
 func (req *request) pickHandoffTarget(old *target) (*target, error) {
-	asg, err := req.srv.cfg.Pool.Pick(pool.Query{
+	que := pool.Query{
 		Service: req.service, Model: true, Parts: req.params.Parts, InputTokens: 0, OutputTokens: req.params.ExpectedOutput(), Resumed: true,
 		OnlyVersion: old.Backend.Version, Exclude: req.tried, Now: time.Now(),
-	})
+	}
+	que.Regions, que.CustomerRegions = req.regions()
+	asg, err := req.srv.cfg.Pool.Pick(que)
 	if err != nil {
 		return nil, err //nolint:wrapcheck // our own package
 	}
 	return &target{Assignment: asg}, nil
 }
 
+// regions returns the regions to which the route and the customer restrict the request.
+func (req *request) regions() (route, customer []wick.Region) {
+	if req.match.Customer != nil {
+		customer = req.match.Customer.Regions
+	}
+	return req.match.Route.Regions, customer
+}
+
 // release returns a target to the pool that no request was sent to.
 func (tgt *target) release() {
 	now := time.Now()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -86,7 +86,7 @@
 		if hof == nil || hof.tgt == nil {
 			return otc
 		}
-		if hof.tgt.Paused(time.Now()) {
+		if hof.tgt.Paused(time.Now()) || hof.tgt.Evacuated() {
 			// The run is resumed elsewhere, without its memory.
 			hof.tgt.release()
 			return otc
--- a/internal/scale/scale.go
+++ b/internal/scale/scale.go
@@ -5,7 +5,9 @@
 package scale
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -66,6 +68,9 @@
 	// Live counts the endpoints by zone. Zones without endpoints may be
 	// missing.
 	Live map[wick.Zone]Count
+	// Evacuated holds the zones whose endpoints get no requests. Nothing is ordered there,
+	// and the other zones run the service.
+	Evacuated map[wick.Zone]bool
 	// Load is the load in busy endpoints, that is endpoint-seconds per second.
 	// It is negative if unknown.
 	Load float64
@@ -135,8 +140,9 @@
 	if plr.orders == nil {
 		plr.orders = make(map[group]order)
 	}
-	zones := byPrice(sta.Plan)
 	plr.observe(sta)
+	sta.Live = sta.servingZones()
+	zones := slices.DeleteFunc(byPrice(sta.Plan), func(zone wick.Zone) bool { return sta.Evacuated[zone] })
 	if len(zones) == 0 || !plr.initialFinal && sta.Now.Sub(plr.startedAt) < firstOrderDelay {
 		return nil
 	}
@@ -212,6 +218,16 @@
 	return out
 }
 
+// servingZones returns the counts without those of evacuated zones.
+func (sta *State) servingZones() map[wick.Zone]Count {
+	if len(sta.Evacuated) == 0 {
+		return sta.Live
+	}
+	out := maps.Clone(sta.Live)
+	maps.DeleteFunc(out, func(zone wick.Zone, _ Count) bool { return sta.Evacuated[zone] })
+	return out
+}
+
 // total returns the number of live endpoints of each kind over all zones.
 func (sta *State) total() (onDemand, spot int) {
 	for _, cnt := range sta.Live {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -24,6 +24,7 @@
 	// exhaustedZones holds the zones without it.
 	exhausted      bool
 	exhaustedZones map[wick.Zone]bool
+	evacuated      map[wick.Zone]bool
 	orders         int
 	initial        int
 }
@@ -47,7 +48,7 @@
 	for at := from; at < from+length; at += 500 * time.Millisecond {
 		now := start.Add(at)
 		cld.completeOrders(now)
-		for _, ord := range cld.plr.Plan("s", State{Plan: testPlan, Live: cld.live, Load: work, InitialCount: cld.initial, Now: now}) {
+		for _, ord := range cld.plr.Plan("s", State{Plan: testPlan, Live: cld.live, Load: work, Evacuated: cld.evacuated, InitialCount: cld.initial, Now: now}) {
 			cld.orders++
 			if ord.Count > testPlan.Max {
 				cld.t.Errorf("order %+v is above the maximum", ord)
@@ -334,3 +335,19 @@
 		t.Errorf("desired %d endpoints for 9 that are fully occupied, want 18", plr.Desired())
 	}
 }
+
+// TestEvacuatedZone guards against orders in an evacuated zone, and against a fleet whose
+// other zones stay too small for the load meanwhile.
+func TestEvacuatedZone(t *testing.T) {
+	const load = 3.0
+	cld := newCloud(t, 3)
+	cld.run(0, 24*time.Second, load)
+	before := cld.live["b"]
+	cld.evacuated = map[wick.Zone]bool{"b": true}
+	cld.run(24*time.Second, 10*time.Second, load)
+	if cld.live["b"] != before {
+		t.Errorf("the evacuated zone has %+v endpoints, want %+v", cld.live["b"], before)
+	}
+	onDemand, spot := cld.total()
+	cld.assertBetween("endpoints of the other zones", onDemand+spot-before.OnDemand-before.Spot, 10, 3*testPlan.Max)
+}
--- a/internal/scale/target.go
+++ b/internal/scale/target.go
@@ -18,7 +18,11 @@
 func (plr *Planner) target(sta State, zones []wick.Zone) target {
 	onDemand, spot := sta.total()
 	base := max(int(math.Ceil(onDemandShare*float64(plr.desired))), 1)
-	spots := plr.desired - base + int(math.Ceil(spareShare*float64(plr.desired)))
+	spots := plr.desired - base
+	if len(sta.Evacuated) == 0 {
+		// An evacuation is the loss of a zone for which the spare endpoints run.
+		spots += int(math.Ceil(spareShare * float64(plr.desired)))
+	}
 	if sta.Plan.SpotPrice <= 0 || sta.Plan.SpotPrice >= 1 {
 		base, spots = plr.desired, 0
 	}
