pool, edge: limit the requests to cold endpoints

Cause: an endpoint that has just started tolerates few requests per second from all entries together; the entries sent it as many as to any other. On the shifted site cold endpoints received 14 requests in a second where 12.5 are allowed.

Change: a token bucket per cold endpoint, divided among few entries by their published request rates, like the limits that endpoints name. An endpoint is cold by its registry record, when it doesn't answer its poll or a connection (it may be starting again), and after the evacuation of its zone. Services whose plan names no rate are served as before. Prompts count as not cached at a cold endpoint.

--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/internal/roster"
@@ -133,7 +134,7 @@
 	if rep.Plan == "" {
 		return
 	}
-	log.WithFields(logrus.Fields{"from": from}).Debug("edge: plan received from another entry")
+	log.WithFields(logrus.Fields{logs.FieldFrom: from}).Debug("edge: plan received from another entry")
 	edg.adoptPlan(wick.Object{Key: wick.ObjectKey{Kind: edg.cfg.Kinds.Plan, Name: rep.Plan}, Data: rep.PlanData})
 }
 
@@ -180,7 +181,7 @@
 			return
 		}
 		if err := json.Unmarshal(rep.Record, &rec); err != nil {
-			log.WithError(err).WithField("from", from).Warn("edge: cannot decode own record of another entry")
+			log.WithError(err).WithField(logs.FieldFrom, from).Warn("edge: cannot decode own record of another entry")
 			return
 		}
 		if rec.ID == edg.cfg.ID && rec.Incarnation < edg.cfg.Incarnation && rec.IsNewer(&own) {
--- a/internal/edge/evacuate.go
+++ b/internal/edge/evacuate.go
@@ -24,6 +24,8 @@
 	enabled bool
 	// recoveredAt is that of the follower.
 	recoveredAt func() time.Time
+	// applied holds the zones that the pool was last given.
+	applied []wick.Zone
 
 	mu sync.Mutex
 	// zones holds the evacuated zones. The value is true for one that is in the store,
@@ -107,7 +109,14 @@
 
 // Settled applies the evacuations. Only then may callers come.
 func (evc *evacuations) Settled() {
-	evc.edg.pool.SetEvacuated(evc.list())
+	zones := evc.list()
+	for _, zone := range evc.applied {
+		if !slices.Contains(zones, zone) {
+			evc.edg.pool.MarkZoneCold(zone, time.Now())
+		}
+	}
+	evc.edg.pool.SetEvacuated(zones)
+	evc.applied = zones
 	evc.edg.ready.setEvacuationsLoaded()
 }
 
@@ -138,7 +147,7 @@
 	if !evc.enabled || !evc.differs(from, zones, now) {
 		return
 	}
-	log.WithFields(logrus.Fields{"from": from, "zones": zones}).Info("edge: another entry has other evacuations")
+	log.WithFields(logrus.Fields{logs.FieldFrom: from, "zones": zones}).Info("edge: another entry has other evacuations")
 	evc.fol.Relist()
 }
 
--- a/internal/edge/evacuate_test.go
+++ b/internal/edge/evacuate_test.go
@@ -29,7 +29,7 @@
 }
 
 func (rdr *evacuationReader) list(zones ...string) {
-	var objs []wick.Object
+	objs := make([]wick.Object, 0, len(zones))
 	for _, zone := range zones {
 		objs = append(objs, evacuation(zone))
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -47,6 +47,7 @@
 		return
 	}
 	edg.planObject.set(pln.Version, obj)
+	edg.setColdPolicies(&pln)
 	edg.ready.setPlanLoaded()
 	go edg.gossipPlan(context.Background(), pln.Version)
 	log.WithFields(logrus.Fields{"plan": pln.Version, "routes": len(pln.Routes)}).Info(logs.MsgPlanAdopted)
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -15,8 +15,8 @@
 func (edg *Edge) shareLimits(now time.Time) {
 	recs := edg.servingRecords(now)
 	edg.pool.SetNewLimitShare(1 / float64(max(len(recs), edg.cfg.Bounds.Entries, 1)))
-	limited := edg.pool.LimitedEndpoints()
-	if len(limited) == 0 {
+	limited, cold := edg.pool.LimitedEndpoints(), edg.pool.ColdEndpoints(now)
+	if len(limited) == 0 && len(cold) == 0 {
 		return
 	}
 	byID := make(map[wick.EntryID]*roster.Record, len(recs))
@@ -25,15 +25,43 @@
 		byID[recs[idx].ID] = &recs[idx]
 		mems[idx] = recs[idx].Member()
 	}
-	for _, lim := range limited {
-		ranked := place.Rank(string(lim.ID), mems)
-		rates := make([]float64, len(ranked))
-		for idx, mem := range ranked {
-			rates[idx] = byID[mem.ID].Requests[lim.Service]
+	// ranked returns the request rates of the entries in an order by endpoint, and the
+	// position of this one.
+	ranked := func(vid wick.VMID, svc wick.Service) ([]float64, int) {
+		order := place.Rank(string(vid), mems)
+		rates := make([]float64, len(order))
+		for idx, mem := range order {
+			rates[idx] = byID[mem.ID].Requests[svc]
 		}
-		own := slices.IndexFunc(ranked, func(mem wick.Member) bool { return mem.ID == edg.cfg.ID })
+		return rates, slices.IndexFunc(order, func(mem wick.Member) bool { return mem.ID == edg.cfg.ID })
+	}
+	for _, lim := range limited {
+		rates, own := ranked(lim.ID, lim.Service)
 		edg.pool.SetLimitShare(lim.ID, pool.LimitShare(rates, own, lim.PerSecond), now)
 	}
+	_, published := edg.roster.Find(edg.cfg.ID)
+	for _, col := range cold {
+		rates, own := ranked(col.ID, col.Service)
+		if !published {
+			// The other entries don't leave a part to this one yet.
+			own = -1
+		}
+		edg.pool.SetColdShare(col.ID, edg.pool.ColdPolicy(col.Service).ColdShare(rates, own), now)
+	}
+}
+
+// setColdPolicies applies what a plan says of cold endpoints.
+func (edg *Edge) setColdPolicies(pln *wick.Plan) {
+	policies := make(map[wick.Service]pool.ColdPolicy)
+	for idx := range pln.Services {
+		if svc := &pln.Services[idx]; svc.ColdRate > 0 {
+			bnd := &edg.cfg.Bounds
+			policies[svc.Name] = pool.ColdPolicy{
+				Start: svc.ColdStart, Rate: svc.ColdRate, Bound: svc.ColdRate*max(bnd.ColdOvershoot, 1) + max(bnd.ColdSlack, 0),
+			}
+		}
+	}
+	edg.pool.SetColdPolicies(policies)
 }
 
 // servingRecords returns the records of the entries that serve, this one included.
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -44,6 +44,9 @@
 	Orders wick.Revision `cbor:"5,keyasint,omitempty"`
 	// Evacuated lists the availability zones that are evacuated.
 	Evacuated []wick.Zone `cbor:"6,keyasint,omitempty"`
+	// Unreachable lists the endpoints that did not answer their polls, of services whose
+	// endpoints are cold after a start.
+	Unreachable []wick.VMID `cbor:"7,keyasint,omitempty"`
 }
 
 // An endpointLoad is the load of one endpoint.
@@ -142,6 +145,9 @@
 				schedule.polled(&bke, load, now)
 				if err != nil {
 					log.WithError(err).WithField("endpoint", bke.ID).Debug("edge: failed to poll load")
+					if edg.pool.ColdPolicy(bke.Service).Rate > 0 {
+						ntc.Unreachable = append(ntc.Unreachable, bke.ID)
+					}
 					return nil
 				}
 				if load.Leaving && edg.pool.MarkLeaving(bke.ID, bke.Born, time.Now()) {
@@ -159,6 +165,10 @@
 // applyLoads records the loads of a notice in the pool.
 func (edg *Edge) applyLoads(ntc loadNotice) {
 	now := time.Now()
+	for _, vid := range ntc.Unreachable {
+		// Until its next poll the endpoint may return at any moment.
+		edg.pool.MarkUnreachable(vid, now.Add(idlePollInterval+loadPollInterval), now)
+	}
 	for _, load := range ntc.Loads {
 		edg.pool.Report(load.ID, pool.Report{
 			At: now, Load: wick.BackendLoad{
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		if edg.pool.MarkLeaving(end.ID, end.Born, time.Now()) {
-			log.WithField(logs.FieldEndpoint, end.ID).WithField("from", from).Info(logs.MsgEndpointLeavingReported)
+			log.WithField(logs.FieldEndpoint, end.ID).WithField(logs.FieldFrom, from).Info(logs.MsgEndpointLeavingReported)
 		}
 	}
 }
@@ -144,7 +144,7 @@
 	if !edg.informants.mayRelistOrders(rev, edg.rollouts.newestRevision(), time.Now()) {
 		return
 	}
-	log.WithFields(logrus.Fields{"revision": rev, "from": from}).Info("edge: another entry has a newer version order")
+	log.WithFields(logrus.Fields{"revision": rev, logs.FieldFrom: from}).Info("edge: another entry has a newer version order")
 	edg.orders.Relist()
 }
 
@@ -154,7 +154,7 @@
 	if tbl := edg.plans.Load(); tbl != nil && tbl.Plan.Version >= ver || !edg.informants.mayRelist(ver, time.Now()) {
 		return
 	}
-	log.WithFields(logrus.Fields{"plan": ver, "from": from}).Info("edge: another entry has a newer plan")
+	log.WithFields(logrus.Fields{"plan": ver, logs.FieldFrom: from}).Info("edge: another entry has a newer plan")
 	edg.config.Relist()
 	if rec, ok := edg.roster.Find(from); ok && rec.Peer != "" {
 		go edg.catchUp(context.Background(), []wick.Member{rec.Member()})
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -239,7 +239,7 @@
 		return nil, err //nolint:wrapcheck // our own package
 	}
 	if rls.jdg.Stop(stp) {
-		log.WithFields(logrus.Fields{logs.FieldService: stp.Service, "version": stp.Version, "reason": stp.Reason, "from": from}).Warn(logs.MsgVersionStopped)
+		log.WithFields(logrus.Fields{logs.FieldService: stp.Service, "version": stp.Version, "reason": stp.Reason, logs.FieldFrom: from}).Warn(logs.MsgVersionStopped)
 	}
 	return struct{}{}, nil
 }
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -62,6 +62,7 @@
 	backoffUntil time.Time
 	report       Report
 	limit        limiter
+	cold         coldState
 	pause        pause
 	// cachedParts maps a prompt part that is probably cached to its last use.
 	cachedParts map[wick.PartID]time.Time
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -71,13 +71,19 @@
 	return time.Duration(secs * float64(time.Second))
 }
 
-// take takes the token of a request and returns the time until it may be sent.
-func (lmt *limiter) take(now time.Time) time.Duration {
-	wait := lmt.wait(now)
+// take takes the token of a request.
+func (lmt *limiter) take(now time.Time) {
 	if lmt.Set {
+		lmt.refill(now)
 		lmt.tokens--
 	}
-	return wait
+}
+
+// untake returns the token of a request that was not sent.
+func (lmt *limiter) untake() {
+	if lmt.Set {
+		lmt.tokens = min(limitBurst, lmt.tokens+1)
+	}
 }
 
 // A LimitedError reports that all endpoints of a service that a request may use are at
@@ -113,9 +119,7 @@
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
 	asg.end.pause.sent--
-	if asg.end.limit.Set {
-		asg.end.limit.tokens = min(limitBurst, asg.end.limit.tokens+1)
-	}
+	asg.end.untake()
 }
 
 // setLimit records the limit that an answer or a report of an endpoint names. The group's
@@ -127,7 +131,9 @@
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "perSecond": lim.PerSecond}).Info(logs.MsgEndpointLimit)
 		// The entries begin at random points between two requests, so that the endpoint
 		// is neither unused at first nor asked by all at once.
-		grp.limited = append(grp.limited, end)
+		if !contains(grp.limited, end) {
+			grp.limited = append(grp.limited, end)
+		}
 		*lmt = limiter{RateLimit: lim, namedAt: now, share: lmt.share, tokens: rand.Float64(), refilledAt: now} //nolint:gosec // need not be unpredictable
 	case lim.Set:
 		if lmt.PerSecond != lim.PerSecond {
@@ -137,7 +143,9 @@
 		lmt.RateLimit, lmt.namedAt = lim, now
 	case lmt.Set && now.Sub(lmt.namedAt) > limitMemory:
 		log.WithField(logs.FieldEndpoint, end.bke.ID).Info(logs.MsgEndpointUnlimited)
-		grp.limited = without(grp.limited, end)
+		if !end.isCold(now) {
+			grp.limited = without(grp.limited, end)
+		}
 		*lmt = limiter{share: lmt.share}
 	}
 }
@@ -197,7 +205,12 @@
 // entry's position. Only the first entries use an endpoint with a low limit, since the
 // bursts of all would exceed it.
 func LimitShare(rates []float64, num int, perSecond float64) float64 {
-	users := min(len(rates), extraLimitUsers+int(min(perSecond, math.MaxInt32)))
+	return share(rates, num, min(len(rates), extraLimitUsers+int(min(perSecond, math.MaxInt32))))
+}
+
+// share returns the part of an entry if the first users entries divide a rate, half of it
+// evenly and half by their request rates.
+func share(rates []float64, num, users int) float64 {
 	if num >= users {
 		return 0
 	}
@@ -219,8 +232,8 @@
 func (grp *group) nextTurn(que *Query) (time.Duration, bool) {
 	least, found := maxLimitWait, false
 	for _, end := range grp.all {
-		if end.limit.Set && end.availability(que.Now) != unavailable && que.matches(end) {
-			least, found = min(least, end.limit.wait(que.Now)), true
+		if end.isLimited(que.Now) && end.availability(que.Now) != unavailable && que.matches(end) {
+			least, found = min(least, end.wait(que.Now)), true
 		}
 	}
 	return least, found
--- a/internal/pool/pause.go
+++ b/internal/pool/pause.go
@@ -115,8 +115,8 @@
 		switch {
 		case !que.allows(end) || end.bke.Leaving || end.evacuated || que.Now.Before(end.goneUntil):
 		case end.pause.active(que.Now):
-			least, found = min(least, max(end.pause.until.Sub(que.Now), end.limit.wait(que.Now))), true
-		case end.availability(que.Now) != unavailable && !end.limit.Set:
+			least, found = min(least, max(end.pause.until.Sub(que.Now), end.wait(que.Now))), true
+		case end.availability(que.Now) != unavailable && !end.isLimited(que.Now):
 			return 0, false
 		}
 	}
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -108,7 +108,7 @@
 	if end == nil {
 		return nil, grp.noneAvailable(&que)
 	}
-	asg := &Assignment{Backend: end.bke, Leaving: end.leaving, PauseBegun: end.pause.begun, Wait: end.limit.take(que.Now), pl: pl, grp: grp, end: end}
+	asg := &Assignment{Backend: end.bke, Leaving: end.leaving, PauseBegun: end.pause.begun, Wait: end.take(que.Now), pl: pl, grp: grp, end: end}
 	asg.Band = loadBand(end)
 	end.inFlight++
 	end.pause.sent++
@@ -153,7 +153,7 @@
 		if avail == unavailable || avail < bestAvail || end.removed || !que.matches(end) {
 			continue
 		}
-		wait := end.limit.wait(que.Now)
+		wait := end.wait(que.Now)
 		if wait > que.MaxWait {
 			continue
 		}
@@ -188,7 +188,8 @@
 func (grp *group) uncached(end *endpoint, que *Query, preferred [2]*endpoint) wick.Tokens {
 	tokens := max(que.InputTokens-end.cachedTokens(que.Parts), 0)
 	shared := sharedTokens(que.Parts)
-	if tokens >= shared {
+	// An endpoint that has just started has cached nothing.
+	if tokens >= shared && !end.isCold(que.Now) {
 		switch end {
 		case preferred[0]:
 			tokens -= wick.Tokens(firstCachedShare * float64(shared))
@@ -231,7 +232,7 @@
 		return nil
 	}
 	asg.end.inFlight++
-	asg.end.limit.take(now)
+	asg.end.take(now)
 	return &Assignment{Backend: asg.Backend, Leaving: make(chan struct{}), Band: asg.Band, pl: asg.pl, grp: asg.grp, end: asg.end}
 }
 
@@ -275,5 +276,9 @@
 			asg.grp.occupiedRate.add(held/float64(max(asg.end.bke.Slots, 1)), now)
 		}
 		asg.end.recordResult(res, now)
+		if res == ResultUnreachable {
+			// It may be starting again.
+			asg.grp.setCold(asg.end, asg.end.backoffUntil.Add(asg.grp.cold.find(asg.end.bke.Service).Start), now, "unreachable")
+		}
 	})
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -29,6 +29,7 @@
 	// limitShare is the initial limitShare of new groups.
 	limitShare float64
 	places     places
+	cold       coldPolicies
 }
 
 // New returns an empty pool for an entry in a zone.
@@ -39,6 +40,7 @@
 // A group holds the endpoints of one service.
 type group struct {
 	places *places
+	cold   *coldPolicies
 
 	mu  sync.Mutex
 	eps map[wick.VMID]*endpoint
@@ -70,7 +72,7 @@
 	pl.mu.Lock()
 	grp := pl.groups[bke.Service]
 	if grp == nil {
-		grp = &group{places: &pl.places, limitShare: pl.limitShare, eps: make(map[wick.VMID]*endpoint), byZone: make(map[wick.Zone][]*endpoint)}
+		grp = &group{places: &pl.places, cold: &pl.cold, limitShare: pl.limitShare, eps: make(map[wick.VMID]*endpoint), byZone: make(map[wick.Zone][]*endpoint)}
 		pl.groups[bke.Service] = grp
 	}
 	old := pl.groupByVM[bke.ID]
@@ -328,6 +330,8 @@
 	end.bke = bke
 	end.region, end.evacuated = grp.places.find(bke.Zone)
 	end.graceUntil = time.Time{}
+	grp.endCold(end, now)
+	grp.setCold(end, now.Add(bke.ColdFor), now, "registry")
 	if bke.Leaving {
 		end.leavesAt = time.Time{}
 		if bke.LeavesIn > 0 {
--- a/internal/pool/sample.go
+++ b/internal/pool/sample.go
@@ -76,7 +76,7 @@
 	at := rand.IntN(len(grp.limited)) //nolint:gosec // need not be unpredictable
 	for step, num := 0, 0; step < len(grp.limited) && num < limitedSamples; step++ {
 		end := grp.limited[(at+step)%len(grp.limited)]
-		if end.limit.wait(que.Now) <= que.MaxWait {
+		if end.wait(que.Now) <= que.MaxWait {
 			cnd.add(end)
 			num++
 		}
