pace, pool, edge: choose endpoints by their own speed

Cause: the estimates of a service's endpoints assume one engine for all. Where a quarter of them take more than twice the time, these get as many requests as their queues allow, and their streams pause for longer than they may.

The cost of an endpoint is scaled by them.

--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
+	"github.com/wagtailwick/wagtailwick/internal/pace"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/internal/place"
 	"github.com/wagtailwick/wagtailwick/internal/pool"
-	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -58,49 +55,31 @@
 	// Limit is the request rate that the endpoint allows all entries, if HasLimit is set.
 	Limit    float64 `cbor:"5,keyasint,omitempty"`
 	HasLimit bool    `cbor:"6,keyasint,omitempty"`
+	// Factor is the time that the endpoint takes in percent of that of the median endpoint,
+	// 0 if it does not differ. Stalls is the percentage of the time for which its runs
+	// stall.
+	Factor int `cbor:"7,keyasint,omitempty"`
+	Stalls int `cbor:"8,keyasint,omitempty"`
 }
 
-// loadLoop polls the load of the model endpoints in this entry's availability
-// zone and notifies the other entries, if this entry is the poller of the zone.
-func (edg *Edge) loadLoop(ctx context.Context) {
-	schedule := make(pollSchedule)
-	for edg.cfg.Loads != nil && retry.Sleep(ctx, loadPollInterval) {
-		if !edg.isLoadPoller() {
-			continue
-		}
-		ntc := edg.pollLoads(ctx, schedule)
-		edg.applyLoads(ntc)
-		now := time.Now()
-		ntc.Current = now.Sub(edg.backends.LastSuccess()) < registryMaxAge
-		ntc.Left = edg.informants.recentlyLeft(now)
-		if tbl := edg.plans.Load(); tbl != nil {
-			ntc.Plan = tbl.Plan.Version
-		}
-		ntc.Orders = edg.rollouts.newestRevision()
-		ntc.Evacuated = edg.evacuations.list()
-		edg.notify(ctx, wick.MsgLoad, ntc, edg.reachablePeers())
+// estimate returns the endpoint's pace.
+func (epl *endpointLoad) estimate() pace.Estimate {
+	if epl.Factor <= 0 {
+		return pace.Estimate{Factor: 1, Stalls: float64(epl.Stalls) / percent}
 	}
+	return pace.Estimate{Factor: float64(epl.Factor) / percent, Stalls: float64(epl.Stalls) / percent}
 }
 
-// A pollSchedule holds when each endpoint is polled next.
-type pollSchedule map[wick.VMID]time.Time
-
-// due reports whether an endpoint is to be polled.
-func (sch pollSchedule) due(bke *wick.Backend, now time.Time) bool {
-	return !now.Before(sch[bke.ID])
-}
-
-// polled schedules the next poll of an endpoint. A busy one is polled more often,
-// since its queue changes faster.
-func (sch pollSchedule) polled(bke *wick.Backend, load wick.BackendLoad, now time.Time) {
-	interval := idlePollInterval
-	if load.Waiting > 0 || float64(load.Running) >= busyShare*float64(bke.Slots) {
-		interval = loadPollInterval
+// setEstimate sets the endpoint's pace.
+func (epl *endpointLoad) setEstimate(est pace.Estimate) {
+	if est.Factor != 1 {
+		epl.Factor = int(est.Factor * percent)
 	}
-	// Polls are made at multiples of loadPollInterval, with some jitter.
-	sch[bke.ID] = now.Add(interval - loadPollInterval/2)
+	epl.Stalls = int(est.Stalls * percent)
 }
 
+const percent = 100
+
 // isLoadPoller reports whether this entry is the one of its availability zone that
 // polls endpoints.
 func (edg *Edge) isLoadPoller() bool {
@@ -113,55 +92,6 @@
 	return place.First(string(edg.cfg.Zone), place.Within(edg.cfg.Zone, mems))
 }
 
-// pollLoads polls the model endpoints of this availability zone.
-func (edg *Edge) pollLoads(ctx context.Context, schedule pollSchedule) loadNotice {
-	var ntc loadNotice
-	tbl := edg.plans.Load()
-	if tbl == nil {
-		return ntc
-	}
-	now := time.Now()
-	var mu sync.Mutex
-	var grp errgroup.Group
-	grp.SetLimit(maxConcurrentPolls)
-	for idx := range tbl.Plan.Services {
-		if !tbl.Plan.Services[idx].Model {
-			continue
-		}
-		for _, bke := range edg.pool.Backends(tbl.Plan.Services[idx].Name) {
-			mu.Lock()
-			due := bke.Zone == edg.cfg.Zone && schedule.due(&bke, now)
-			mu.Unlock()
-			if !due {
-				continue
-			}
-			grp.Go(func() error {
-				ctx, cancel := context.WithTimeout(ctx, loadPollTimeout)
-				defer cancel()
-				load, _, err := edg.cfg.Loads.ReadLoad(ctx, bke)
-				mu.Lock()
-				defer mu.Unlock()
-				// One that does not answer is polled like an idle one.
-				schedule.polled(&bke, load, now)
-				if err != nil {
-					log.WithError(err).WithField("endpoint", bke.ID).Debug("edge: failed to poll load")
-					if edg.pool.ColdPolicy(bke.Service).Rate > 0 {
-						ntc.Unreachable = append(ntc.Unreachable, bke.ID)
-					}
-					return nil
-				}
-				if load.Leaving && edg.pool.MarkLeaving(bke.ID, bke.Born, time.Now()) {
-					edg.announceLeaving(bke)
-				}
-				ntc.Loads = append(ntc.Loads, endpointLoad{bke.ID, load.Running, load.Waiting, load.NextTokens, load.Limit.PerSecond, load.Limit.Set})
-				return nil
-			})
-		}
-	}
-	_ = grp.Wait() // the calls return no errors
-	return ntc
-}
-
 // applyLoads records the loads of a notice in the pool.
 func (edg *Edge) applyLoads(ntc loadNotice) {
 	now := time.Now()
@@ -171,7 +101,7 @@
 	}
 	for _, load := range ntc.Loads {
 		edg.pool.Report(load.ID, pool.Report{
-			At: now, Load: wick.BackendLoad{
+			At: now, Pace: load.estimate(), Load: wick.BackendLoad{
 				Running: load.Running, Waiting: load.Waiting, NextTokens: load.Next,
 				Limit: wick.RateLimit{Set: load.HasLimit, PerSecond: max(load.Limit, 0)},
 			},
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wagtailwick/wagtailwick/internal/pace"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -29,6 +30,8 @@
 	// At is when the report was read.
 	At   time.Time
 	Load wick.BackendLoad
+	// Pace is that of the endpoint; the zero value is unknown.
+	Pace pace.Estimate
 }
 
 // An endpoint is the record of one endpoint. It is guarded by the group's lock.
@@ -108,6 +111,16 @@
 	}
 }
 
+// pace returns the time that the endpoint takes as a multiple of that of the median
+// endpoint, and the share of the time for which its streams stall.
+func (end *endpoint) pace(now time.Time) (factor, stalls float64) {
+	est := &end.report.Pace
+	if est.Factor <= 0 || now.Sub(end.report.At) > maxPaceAge {
+		return 1, 0
+	}
+	return est.Factor, est.Stalls
+}
+
 // cachedTokens returns the number of leading tokens of the prompt that the
 // endpoint has probably cached.
 func (end *endpoint) cachedTokens(parts []wick.PromptPart) wick.Tokens {
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -25,12 +25,18 @@
 	fullSlotsMillis = 100.0
 	// failureMillis is the cost of an endpoint with a failure rate of 1.
 	failureMillis = 2000.0
+	// stallMillis is the cost of an endpoint whose streams stall all the time: a stream
+	// that is late is worth little more than a failed one.
+	stallMillis = 2000.0
 	// uncachedWeight weighs prefill time more than queueing time, because the
 	// prefill of one request also delays the requests queued behind it.
 	uncachedWeight = 2.0
 	// maxReportAge is the age from which a load report is ignored: queues
 	// change within a second.
 	maxReportAge = 1500 * time.Millisecond
+	// maxPaceAge is the age of a report from which its pace is ignored. The pace changes
+	// more slowly than the queue.
+	maxPaceAge = 4 * time.Second
 )
 
 // A Query asks for an endpoint.
@@ -43,6 +49,9 @@
 	InputTokens wick.Tokens
 	// OutputTokens is the expected number of generated tokens.
 	OutputTokens wick.Tokens
+	// TargetGap is the longest gap between events of a stream that is in time, 0 for other
+	// requests.
+	TargetGap time.Duration
 	// Resumed is set for a request that continues an earlier answer, whose times
 	// say nothing about the length of its prompt.
 	Resumed bool
@@ -153,14 +162,11 @@
 		if avail == unavailable || avail < bestAvail || end.removed || !que.matches(end) {
 			continue
 		}
-		wait := end.wait(que.Now)
-		if wait > que.MaxWait {
+		if end.wait(que.Now) > que.MaxWait {
 			continue
 		}
-		cost := grp.cost(end, que, preferred) + float64(wait)/float64(time.Millisecond)
-		if end.bke.Zone != zone {
-			cost += crossZoneMillis
-		}
+		terms := grp.cost(end, que, preferred, zone)
+		cost := terms.total()
 		if best == nil || avail > bestAvail || cost < lowest || cost == lowest && end.bke.ID < best.bke.ID {
 			best, lowest, bestAvail = end, cost, avail
 		}
@@ -168,11 +174,36 @@
 	return best, bestAvail
 }
 
-// cost estimates the time until an endpoint answers, in milliseconds.
-func (grp *group) cost(end *endpoint, que *Query, preferred [2]*endpoint) float64 {
-	cost := end.failureRate * failureMillis
+// costTerms are the parts of the estimated time until an endpoint answers, in
+// milliseconds.
+type costTerms struct {
+	// failures, stalls and slots are penalties, for failed answers, for streams that make
+	// no progress and for the slots in use of a plain service.
+	failures, stalls, slots float64
+	// running is the delay by running requests, waiting by queued ones, prefill by the
+	// request's own prompt.
+	running, waiting, prefill float64
+	// turn is the time until a limited endpoint may be sent the request, zone the cost of
+	// an endpoint in another zone.
+	turn, zone float64
+}
+
+func (ctm *costTerms) total() float64 {
+	return ctm.failures + ctm.stalls + ctm.slots + ctm.running + ctm.waiting + ctm.prefill + ctm.turn + ctm.zone
+}
+
+// cost estimates the time until an endpoint answers.
+func (grp *group) cost(end *endpoint, que *Query, preferred [2]*endpoint, zone wick.Zone) costTerms {
+	ctm := costTerms{
+		failures: end.failureRate * failureMillis,
+		turn:     float64(end.wait(que.Now)) / float64(time.Millisecond),
+	}
+	if end.bke.Zone != zone {
+		ctm.zone = crossZoneMillis
+	}
 	if !que.Model {
-		return cost + fullSlotsMillis*float64(end.inFlight)/float64(max(end.bke.Slots, 1))
+		ctm.slots = fullSlotsMillis * float64(end.inFlight) / float64(max(end.bke.Slots, 1))
+		return ctm
 	}
 	running, wait := end.inFlight, grp.engine.PrefillMillis(end.pendingPrefill)
 	if que.Now.Sub(end.report.At) < maxReportAge {
@@ -180,8 +211,14 @@
 		running = max(running, load.Running)
 		wait = max(wait, grp.engine.WaitingMillis(load.Waiting)+grp.engine.PrefillMillis(load.NextTokens))
 	}
-	cost += grp.engine.RunningMillis(running) + wait
-	return cost + uncachedWeight*grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
+	factor, stalls := end.pace(que.Now)
+	ctm.running = factor * grp.engine.RunningMillis(running)
+	ctm.waiting = factor * wait
+	ctm.prefill = factor * uncachedWeight * grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
+	if que.TargetGap > 0 {
+		ctm.stalls = stalls * stallMillis
+	}
+	return ctm
 }
 
 // uncached estimates the prompt tokens that an endpoint would have to prefill.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -84,7 +84,7 @@
 	que := pool.Query{
 		Service: req.service, Model: len(req.params.Parts) > 0, Parts: req.params.Parts, InputTokens: req.params.InputTokens,
 		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersions: choice.Except, Exclude: tried, Resumed: resumed,
-		MaxWait: maxWait, Now: now,
+		MaxWait: maxWait, TargetGap: req.match.Route.TargetGap, Now: now,
 	}
 	que.Regions, que.CustomerRegions = req.regions()
 	asg, err := req.srv.cfg.Pool.Pick(que)
