relay: log and count streams that are late by a gap between events

Cause: `late` looked at the first event only, so that the log did not show why callers counted a stream as late.

Change: the longest gap is logged, and late first events and late gaps have a counter each.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,6 +33,10 @@
 	eventCount  int
 	// firstEventAt is when the first event was forwarded, zero before.
 	firstEventAt time.Time
+	// lastEventAt is when the last event was forwarded, longestGap the longest time between
+	// two events.
+	lastEventAt time.Time
+	longestGap  time.Duration
 	// media is the media type of the reply whose events were forwarded first.
 	media string
 	// complete is set once the last event was forwarded.
@@ -252,7 +256,12 @@
 	}
 	fwd.req.con.BetweenChunks()
 	fwd.eventCount++
-	att.noteProgress(time.Now())
+	now := time.Now()
+	if !fwd.lastEventAt.IsZero() {
+		fwd.longestGap = max(fwd.longestGap, now.Sub(fwd.lastEventAt))
+	}
+	fwd.lastEventAt = now
+	att.noteProgress(now)
 	if evt.id != "" {
 		fwd.lastEventID = evt.id
 	}
@@ -290,8 +299,10 @@
 	case fwd.out == nil:
 		fwd.req.conclude(act, lastReply)
 	case fwd.complete:
-		late := fwd.req.late(fwd.firstEventAt.Sub(fwd.req.arrived))
-		fwd.req.logAnswered(late, logrus.Fields{logs.FieldStatus: http.StatusOK, "events": fwd.eventCount, "firstMs": fwd.firstEventAt.Sub(fwd.req.arrived).Milliseconds()})
+		fwd.req.logAnswered(fwd.late(), logrus.Fields{
+			logs.FieldStatus: http.StatusOK, "events": fwd.eventCount,
+			"firstMs": fwd.firstEventAt.Sub(fwd.req.arrived).Milliseconds(), "gapMs": fwd.longestGap.Milliseconds(),
+		})
 	case act == actDeliver:
 		// The reply to deliver is an error, which can't follow events.
 		fwd.abort(logs.ReasonOutcomeUnknown)
@@ -300,6 +311,21 @@
 	}
 }
 
+// late reports whether a complete stream missed the latency objective of its route, by its
+// first event or by a gap between two events, and counts which.
+func (fwd *forwarder) late() bool {
+	first := fwd.req.late(fwd.firstEventAt.Sub(fwd.req.arrived))
+	limit := fwd.req.match.Route.TargetGap
+	gap := limit > 0 && fwd.longestGap > limit
+	if first {
+		metrics.GetOrRegisterCounter("relay.lateFirstEvents", nil).Inc(1)
+	}
+	if gap {
+		metrics.GetOrRegisterCounter("relay.lateGaps", nil).Inc(1)
+	}
+	return first || gap
+}
+
 // abort ends the response without its last chunk, so that the caller doesn't
 // mistake it for a complete one.
 func (fwd *forwarder) abort(reason string) {
