--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -82,14 +82,7 @@
 // Observe records a report of an endpoint. gap is the time without progress from which a
 // run counts as stalled, 0 for none.
 func (trk *Tracker) Observe(bke *wick.Backend, load wick.BackendLoad, runs []wick.BackendRun, gap time.Duration, at time.Time) {
-	if trk.ends == nil {
-		trk.ends = make(map[wick.VMID]*endpoint)
-	}
-	end := trk.ends[bke.ID]
-	if end == nil || end.born != bke.Born {
-		end = &endpoint{born: bke.Born}
-		trk.ends[bke.ID] = end
-	}
+	end := trk.endpoint(bke)
 	passed := at.Sub(end.at)
 	compare := !end.at.IsZero() && passed > 0 && passed < maxReportGap
 	if compare {
@@ -116,6 +109,19 @@
 	end.runs, end.at = next, at
 }
 
+// endpoint returns the record of an incarnation of an endpoint.
+func (trk *Tracker) endpoint(bke *wick.Backend) *endpoint {
+	if trk.ends == nil {
+		trk.ends = make(map[wick.VMID]*endpoint)
+	}
+	end := trk.ends[bke.ID]
+	if end == nil || end.born != bke.Born {
+		end = &endpoint{born: bke.Born}
+		trk.ends[bke.ID] = end
+	}
+	return end
+}
+
 func (end *endpoint) decay(passed time.Duration) {
 	keep := math.Exp(-passed.Seconds() / memory.Seconds())
 	end.events *= keep
