--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -164,7 +164,6 @@
 	rollouts      *rollouts
 	orders        *feed.Follower
 	evacuations   evacuations
-	busy          zoneLoads
 	moves         *feed.Follower
 	budget        retry.Budget
 	tally         usage.Tally
--- a/internal/edge/loadpoll.go
+++ b/internal/edge/loadpoll.go
@@ -26,7 +26,6 @@
 		}
 		ntc := lpl.poll(ctx)
 		edg.applyLoads(ntc)
-		edg.busy.set(ntc.Zone, ntc.Busy, time.Now())
 		now := time.Now()
 		ntc.Current = now.Sub(edg.backends.LastSuccess()) < registryMaxAge
 		ntc.Left = edg.informants.recentlyLeft(now)
@@ -130,7 +129,7 @@
 		trk = &pace.Tracker{}
 		lpl.paces[bke.Service] = trk
 	}
-	trk.Observe(&bke, load, runs, gap, time.Now())
+	trk.Observe(&bke, runs, gap, time.Now())
 	lpl.ntc.Loads = append(lpl.ntc.Loads, endpointLoad{
 		ID: bke.ID, Running: load.Running, Waiting: load.Waiting, Next: load.NextTokens,
 		Limit: load.Limit.PerSecond, HasLimit: load.Limit.Set,
@@ -140,12 +139,9 @@
 // addPaces adds the pace of the endpoints to their loads.
 func (lpl *loadPoller) addPaces(now time.Time) {
 	ests := make(map[wick.VMID]pace.Estimate)
-	lpl.ntc.Zone, lpl.ntc.Busy = lpl.edg.cfg.Zone, make(map[wick.Service]busyLoad, len(lpl.paces))
-	for svc, trk := range lpl.paces {
+	for _, trk := range lpl.paces {
 		trk.Forget(paceRetention, now)
 		trk.AddEstimates(ests)
-		load := trk.Load()
-		lpl.ntc.Busy[svc] = busyLoad{load.Busy, load.Uneven}
 	}
 	for idx := range lpl.ntc.Loads {
 		if est, ok := ests[lpl.ntc.Loads[idx].ID]; ok {
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -44,15 +44,6 @@
 	// Unreachable lists the endpoints that did not answer their polls, of services whose
 	// endpoints are cold after a start.
 	Unreachable []wick.VMID `cbor:"7,keyasint,omitempty"`
-	// Zone is the poller's, Busy the load of the endpoints of each service there.
-	Zone wick.Zone                 `cbor:"8,keyasint,omitempty"`
-	Busy map[wick.Service]busyLoad `cbor:"9,keyasint,omitempty"`
-}
-
-// A busyLoad is a pace.Load on the wire.
-type busyLoad struct {
-	Busy   float64 `cbor:"1,keyasint,omitempty"`
-	Uneven int     `cbor:"2,keyasint,omitempty"`
 }
 
 // An endpointLoad is the load of one endpoint.
@@ -129,7 +120,6 @@
 	edg.notePlan(from, ntc.Plan)
 	edg.noteOrders(from, ntc.Orders)
 	edg.evacuations.compare(from, ntc.Evacuated, time.Now())
-	edg.busy.set(ntc.Zone, ntc.Busy, time.Now())
 	if ntc.Current {
 		edg.informants.heard(time.Now())
 	}
--- a/internal/edge/scale.go
+++ b/internal/edge/scale.go
@@ -66,21 +66,6 @@
 	edg      *Edge
 	fence    wick.Fence
 	planners map[wick.Service]*scale.Planner
-	// calibrations outlast the fencing token.
-	calibrations map[wick.Service]*scale.Calibration
-}
-
-// calibration returns the calibration of a service's load.
-func (sca *scaler) calibration(svc wick.Service) *scale.Calibration {
-	if sca.calibrations == nil {
-		sca.calibrations = make(map[wick.Service]*scale.Calibration)
-	}
-	cal := sca.calibrations[svc]
-	if cal == nil {
-		cal = &scale.Calibration{}
-		sca.calibrations[svc] = cal
-	}
-	return cal
 }
 
 // scaleLoop sends scale orders for the scalable services while this entry holds
@@ -135,7 +120,7 @@
 	ent := log.WithFields(logrus.Fields{
 		logs.FieldService: ord.Service, "zone": ord.Zone, "count": ord.Count, "reclaimable": ord.Reclaimable, "fence": fence,
 		"live": sta.Live[ord.Zone], "need": plr.Desired(), "found": sta.InitialCount, "work": sta.Load,
-		"meanWork": sta.MeanWork.String(), "target": sta.Target.String(), "occupied": sta.Occupied, "calibration": sca.calibration(ord.Service).Ratio(),
+		"meanWork": sta.MeanWork.String(), "target": sta.Target.String(), "occupied": sta.Occupied,
 		"prefillRate": eng.PrefillRate, "stepMillis": eng.StepMillis,
 	})
 	switch {
@@ -174,12 +159,6 @@
 	if known && (!svc.Model || sca.edg.pool.Engine(svc.Name).Known()) {
 		sta.Load = work
 	}
-	live := make(map[wick.Zone]int, len(sta.Live))
-	for zone, cnt := range sta.Live {
-		live[zone] = cnt.OnDemand + cnt.Spot
-	}
-	measured, ok := sca.edg.busy.measuredLoad(svc.Name, live, now)
-	sta.Load = sca.calibration(svc.Name).Apply(sta.Load, measured, ok)
 	sca.observeLatency(svc.Name, &sta)
 	sta.InitialCount = sca.edg.initialCounts.copy()[svc.Name]
 	for _, rec := range sca.edg.roster.All() {
--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -38,6 +38,7 @@
 	MsgVersionStopped          = "edge: version stopped here"
 	MsgEndpointLimit           = "pool: endpoint names a limit"
 	MsgEndpointPaused          = "pool: endpoint wants no requests"
+	MsgEndpointPace            = "pool: endpoint differs in speed"
 	MsgEndpointCold            = "pool: endpoint is cold"
 	MsgEndpointUnlimited       = "pool: endpoint names no limit any more"
 	MsgEndpointEnded           = "edge: endpoint ended"
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -60,17 +60,6 @@
 	// generated them, stalled the part of it that was too long without progress, and
 	// batch the sum of seconds times the number of runs.
 	events, seconds, stalled, batch float64
-	// observed is the time between reports, busy the part of it for which prompts were
-	// processed.
-	observed, busy float64
-}
-
-// A Load is the part of the time for which endpoints process prompts.
-type Load struct {
-	// Busy is the sum of these parts over the endpoints of a service, in endpoints.
-	Busy float64
-	// Uneven is the number of endpoints whose pace differs from that of the others.
-	Uneven int
 }
 
 // A Tracker estimates the pace of the endpoints of one service. Its zero value is ready to
@@ -81,17 +70,19 @@
 
 // Observe records a report of an endpoint. gap is the time without progress from which a
 // run counts as stalled, 0 for none.
-func (trk *Tracker) Observe(bke *wick.Backend, load wick.BackendLoad, runs []wick.BackendRun, gap time.Duration, at time.Time) {
-	end := trk.endpoint(bke)
+func (trk *Tracker) Observe(bke *wick.Backend, runs []wick.BackendRun, gap time.Duration, at time.Time) {
+	if trk.ends == nil {
+		trk.ends = make(map[wick.VMID]*endpoint)
+	}
+	end := trk.ends[bke.ID]
+	if end == nil || end.born != bke.Born {
+		end = &endpoint{born: bke.Born}
+		trk.ends[bke.ID] = end
+	}
 	passed := at.Sub(end.at)
 	compare := !end.at.IsZero() && passed > 0 && passed < maxReportGap
 	if compare {
 		end.decay(passed)
-		end.observed += passed.Seconds()
-		// A run is listed from its first event on.
-		if load.Waiting > 0 || load.Running > len(runs) {
-			end.busy += passed.Seconds()
-		}
 	}
 	next := make(map[wick.RequestID]run, len(runs))
 	for _, rep := range runs {
@@ -109,27 +100,12 @@
 	end.runs, end.at = next, at
 }
 
-// endpoint returns the record of an incarnation of an endpoint.
-func (trk *Tracker) endpoint(bke *wick.Backend) *endpoint {
-	if trk.ends == nil {
-		trk.ends = make(map[wick.VMID]*endpoint)
-	}
-	end := trk.ends[bke.ID]
-	if end == nil || end.born != bke.Born {
-		end = &endpoint{born: bke.Born}
-		trk.ends[bke.ID] = end
-	}
-	return end
-}
-
 func (end *endpoint) decay(passed time.Duration) {
 	keep := math.Exp(-passed.Seconds() / memory.Seconds())
 	end.events *= keep
 	end.seconds *= keep
 	end.stalled *= keep
 	end.batch *= keep
-	end.observed *= keep
-	end.busy *= keep
 }
 
 func (end *endpoint) add(events int, seconds float64, running int, stalled bool) {
@@ -159,22 +135,6 @@
 	}
 }
 
-// Load returns the load of the endpoints.
-func (trk *Tracker) Load() Load {
-	ests := make(map[wick.VMID]Estimate)
-	trk.AddEstimates(ests)
-	var out Load
-	for vid, end := range trk.ends {
-		if end.observed > 0 {
-			out.Busy += end.busy / end.observed
-		}
-		if est, ok := ests[vid]; ok && est.Factor != 1 {
-			out.Uneven++
-		}
-	}
-	return out
-}
-
 // AddEstimates adds the endpoints whose pace is known and differs from that of the others,
 // or whose runs stall.
 func (trk *Tracker) AddEstimates(out map[wick.VMID]Estimate) {
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -82,7 +82,7 @@
 			if flt.rnd.Float64() < 0.15 {
 				slowdown = 2.5
 			}
-			flt.trk.Observe(&eng.bke, wick.BackendLoad{}, eng.step(slowdown), gap, flt.now)
+			flt.trk.Observe(&eng.bke, eng.step(slowdown), gap, flt.now)
 		}
 	}
 }
