pool, pace: assign prompts to endpoints by their speed; no burst at the end of a cold time

The prompts are assigned to all alike, and a prompt that is cached at a slow endpoint stays there. The factors were compared linearly, where a fast endpoint differs less than a slow one. And requests that waited for a cold endpoint were all sent when it became warm (TestColdZone: 13 in a second).

Change: weighted rendezvous hashing by three classes of speed, which vary less than the factor; factors are compared by their logarithms; a request waits for a cold endpoint's bucket only.

--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -38,7 +38,7 @@
 	MsgVersionStopped          = "edge: version stopped here"
 	MsgEndpointLimit           = "pool: endpoint names a limit"
 	MsgEndpointPaused          = "pool: endpoint wants no requests"
-	MsgEndpointPace            = "pool: endpoint differs in speed"
+	MsgEndpointSpeed           = "pool: speed of an endpoint has changed"
 	MsgEndpointCold            = "pool: endpoint is cold"
 	MsgEndpointUnlimited       = "pool: endpoint names no limit any more"
 	MsgEndpointEnded           = "edge: endpoint ended"
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -24,11 +24,12 @@
 	// runShare is the fraction by which each run in a batch lengthens the steps of the
 	// others. Intervals are compared as if each endpoint had one run.
 	runShare = 0.027
-	// minDifference is the least difference of a factor from 1, and spreadFactor the least
-	// one as a multiple of the median difference of all endpoints. Smaller differences are
-	// noise: prompts of other requests lengthen the intervals at random.
-	minDifference = 0.4
-	spreadFactor  = 3.0
+	// minDifference is the least difference of the logarithm of a factor from 0, and
+	// spreadFactor the least one as a multiple of the median difference of all endpoints.
+	// Smaller differences are noise: prompts of other requests lengthen the intervals at
+	// random.
+	minDifference = 0.34
+	spreadFactor  = 2.5
 	// minFactor and maxFactor bound a factor, whatever an endpoint reports.
 	minFactor = 0.25
 	maxFactor = 4.0
@@ -146,12 +147,12 @@
 	}
 	med := median(intervals)
 	for idx, val := range intervals {
-		intervals[idx] = math.Abs(val/med - 1)
+		intervals[idx] = math.Abs(math.Log(val / med))
 	}
 	least := max(minDifference, spreadFactor*median(intervals))
 	for vid, end := range trk.ends {
 		est := Estimate{Factor: 1}
-		if val := end.interval(); val > 0 && len(intervals) >= minEndpoints && math.Abs(val/med-1) > least {
+		if val := end.interval(); val > 0 && len(intervals) >= minEndpoints && math.Abs(math.Log(val/med)) > least {
 			est.Factor = min(max(val/med, minFactor), maxFactor)
 		}
 		if end.seconds >= minObserved {
--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -76,15 +76,25 @@
 // isLimited reports whether the endpoint limits its requests or is cold.
 func (end *endpoint) isLimited(now time.Time) bool { return end.limit.Set || end.isCold(now) }
 
-// wait returns the time until the endpoint may be sent one more request.
+// wait returns the time until the endpoint may be sent one more request. It may be longer
+// than the endpoint is cold: requests that wait for the end of that would all be sent at
+// once.
 func (end *endpoint) wait(now time.Time) time.Duration {
 	wait := end.limit.wait(now)
 	if end.isCold(now) {
-		wait = max(wait, min(end.cold.bucket.wait(now), end.cold.until.Sub(now)))
+		wait = max(wait, end.cold.bucket.wait(now))
 	}
 	return wait
 }
 
+// nextTurn returns the time until the endpoint may be sent a request that has not come yet.
+func (end *endpoint) nextTurn(now time.Time) time.Duration {
+	if !end.isCold(now) {
+		return end.limit.wait(now)
+	}
+	return max(end.limit.wait(now), min(end.cold.bucket.wait(now), end.cold.until.Sub(now)))
+}
+
 // take takes the tokens of a request and returns the time until it may be sent.
 func (end *endpoint) take(now time.Time) time.Duration {
 	wait := end.wait(now)
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -4,10 +4,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 
-	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/pace"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -67,9 +64,11 @@
 	// backoffUntil is the end of the endpoint's ejection or refusal backoff.
 	backoffUntil time.Time
 	report       Report
-	limit        limiter
-	cold         coldState
-	pause        pause
+	// class is by the pace of the last report.
+	class speedClass
+	limit limiter
+	cold  coldState
+	pause pause
 	// cachedParts maps a prompt part that is probably cached to its last use.
 	cachedParts map[wick.PartID]time.Time
 	// leaving is closed when the endpoint leaves, is removed or is replaced.
@@ -124,17 +123,6 @@
 	return est.Factor, est.Stalls
 }
 
-// logPace logs and counts that the endpoint begins or ceases to differ from the others in
-// its speed.
-func (end *endpoint) logPace(est pace.Estimate) {
-	differs, differed := est.Factor > 0 && est.Factor != 1, end.report.Pace.Factor > 0 && end.report.Pace.Factor != 1
-	if differs == differed {
-		return
-	}
-	metrics.GetOrRegisterCounter("pool.paceChanges", nil).Inc(1)
-	log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "factor": est.Factor, "stalls": est.Stalls}).Info(logs.MsgEndpointPace)
-}
-
 // cachedTokens returns the number of leading tokens of the prompt that the
 // endpoint has probably cached.
 func (end *endpoint) cachedTokens(parts []wick.PromptPart) wick.Tokens {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -197,7 +197,7 @@
 // Report records a load report of an endpoint.
 func (pl *Pool) Report(vid wick.VMID, rep Report) {
 	pl.withEndpoint(vid, func(grp *group, end *endpoint) {
-		end.logPace(rep.Pace)
+		end.setPace(rep.Pace)
 		end.report = rep
 		grp.setLimit(end, rep.Load.Limit, rep.At)
 	})
