pace, edge, pool: learn the pace of endpoints from streams instead of reports

Change: entries sample the mean time between the events of their streams, send the sums with their records to the poller of the zone, and the pollers with the loads to all entries. The runs of reports are no longer decoded.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -164,6 +164,7 @@
 	rollouts      *rollouts
 	orders        *feed.Follower
 	evacuations   evacuations
+	paces         zonePaces
 	moves         *feed.Follower
 	budget        retry.Budget
 	tally         usage.Tally
--- a/internal/edge/loadpoll.go
+++ b/internal/edge/loadpoll.go
@@ -8,24 +8,22 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wagtailwick/wagtailwick/internal/logs"
-	"github.com/wagtailwick/wagtailwick/internal/pace"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// paceRetention is how long the pace of an endpoint that is not polled is remembered.
-const paceRetention = 10 * time.Second
-
 // loadLoop polls the load of the model endpoints in this entry's availability
 // zone and notifies the other entries, if this entry is the poller of the zone.
 func (edg *Edge) loadLoop(ctx context.Context) {
-	lpl := &loadPoller{edg: edg, schedule: make(pollSchedule), paces: make(map[wick.Service]*pace.Tracker)}
+	lpl := &loadPoller{edg: edg, schedule: make(pollSchedule)}
 	for edg.cfg.Loads != nil && retry.Sleep(ctx, loadPollInterval) {
 		if !edg.isLoadPoller() {
 			continue
 		}
 		ntc := lpl.poll(ctx)
 		edg.applyLoads(ntc)
+		ntc.Paces = edg.paces.takeAll(edg.pool)
+		edg.pool.AddPaces(ntc.Paces, time.Now())
 		now := time.Now()
 		ntc.Current = now.Sub(edg.backends.LastSuccess()) < registryMaxAge
 		ntc.Left = edg.informants.recentlyLeft(now)
@@ -64,8 +62,6 @@
 
 	mu  sync.Mutex
 	ntc loadNotice
-	// paces holds the pace of the endpoints of each service.
-	paces map[wick.Service]*pace.Tracker
 }
 
 // poll polls the model endpoints of the zone that are due.
@@ -83,19 +79,17 @@
 		if !svc.Model {
 			continue
 		}
-		gap := shortestGap(tbl.Plan.Routes, svc.Name)
 		for _, bke := range lpl.edg.pool.Backends(svc.Name) {
 			if bke.Zone != lpl.edg.cfg.Zone || !lpl.isDue(&bke, now) {
 				continue
 			}
 			grp.Go(func() error {
-				lpl.pollOne(ctx, bke, gap, now)
+				lpl.pollOne(ctx, bke, now)
 				return nil
 			})
 		}
 	}
 	_ = grp.Wait() // the calls return no errors
-	lpl.addPaces(now)
 	return lpl.ntc
 }
 
@@ -106,10 +100,10 @@
 }
 
 // pollOne polls an endpoint. now is when the round of polls began.
-func (lpl *loadPoller) pollOne(ctx context.Context, bke wick.Backend, gap time.Duration, now time.Time) {
+func (lpl *loadPoller) pollOne(ctx context.Context, bke wick.Backend, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, loadPollTimeout)
 	defer cancel()
-	load, runs, err := lpl.edg.cfg.Loads.ReadLoad(ctx, bke)
+	load, err := lpl.edg.cfg.Loads.ReadLoad(ctx, bke)
 	lpl.mu.Lock()
 	defer lpl.mu.Unlock()
 	// One that does not answer is polled like an idle one.
@@ -124,43 +118,8 @@
 	if load.Leaving && lpl.edg.pool.MarkLeaving(bke.ID, bke.Born, time.Now()) {
 		lpl.edg.announceLeaving(bke)
 	}
-	trk := lpl.paces[bke.Service]
-	if trk == nil {
-		trk = &pace.Tracker{}
-		lpl.paces[bke.Service] = trk
-	}
-	trk.Observe(&bke, runs, gap, time.Now())
 	lpl.ntc.Loads = append(lpl.ntc.Loads, endpointLoad{
 		ID: bke.ID, Running: load.Running, Waiting: load.Waiting, Next: load.NextTokens,
 		Limit: load.Limit.PerSecond, HasLimit: load.Limit.Set,
 	})
 }
-
-// addPaces adds the pace of the endpoints to their loads.
-func (lpl *loadPoller) addPaces(now time.Time) {
-	ests := make(map[wick.VMID]pace.Estimate)
-	for _, trk := range lpl.paces {
-		trk.Forget(paceRetention, now)
-		trk.AddEstimates(ests)
-	}
-	for idx := range lpl.ntc.Loads {
-		if est, ok := ests[lpl.ntc.Loads[idx].ID]; ok {
-			lpl.ntc.Loads[idx].setEstimate(est)
-		}
-	}
-}
-
-// shortestGap returns the shortest gap between events that the routes to a service
-// declare, 0 if none does.
-func shortestGap(routes []wick.RoutePlan, svc wick.Service) time.Duration {
-	var out time.Duration
-	for idx := range routes {
-		rpl := &routes[idx]
-		for _, spl := range rpl.Splits {
-			if spl.Service == svc && rpl.TargetGap > 0 && (out == 0 || rpl.TargetGap < out) {
-				out = rpl.TargetGap
-			}
-		}
-	}
-	return out
-}
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -44,6 +44,8 @@
 	// Unreachable lists the endpoints that did not answer their polls, of services whose
 	// endpoints are cold after a start.
 	Unreachable []wick.VMID `cbor:"7,keyasint,omitempty"`
+	// Paces sums up the streams of the entries in the poller's zone since its last notice.
+	Paces map[wick.VMID]pace.Sample `cbor:"8,keyasint,omitempty"`
 }
 
 // An endpointLoad is the load of one endpoint.
@@ -55,31 +57,8 @@
 	// Limit is the request rate that the endpoint allows all entries, if HasLimit is set.
 	Limit    float64 `cbor:"5,keyasint,omitempty"`
 	HasLimit bool    `cbor:"6,keyasint,omitempty"`
-	// Factor is the time that the endpoint takes in percent of that of the median endpoint,
-	// 0 if it does not differ. Stalls is the percentage of the time for which its runs
-	// stall.
-	Factor int `cbor:"7,keyasint,omitempty"`
-	Stalls int `cbor:"8,keyasint,omitempty"`
 }
 
-// estimate returns the endpoint's pace.
-func (epl *endpointLoad) estimate() pace.Estimate {
-	if epl.Factor <= 0 {
-		return pace.Estimate{Factor: 1, Stalls: float64(epl.Stalls) / percent}
-	}
-	return pace.Estimate{Factor: float64(epl.Factor) / percent, Stalls: float64(epl.Stalls) / percent}
-}
-
-// setEstimate sets the endpoint's pace.
-func (epl *endpointLoad) setEstimate(est pace.Estimate) {
-	if est.Factor != 1 {
-		epl.Factor = int(est.Factor * percent)
-	}
-	epl.Stalls = int(est.Stalls * percent)
-}
-
-const percent = 100
-
 // isLoadPoller reports whether this entry is the one of its availability zone that
 // polls endpoints.
 func (edg *Edge) isLoadPoller() bool {
@@ -101,7 +80,7 @@
 	}
 	for _, load := range ntc.Loads {
 		edg.pool.Report(load.ID, pool.Report{
-			At: now, Pace: load.estimate(), Load: wick.BackendLoad{
+			At: now, Load: wick.BackendLoad{
 				Running: load.Running, Waiting: load.Waiting, NextTokens: load.Next,
 				Limit: wick.RateLimit{Set: load.HasLimit, PerSecond: max(load.Limit, 0)},
 			},
@@ -119,6 +98,7 @@
 	edg.markLeft(from, ntc.Left)
 	edg.notePlan(from, ntc.Plan)
 	edg.noteOrders(from, ntc.Orders)
+	edg.pool.AddPaces(ntc.Paces, time.Now())
 	edg.evacuations.compare(from, ntc.Evacuated, time.Now())
 	if ntc.Current {
 		edg.informants.heard(time.Now())
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/pace"
 	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/internal/roster"
@@ -70,6 +71,9 @@
 		if edg.sendRecord(ctx, &rec) {
 			continue
 		}
+		if !edg.isLoadPoller() {
+			edg.pool.AddPaces(edg.pool.TakePaces(), time.Now())
+		}
 		if err := edg.writeRecord(ctx, rec); err != nil {
 			log.WithError(err).Debug("edge: failed to write own record")
 		}
@@ -139,6 +143,8 @@
 // A recordMessage carries the JSON of a record to the entry that relays it.
 type recordMessage struct {
 	Record []byte `cbor:"1,keyasint"`
+	// Paces sums up the sender's streams since its last record.
+	Paces map[wick.VMID]pace.Sample `cbor:"2,keyasint,omitempty"`
 }
 
 // A recordReply tells which record of the sender the store has last confirmed.
@@ -167,7 +173,7 @@
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
 	var rep recordReply
-	if err := trn.Call(ctx, target, wick.MsgRecord, recordMessage{data}, &rep); err != nil {
+	if err := trn.Call(ctx, target, wick.MsgRecord, recordMessage{data, edg.pool.TakePaces()}, &rep); err != nil {
 		log.WithError(err).WithField("entry", target.ID).Debug("edge: record not relayed")
 		return false
 	}
@@ -188,5 +194,6 @@
 	if rec.ID != from {
 		return nil, eris.Wrapf(wick.ErrInvalid, "edge: record of %s from %s", rec.ID, from)
 	}
+	edg.paces.add(msg.Paces)
 	return edg.relayed.add(rec, time.Now()), nil
 }
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -30,8 +30,6 @@
 	// At is when the report was read.
 	At   time.Time
 	Load wick.BackendLoad
-	// Pace is that of the endpoint; the zero value is unknown.
-	Pace pace.Estimate
 }
 
 // An endpoint is the record of one endpoint. It is guarded by the group's lock.
@@ -64,11 +62,14 @@
 	// backoffUntil is the end of the endpoint's ejection or refusal backoff.
 	backoffUntil time.Time
 	report       Report
-	// class is by the pace of the last report.
-	class speedClass
-	limit limiter
-	cold  coldState
-	pause pause
+	// pace is the endpoint's estimated pace, class its class by that, and sample sums up
+	// this entry's streams that were not passed on yet.
+	pace   pace.Estimate
+	class  speedClass
+	sample pace.Sample
+	limit  limiter
+	cold   coldState
+	pause  pause
 	// cachedParts maps a prompt part that is probably cached to its last use.
 	cachedParts map[wick.PartID]time.Time
 	// leaving is closed when the endpoint leaves, is removed or is replaced.
@@ -113,16 +114,6 @@
 	}
 }
 
-// pace returns the time that the endpoint takes as a multiple of that of the median
-// endpoint, and the share of the time for which its streams stall.
-func (end *endpoint) pace(now time.Time) (factor, stalls float64) {
-	est := &end.report.Pace
-	if est.Factor <= 0 || now.Sub(end.report.At) > maxPaceAge {
-		return 1, 0
-	}
-	return est.Factor, est.Stalls
-}
-
 // cachedTokens returns the number of leading tokens of the prompt that the
 // endpoint has probably cached.
 func (end *endpoint) cachedTokens(parts []wick.PromptPart) wick.Tokens {
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -34,9 +34,6 @@
 	// maxReportAge is the age from which a load report is ignored: queues
 	// change within a second.
 	maxReportAge = 1500 * time.Millisecond
-	// maxPaceAge is the age of a report from which its pace is ignored. The pace changes
-	// more slowly than the queue.
-	maxPaceAge = 4 * time.Second
 )
 
 // A Query asks for an endpoint.
@@ -211,12 +208,15 @@
 		running = max(running, load.Running)
 		wait = max(wait, grp.engine.WaitingMillis(load.Waiting)+grp.engine.PrefillMillis(load.NextTokens))
 	}
-	factor, stalls := end.pace(que.Now)
+	factor := end.pace.Factor
+	if factor <= 0 {
+		factor = 1
+	}
 	ctm.running = factor * grp.engine.RunningMillis(running)
 	ctm.waiting = factor * wait
 	ctm.prefill = factor * uncachedWeight * grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
 	if que.TargetGap > 0 {
-		ctm.stalls = stalls * stallMillis
+		ctm.stalls = end.pace.Stalls * stallMillis
 	}
 	return ctm
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/wagtailwick/wagtailwick/internal/pace"
 	"github.com/wagtailwick/wagtailwick/internal/perf"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -65,6 +66,8 @@
 	limitShare float64
 	// limited lists the endpoints that limit their requests.
 	limited []*endpoint
+	// tracker estimates the pace of the endpoints.
+	tracker pace.Tracker
 }
 
 // Set adds or updates an endpoint.
@@ -197,7 +200,6 @@
 // Report records a load report of an endpoint.
 func (pl *Pool) Report(vid wick.VMID, rep Report) {
 	pl.withEndpoint(vid, func(grp *group, end *endpoint) {
-		end.setPace(rep.Pace)
 		end.report = rep
 		grp.setLimit(end, rep.Load.Limit, rep.At)
 	})
@@ -364,6 +366,7 @@
 	end.notifyLeaving()
 	end.removed = true
 	delete(grp.eps, end.bke.ID)
+	grp.tracker.Forget(end.bke.ID)
 	grp.all = without(grp.all, end)
 	grp.byZone[end.bke.Zone] = without(grp.byZone[end.bke.Zone], end)
 	grp.limited = without(grp.limited, end)
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 	"github.com/wagtailwick/wagtailwick/internal/pace"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
 // A speedClass classifies an endpoint by its pace. Keys are assigned to endpoints by
@@ -60,13 +62,70 @@
 	return num
 }
 
-// setPace sets the class of the endpoint, and logs and counts a change.
+// setPace sets the pace of the endpoint, and logs and counts a change of its class.
 func (end *endpoint) setPace(est pace.Estimate) {
 	cls := classOf(est)
-	if cls == end.class {
+	if cls != end.class {
+		metrics.GetOrRegisterCounter("pool.speedChanges", nil).Inc(1)
+		log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "speed": cls.String(), "factor": est.Factor, "stalls": est.Stalls}).Info(logs.MsgEndpointSpeed)
+	}
+	end.pace, end.class = est, cls
+}
+
+// A Stream describes the events of a complete stream.
+type Stream struct {
+	// Events is their number, Took the time from the first to the last.
+	Events int
+	Took   time.Duration
+	// Stalled is set if a gap between two events was longer than it should be.
+	Stalled bool
+}
+
+// minPaceEvents is the least number of events of a stream from which a pace is sampled.
+const minPaceEvents = 6
+
+// Streamed records a stream of the assigned endpoint.
+func (asg *Assignment) Streamed(stm Stream) {
+	if stm.Events < minPaceEvents {
 		return
 	}
-	metrics.GetOrRegisterCounter("pool.speedChanges", nil).Inc(1)
-	log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "speed": cls.String(), "factor": est.Factor, "stalls": est.Stalls}).Info(logs.MsgEndpointSpeed)
-	end.class = cls
+	asg.grp.mu.Lock()
+	defer asg.grp.mu.Unlock()
+	asg.end.sample.Add(stm.Took/time.Duration(stm.Events-1), stm.Stalled)
+}
+
+// TakePaces returns what was sampled of this entry's streams since the last call.
+func (pl *Pool) TakePaces() map[wick.VMID]pace.Sample {
+	pl.mu.RLock()
+	defer pl.mu.RUnlock()
+	out := make(map[wick.VMID]pace.Sample)
+	for _, grp := range pl.groups {
+		grp.mu.Lock()
+		for _, end := range grp.all {
+			if end.sample.Count > 0 {
+				out[end.bke.ID] = end.sample
+				end.sample = pace.Sample{}
+			}
+		}
+		grp.mu.Unlock()
+	}
+	return out
+}
+
+// AddPaces adds samples of endpoints to those that their pace is estimated from.
+func (pl *Pool) AddPaces(samples map[wick.VMID]pace.Sample, now time.Time) {
+	for vid, smp := range samples {
+		pl.withEndpoint(vid, func(grp *group, _ *endpoint) { grp.tracker.Observe(vid, smp, now) })
+	}
+	pl.mu.RLock()
+	defer pl.mu.RUnlock()
+	for _, grp := range pl.groups {
+		grp.mu.Lock()
+		for vid, est := range grp.tracker.Refresh(now) {
+			if end := grp.eps[vid]; end != nil {
+				end.setPace(est)
+			}
+		}
+		grp.mu.Unlock()
+	}
 }
--- a/internal/pool/speed_test.go
+++ b/internal/pool/speed_test.go
@@ -19,7 +19,7 @@
 	// A quarter of the endpoints takes 0.45 of the time of the others.
 	report := func(factor float64) {
 		for num := 0; num < endpoints; num += 4 {
-			pl.Report(backend(num, "a").ID, Report{At: start, Pace: pace.Estimate{Factor: factor}})
+			pl.groups[service].eps[backend(num, "a").ID].setPace(pace.Estimate{Factor: factor})
 		}
 	}
 	all := func(*endpoint) bool { return true }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -15,6 +15,7 @@
 	"github.com/wagtailwick/wagtailwick/internal/audit"
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
+	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/internal/wire"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -114,6 +115,9 @@
 	case otc == outcomeReply && att.rep.Status < http.StatusMultipleChoices:
 		otc, hof := fwd.forwardWithHandoff(ctx, att)
 		fwd.complete = otc == outcomeReply
+		if fwd.complete {
+			att.tgt.Streamed(pool.Stream{Events: att.received, Took: fwd.lastEventAt.Sub(att.firstEventAt), Stalled: fwd.stalled()})
+		}
 		return otc, hof
 	default:
 		brp, otc := fwd.req.bufferReply(ctx, att, otc)
@@ -315,8 +319,7 @@
 // first event or by a gap between two events, and counts which.
 func (fwd *forwarder) late() bool {
 	first := fwd.req.late(fwd.firstEventAt.Sub(fwd.req.arrived))
-	limit := fwd.req.match.Route.TargetGap
-	gap := limit > 0 && fwd.longestGap > limit
+	gap := fwd.stalled()
 	if first {
 		metrics.GetOrRegisterCounter("relay.lateFirstEvents", nil).Inc(1)
 	}
@@ -326,6 +329,12 @@
 	return first || gap
 }
 
+// stalled reports whether a gap between two events was longer than the route declares.
+func (fwd *forwarder) stalled() bool {
+	limit := fwd.req.match.Route.TargetGap
+	return limit > 0 && fwd.longestGap > limit
+}
+
 // abort ends the response without its last chunk, so that the caller doesn't
 // mistake it for a complete one.
 func (fwd *forwarder) abort(reason string) {
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -96,18 +96,9 @@
 	MemoryUsed, MemoryTotal Tokens
 }
 
-// A BackendRun is a run in an endpoint's load report.
-type BackendRun struct {
-	ID RequestID
-	// Events is the number of events that the run has generated.
-	Events int
-}
-
 // A LoadReader reads the load of model endpoints. Errors wrap ErrUnavailable.
 type LoadReader interface {
-	// ReadLoad returns the load of an endpoint and the requests that it runs, none if it
-	// doesn't list them.
-	ReadLoad(ctx context.Context, bke Backend) (BackendLoad, []BackendRun, error)
+	ReadLoad(ctx context.Context, bke Backend) (BackendLoad, error)
 }
 
 // A RunProber checks what became of a request's endpoint. Errors wrap
