pool: removed endpoints don't stay on the list of limited ones

Cause: a request that ends after the removal of its endpoint, by a failed connection or with a limit in its answer, put the endpoint on the list of limited ones again, which nothing took it off: the list grew with each restart. Change: neither applies to a removed endpoint. Result: TestRemovedNotLimited fails before (one endpoint listed in both cases) and passes now; tests of pool pass.

--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -105,7 +105,7 @@
 // cold ones. The group's lock must be held.
 func (grp *group) setCold(end *endpoint, until, now time.Time, cause string) {
 	pol := grp.cold.find(end.bke.Service)
-	if pol.Rate <= 0 || !until.After(now) || !until.After(end.cold.until) {
+	if end.removed || pol.Rate <= 0 || !until.After(now) || !until.After(end.cold.until) {
 		return
 	}
 	if !end.isCold(now) {
--- a/internal/pool/cold_test.go
+++ b/internal/pool/cold_test.go
@@ -138,3 +138,22 @@
 		}
 	}
 }
+
+// TestRemovedNotLimited guards against removed endpoints that stay on the list of limited
+// ones because a request to them ends after their removal.
+func TestRemovedNotLimited(t *testing.T) {
+	for name, end := range map[string]func(asg *Assignment){
+		"unreachable": func(asg *Assignment) { asg.Done(ResultUnreachable, start) },
+		"limit":       func(asg *Assignment) { asg.SetLimit(wick.RateLimit{Set: true, PerSecond: 1}, start) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			pl := newColdFleet(t, 1, 2).pools[0]
+			asg := pick(t, pl, Query{Service: service, Now: start})
+			pl.Remove(asg.Backend.ID)
+			end(asg)
+			if num := len(pl.groupOfService(service).limited); num != 0 {
+				t.Errorf("%d limited endpoints are listed after the removal", num)
+			}
+		})
+	}
+}
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -127,6 +127,8 @@
 func (grp *group) setLimit(end *endpoint, lim wick.RateLimit, now time.Time) {
 	lmt := &end.limit
 	switch {
+	case end.removed:
+		// It is in none of the group's lists.
 	case lim.Set && !lmt.Set:
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "perSecond": lim.PerSecond}).Info(logs.MsgEndpointLimit)
 		// The entries begin at random points between two requests, so that the endpoint
