pool, edge: cold endpoints that are listed before the plan is read

Cause: an entry that starts reads the registry before the plan, since it asks other entries for the plan first. Without the policy of the service the cold time of the records was dropped, so that cold endpoints got as many requests as warm ones until their next records were read, up to 3 s later. Change: the cold time of the record is kept and applied with the policies. Result: TestColdBeforePlan fails without the change and passes with it. SetColdPolicies takes the time; its call in cold_test.go has a second argument.

--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -61,7 +61,7 @@
 			}
 		}
 	}
-	edg.pool.SetColdPolicies(policies)
+	edg.pool.SetColdPolicies(policies, time.Now())
 }
 
 // servingRecords returns the records of the entries that serve, this one included.
--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -53,11 +53,22 @@
 	return cps.policies[svc]
 }
 
-// SetColdPolicies sets the policies of the services. Those that are missing have none.
-func (pl *Pool) SetColdPolicies(policies map[wick.Service]ColdPolicy) {
+// SetColdPolicies sets the policies of the services. Those that are missing have none. It
+// applies to the endpoints that are listed already, since the registry may be read before
+// the plan.
+func (pl *Pool) SetColdPolicies(policies map[wick.Service]ColdPolicy, now time.Time) {
 	pl.cold.mu.Lock()
-	defer pl.cold.mu.Unlock()
 	pl.cold.policies = policies
+	pl.cold.mu.Unlock()
+	pl.mu.RLock()
+	defer pl.mu.RUnlock()
+	for _, grp := range pl.groups {
+		grp.mu.Lock()
+		for _, end := range grp.all {
+			grp.setCold(end, end.coldListed, now, "registry")
+		}
+		grp.mu.Unlock()
+	}
 }
 
 // ColdPolicy returns the policy of a service.
--- a/internal/pool/cold_test.go
+++ b/internal/pool/cold_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	flt := newLimitedFleet(t, entries, endpoints)
 	for _, pl := range flt.pools {
-		pl.SetColdPolicies(map[wick.Service]ColdPolicy{service: coldPolicy})
+		pl.SetColdPolicies(map[wick.Service]ColdPolicy{service: coldPolicy}, start)
 	}
 	return flt
 }
@@ -157,3 +157,16 @@
 		})
 	}
 }
+
+// TestColdBeforePlan guards against an entry that starts, reads the registry before the
+// plan, and sends cold endpoints as many requests as warm ones until their next records.
+func TestColdBeforePlan(t *testing.T) {
+	pl := newPool("a")
+	cold := backend(0, "a")
+	cold.ColdFor = time.Second
+	pl.Set(cold, start)
+	pl.SetColdPolicies(map[wick.Service]ColdPolicy{service: coldPolicy}, start)
+	if _, err := pl.Pick(Query{Service: service, Now: start}); err == nil {
+		t.Error("a cold endpoint was sent a request by an entry without a share")
+	}
+}
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -66,7 +66,10 @@
 	report       Report
 	limit        limiter
 	cold         coldState
-	pause        pause
+	// coldListed is the end of the cold time by the registry record, also if the service
+	// has no policy yet.
+	coldListed time.Time
+	pause      pause
 	// cachedParts maps a prompt part that is probably cached to its last use.
 	cachedParts map[wick.PartID]time.Time
 	// leaving is closed when the endpoint leaves, is removed or is replaced.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -331,7 +331,8 @@
 	end.region, end.evacuated = grp.places.find(bke.Zone)
 	end.graceUntil = time.Time{}
 	grp.endCold(end, now)
-	grp.setCold(end, now.Add(bke.ColdFor), now, "registry")
+	end.coldListed = now.Add(bke.ColdFor)
+	grp.setCold(end, end.coldListed, now, "registry")
 	if bke.Leaving {
 		end.leavesAt = time.Time{}
 		if bke.LeavesIn > 0 {
