pool: no request waits for the end of an endpoint's cold time

Cause: the wait for a cold endpoint was cut to the rest of its cold time, so that entries with a small share or none assigned any number of requests to its end, where they were sent at once, also if the end had been put off meanwhile. Change: a request waits for its turn in the bucket only; the end of the cold time counts for the Retry-After of refusals.

--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -87,8 +87,20 @@
 // isLimited reports whether the endpoint limits its requests or is cold.
 func (end *endpoint) isLimited(now time.Time) bool { return end.limit.Set || end.isCold(now) }
 
-// wait returns the time until the endpoint may be sent one more request.
+// wait returns the time until the endpoint may be sent one more request. No request waits
+// for the end of the cold time: the requests of all entries would come at once then, and
+// the end may be put off meanwhile.
 func (end *endpoint) wait(now time.Time) time.Duration {
+	wait := end.limit.wait(now)
+	if end.isCold(now) {
+		wait = max(wait, end.cold.bucket.wait(now))
+	}
+	return wait
+}
+
+// retryAfter returns the time after which a request may find the endpoint's turn: at the
+// latest the end of the cold time.
+func (end *endpoint) retryAfter(now time.Time) time.Duration {
 	wait := end.limit.wait(now)
 	if end.isCold(now) {
 		wait = max(wait, min(end.cold.bucket.wait(now), end.cold.until.Sub(now)))
--- a/internal/pool/cold_test.go
+++ b/internal/pool/cold_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -170,3 +171,18 @@
 		t.Error("a cold endpoint was sent a request by an entry without a share")
 	}
 }
+
+// TestNoWaitForWarm guards against requests that wait for the end of the cold time and are
+// sent all at once then: the refusal names that end instead.
+func TestNoWaitForWarm(t *testing.T) {
+	const left = 200 * time.Millisecond
+	pl := newColdFleet(t, 1, 1).pools[0]
+	cold := backend(0, "a")
+	cold.ColdFor = left
+	pl.Set(cold, start)
+	_, err := pl.Pick(Query{Service: service, MaxWait: time.Second, Now: start})
+	var limited *LimitedError
+	if !errors.As(err, &limited) || limited.RetryAfter != left {
+		t.Errorf("error %v, want a refusal for %v", err, left)
+	}
+}
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -235,7 +235,7 @@
 	least, found := maxLimitWait, false
 	for _, end := range grp.all {
 		if end.isLimited(que.Now) && end.availability(que.Now) != unavailable && que.matches(end) {
-			least, found = min(least, end.wait(que.Now)), true
+			least, found = min(least, end.retryAfter(que.Now)), true
 		}
 	}
 	return least, found
--- a/internal/pool/pause.go
+++ b/internal/pool/pause.go
@@ -115,7 +115,7 @@
 		switch {
 		case !que.allows(end) || end.bke.Leaving || end.evacuated || que.Now.Before(end.goneUntil):
 		case end.pause.active(que.Now):
-			least, found = min(least, max(end.pause.until.Sub(que.Now), end.wait(que.Now))), true
+			least, found = min(least, max(end.pause.until.Sub(que.Now), end.retryAfter(que.Now))), true
 		case end.availability(que.Now) != unavailable && !end.isLimited(que.Now):
 			return 0, false
 		}
