pool, relay: a request needs a token of the cold time in which it is sent

Cause: requests that were assigned before an endpoint became cold (secured attempts, moved runs, requests that wait for their turn) were sent to it beyond its rate; their release returned tokens that they had never taken; a suspended process sent all that had waited for their turns at once; and runs whose moves failed continued at a cold endpoint whatever its rate. Change: an assignment knows the cold time of its token and its turn. A run continues at a cold endpoint only with a token. A secured attempt also isn't sent to an endpoint that asks for no requests.

--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -78,6 +78,8 @@
 type coldState struct {
 	// until is the end of the cold time, as far as it is known.
 	until time.Time
+	// beganAt is when this entry learned that the endpoint is cold.
+	beganAt time.Time
 	// bucket is this entry's part of the rate. It begins empty and without a share.
 	bucket limiter
 }
@@ -108,22 +110,6 @@
 	return wait
 }
 
-// take takes the tokens of a request and returns the time until it may be sent.
-func (end *endpoint) take(now time.Time) time.Duration {
-	wait := end.wait(now)
-	end.limit.take(now)
-	if end.isCold(now) {
-		end.cold.bucket.take(now)
-	}
-	return wait
-}
-
-// untake returns the tokens of a request that was not sent.
-func (end *endpoint) untake() {
-	end.limit.untake()
-	end.cold.bucket.untake()
-}
-
 // setCold limits the requests to an endpoint until a time, if its service limits those of
 // cold ones. The group's lock must be held.
 func (grp *group) setCold(end *endpoint, until, now time.Time, cause string) {
@@ -134,6 +120,7 @@
 	if !end.isCold(now) {
 		metrics.GetOrRegisterCounter("pool.coldEndpoints", nil).Inc(1)
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "for": until.Sub(now).String(), "cause": cause}).Info(logs.MsgEndpointCold)
+		end.cold.beganAt = now
 		end.cold.bucket = limiter{RateLimit: wick.RateLimit{Set: true, PerSecond: pol.Rate}, refilledAt: now}
 		if !contains(grp.limited, end) {
 			grp.limited = append(grp.limited, end)
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -119,7 +119,7 @@
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
 	asg.end.pause.sent--
-	asg.end.untake()
+	asg.untake()
 }
 
 // setLimit records the limit that an answer or a report of an endpoint names. The group's
--- a/internal/pool/pause.go
+++ b/internal/pool/pause.go
@@ -84,14 +84,7 @@
 func (asg *Assignment) Usable(now time.Time) bool {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
-	return !asg.end.removed && asg.end.availability(now) != unavailable
-}
-
-// Paused reports whether the assigned endpoint has asked for no requests.
-func (asg *Assignment) Paused(now time.Time) bool {
-	asg.grp.mu.Lock()
-	defer asg.grp.mu.Unlock()
-	return asg.end.pause.active(now)
+	return !asg.end.removed && asg.end.availability(now) != unavailable && asg.hasTurn(now)
 }
 
 // Paused returns the time until an endpoint of a service may be sent a request again, and
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -100,6 +100,9 @@
 	prefill wick.Tokens
 	run     run
 	once    sync.Once
+	// coldSince is that of the cold time of which the request holds a token, zero if it
+	// holds none, and turnAt when it may be sent.
+	coldSince, turnAt time.Time
 }
 
 // Pick assigns an endpoint to a request. The error is a *LimitedError when all endpoints
@@ -117,7 +120,8 @@
 	if end == nil {
 		return nil, grp.noneAvailable(&que)
 	}
-	asg := &Assignment{Backend: end.bke, Leaving: end.leaving, PauseBegun: end.pause.begun, Wait: end.take(que.Now), pl: pl, grp: grp, end: end}
+	asg := &Assignment{Backend: end.bke, Leaving: end.leaving, PauseBegun: end.pause.begun, pl: pl, grp: grp, end: end}
+	asg.take(que.Now)
 	asg.Band = loadBand(end)
 	end.inFlight++
 	end.pause.sent++
@@ -261,16 +265,18 @@
 
 // Duplicate returns a second assignment to the same endpoint, for a run that
 // continues there although the endpoint is leaving. Its Leaving channel is never
-// closed. It returns nil if the endpoint's availability zone is evacuated.
+// closed. It returns nil if the endpoint's availability zone is evacuated, or if the
+// endpoint is cold and may not be sent a request now.
 func (asg *Assignment) Duplicate(now time.Time) *Assignment {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
-	if asg.end.evacuated {
+	if asg.end.evacuated || asg.end.isCold(now) && asg.end.cold.bucket.wait(now) > 0 {
 		return nil
 	}
 	asg.end.inFlight++
-	asg.end.take(now)
-	return &Assignment{Backend: asg.Backend, Leaving: make(chan struct{}), Band: asg.Band, pl: asg.pl, grp: asg.grp, end: asg.end}
+	dup := &Assignment{Backend: asg.Backend, Leaving: make(chan struct{}), Band: asg.Band, pl: asg.pl, grp: asg.grp, end: asg.end}
+	dup.take(now)
+	return dup
 }
 
 // LeavesAt returns when a leaving endpoint terminates, the zero time if unknown.
--- a/internal/relay/secure.go
+++ b/internal/relay/secure.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -81,7 +82,7 @@
 		return nil
 	default:
 	}
-	if tgt.Evacuated() {
+	if !tgt.Sendable(time.Now()) {
 		tgt.release()
 		return nil
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -90,7 +90,7 @@
 		if hof == nil || hof.tgt == nil {
 			return otc
 		}
-		if hof.tgt.Paused(time.Now()) || hof.tgt.Evacuated() {
+		if !hof.tgt.Sendable(time.Now()) {
 			// The run is resumed elsewhere, without its memory.
 			hof.tgt.release()
 			return otc
