--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -53,11 +53,22 @@
 	return cps.policies[svc]
 }
 
-// SetColdPolicies sets the policies of the services. Those that are missing have none.
-func (pl *Pool) SetColdPolicies(policies map[wick.Service]ColdPolicy) {
+// SetColdPolicies sets the policies of the services. Those that are missing have none. It
+// applies to the endpoints that are listed already, since the registry may be read before
+// the plan.
+func (pl *Pool) SetColdPolicies(policies map[wick.Service]ColdPolicy, now time.Time) {
 	pl.cold.mu.Lock()
-	defer pl.cold.mu.Unlock()
 	pl.cold.policies = policies
+	pl.cold.mu.Unlock()
+	pl.mu.RLock()
+	defer pl.mu.RUnlock()
+	for _, grp := range pl.groups {
+		grp.mu.Lock()
+		for _, end := range grp.all {
+			grp.setCold(end, end.coldListed, now, "registry")
+		}
+		grp.mu.Unlock()
+	}
 }
 
 // ColdPolicy returns the policy of a service.
@@ -67,6 +78,8 @@
 type coldState struct {
 	// until is the end of the cold time, as far as it is known.
 	until time.Time
+	// beganAt is when this entry learned that the endpoint is cold.
+	beganAt time.Time
 	// bucket is this entry's part of the rate. It begins empty and without a share.
 	bucket limiter
 }
@@ -76,9 +89,9 @@
 // isLimited reports whether the endpoint limits its requests or is cold.
 func (end *endpoint) isLimited(now time.Time) bool { return end.limit.Set || end.isCold(now) }
 
-// wait returns the time until the endpoint may be sent one more request. It may be longer
-// than the endpoint is cold: requests that wait for the end of that would all be sent at
-// once.
+// wait returns the time until the endpoint may be sent one more request. No request waits
+// for the end of the cold time: the requests of all entries would come at once then, and
+// the end may be put off meanwhile.
 func (end *endpoint) wait(now time.Time) time.Duration {
 	wait := end.limit.wait(now)
 	if end.isCold(now) {
@@ -87,40 +100,27 @@
 	return wait
 }
 
-// nextTurn returns the time until the endpoint may be sent a request that has not come yet.
-func (end *endpoint) nextTurn(now time.Time) time.Duration {
-	if !end.isCold(now) {
-		return end.limit.wait(now)
-	}
-	return max(end.limit.wait(now), min(end.cold.bucket.wait(now), end.cold.until.Sub(now)))
-}
-
-// take takes the tokens of a request and returns the time until it may be sent.
-func (end *endpoint) take(now time.Time) time.Duration {
-	wait := end.wait(now)
-	end.limit.take(now)
+// retryAfter returns the time after which a request may find the endpoint's turn: at the
+// latest the end of the cold time.
+func (end *endpoint) retryAfter(now time.Time) time.Duration {
+	wait := end.limit.wait(now)
 	if end.isCold(now) {
-		end.cold.bucket.take(now)
+		wait = max(wait, min(end.cold.bucket.wait(now), end.cold.until.Sub(now)))
 	}
 	return wait
 }
 
-// untake returns the tokens of a request that was not sent.
-func (end *endpoint) untake() {
-	end.limit.untake()
-	end.cold.bucket.untake()
-}
-
 // setCold limits the requests to an endpoint until a time, if its service limits those of
 // cold ones. The group's lock must be held.
 func (grp *group) setCold(end *endpoint, until, now time.Time, cause string) {
 	pol := grp.cold.find(end.bke.Service)
-	if pol.Rate <= 0 || !until.After(now) || !until.After(end.cold.until) {
+	if end.removed || pol.Rate <= 0 || !until.After(now) || !until.After(end.cold.until) {
 		return
 	}
 	if !end.isCold(now) {
 		metrics.GetOrRegisterCounter("pool.coldEndpoints", nil).Inc(1)
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "for": until.Sub(now).String(), "cause": cause}).Info(logs.MsgEndpointCold)
+		end.cold.beganAt = now
 		end.cold.bucket = limiter{RateLimit: wick.RateLimit{Set: true, PerSecond: pol.Rate}, refilledAt: now}
 		if !contains(grp.limited, end) {
 			grp.limited = append(grp.limited, end)
--- a/internal/pool/cold_test.go
+++ b/internal/pool/cold_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -17,7 +18,7 @@
 	t.Helper()
 	flt := newLimitedFleet(t, entries, endpoints)
 	for _, pl := range flt.pools {
-		pl.SetColdPolicies(map[wick.Service]ColdPolicy{service: coldPolicy})
+		pl.SetColdPolicies(map[wick.Service]ColdPolicy{service: coldPolicy}, start)
 	}
 	return flt
 }
@@ -138,3 +139,50 @@
 		}
 	}
 }
+
+// TestRemovedNotLimited guards against removed endpoints that stay on the list of limited
+// ones because a request to them ends after their removal.
+func TestRemovedNotLimited(t *testing.T) {
+	for name, end := range map[string]func(asg *Assignment){
+		"unreachable": func(asg *Assignment) { asg.Done(ResultUnreachable, start) },
+		"limit":       func(asg *Assignment) { asg.SetLimit(wick.RateLimit{Set: true, PerSecond: 1}, start) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			pl := newColdFleet(t, 1, 2).pools[0]
+			asg := pick(t, pl, Query{Service: service, Now: start})
+			pl.Remove(asg.Backend.ID)
+			end(asg)
+			if num := len(pl.groupOfService(service).limited); num != 0 {
+				t.Errorf("%d limited endpoints are listed after the removal", num)
+			}
+		})
+	}
+}
+
+// TestColdBeforePlan guards against an entry that starts, reads the registry before the
+// plan, and sends cold endpoints as many requests as warm ones until their next records.
+func TestColdBeforePlan(t *testing.T) {
+	pl := newPool("a")
+	cold := backend(0, "a")
+	cold.ColdFor = time.Second
+	pl.Set(cold, start)
+	pl.SetColdPolicies(map[wick.Service]ColdPolicy{service: coldPolicy}, start)
+	if _, err := pl.Pick(Query{Service: service, Now: start}); err == nil {
+		t.Error("a cold endpoint was sent a request by an entry without a share")
+	}
+}
+
+// TestNoWaitForWarm guards against requests that wait for the end of the cold time and are
+// sent all at once then: the refusal names that end instead.
+func TestNoWaitForWarm(t *testing.T) {
+	const left = 200 * time.Millisecond
+	pl := newColdFleet(t, 1, 1).pools[0]
+	cold := backend(0, "a")
+	cold.ColdFor = left
+	pl.Set(cold, start)
+	_, err := pl.Pick(Query{Service: service, MaxWait: time.Second, Now: start})
+	var limited *LimitedError
+	if !errors.As(err, &limited) || limited.RetryAfter != left {
+		t.Errorf("error %v, want a refusal for %v", err, left)
+	}
+}
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -119,7 +119,7 @@
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
 	asg.end.pause.sent--
-	asg.end.untake()
+	asg.untake()
 }
 
 // setLimit records the limit that an answer or a report of an endpoint names. The group's
@@ -127,6 +127,8 @@
 func (grp *group) setLimit(end *endpoint, lim wick.RateLimit, now time.Time) {
 	lmt := &end.limit
 	switch {
+	case end.removed:
+		// It is in none of the group's lists.
 	case lim.Set && !lmt.Set:
 		log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "perSecond": lim.PerSecond}).Info(logs.MsgEndpointLimit)
 		// The entries begin at random points between two requests, so that the endpoint
@@ -233,7 +235,7 @@
 	least, found := maxLimitWait, false
 	for _, end := range grp.all {
 		if end.isLimited(que.Now) && end.availability(que.Now) != unavailable && que.matches(end) {
-			least, found = min(least, end.nextTurn(que.Now)), true
+			least, found = min(least, end.retryAfter(que.Now)), true
 		}
 	}
 	return least, found
--- a/internal/pool/pause.go
+++ b/internal/pool/pause.go
@@ -84,14 +84,7 @@
 func (asg *Assignment) Usable(now time.Time) bool {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
-	return !asg.end.removed && asg.end.availability(now) != unavailable
-}
-
-// Paused reports whether the assigned endpoint has asked for no requests.
-func (asg *Assignment) Paused(now time.Time) bool {
-	asg.grp.mu.Lock()
-	defer asg.grp.mu.Unlock()
-	return asg.end.pause.active(now)
+	return !asg.end.removed && asg.end.availability(now) != unavailable && asg.hasTurn(now)
 }
 
 // Paused returns the time until an endpoint of a service may be sent a request again, and
@@ -115,7 +108,7 @@
 		switch {
 		case !que.allows(end) || end.bke.Leaving || end.evacuated || que.Now.Before(end.goneUntil):
 		case end.pause.active(que.Now):
-			least, found = min(least, max(end.pause.until.Sub(que.Now), end.nextTurn(que.Now))), true
+			least, found = min(least, max(end.pause.until.Sub(que.Now), end.retryAfter(que.Now))), true
 		case end.availability(que.Now) != unavailable && !end.isLimited(que.Now):
 			return 0, false
 		}
