edge, platform: one failed poll doesn't make an endpoint cold

Cause: each failed poll marked its endpoint as cold for 4.6 s, also an answer with an error status, so that sound endpoints got few requests.

Change: two polls in a row must reach nothing; the second follows after 0.4 s.

--- a/internal/edge/loadpoll.go
+++ b/internal/edge/loadpoll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 // loadLoop polls the load of the model endpoints in this entry's availability
 // zone and notifies the other entries, if this entry is the poller of the zone.
 func (edg *Edge) loadLoop(ctx context.Context) {
-	lpl := &loadPoller{edg: edg, schedule: make(pollSchedule)}
+	lpl := &loadPoller{edg: edg, schedule: make(pollSchedule), failures: make(map[wick.VMID]int)}
 	for edg.cfg.Loads != nil && retry.Sleep(ctx, loadPollInterval) {
 		if !edg.isLoadPoller() {
 			continue
@@ -62,6 +63,8 @@
 
 	mu  sync.Mutex
 	ntc loadNotice
+	// failures counts the consecutive polls of each endpoint that reached none.
+	failures map[wick.VMID]int
 }
 
 // poll polls the model endpoints of the zone that are due.
@@ -110,11 +113,10 @@
 	lpl.schedule.polled(&bke, load, now)
 	if err != nil {
 		log.WithError(err).WithField(logs.FieldEndpoint, bke.ID).Debug("edge: failed to poll load")
-		if lpl.edg.pool.ColdPolicy(bke.Service).Rate > 0 {
-			lpl.ntc.Unreachable = append(lpl.ntc.Unreachable, bke.ID)
-		}
+		lpl.pollFailed(&bke, err, now)
 		return
 	}
+	delete(lpl.failures, bke.ID)
 	if load.Leaving && lpl.edg.pool.MarkLeaving(bke.ID, bke.Born, time.Now()) {
 		lpl.edg.announceLeaving(bke)
 	}
@@ -123,3 +125,21 @@
 		Limit: load.Limit.PerSecond, HasLimit: load.Limit.Set,
 	})
 }
+
+// minUnreachablePolls is the number of consecutive failed polls from which an endpoint
+// counts as unreachable. One may be lost.
+const minUnreachablePolls = 2
+
+// pollFailed records a failed poll of an endpoint. One whose start makes it cold is polled
+// again soon, since it has to be known as unreachable before it returns.
+func (lpl *loadPoller) pollFailed(bke *wick.Backend, err error, now time.Time) {
+	if errors.Is(err, wick.ErrInvalid) || lpl.edg.pool.ColdPolicy(bke.Service).Rate <= 0 {
+		delete(lpl.failures, bke.ID)
+		return
+	}
+	lpl.failures[bke.ID]++
+	lpl.schedule[bke.ID] = now.Add(loadPollInterval / 2)
+	if lpl.failures[bke.ID] >= minUnreachablePolls {
+		lpl.ntc.Unreachable = append(lpl.ntc.Unreachable, bke.ID)
+	}
+}
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -76,7 +76,7 @@
 	now := time.Now()
 	for _, vid := range ntc.Unreachable {
 		// Until its next poll the endpoint may return at any moment.
-		edg.pool.MarkUnreachable(vid, now.Add(idlePollInterval+loadPollInterval), now)
+		edg.pool.MarkUnreachable(vid, now.Add(2*loadPollInterval), now)
 	}
 	for _, load := range ntc.Loads {
 		edg.pool.Report(load.ID, pool.Report{
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -96,7 +96,8 @@
 	MemoryUsed, MemoryTotal Tokens
 }
 
-// A LoadReader reads the load of model endpoints. Errors wrap ErrUnavailable.
+// A LoadReader reads the load of model endpoints. Errors wrap ErrUnavailable, and also
+// ErrInvalid if the endpoint answered without a report.
 type LoadReader interface {
 	ReadLoad(ctx context.Context, bke Backend) (BackendLoad, error)
 }
