pace: compare endpoints by streams that were delayed little

Cause: the mean interval of an endpoint follows its load (25 to 89 ms an event at endpoints of one speed), so that the threshold for noise hid a speed of more than twice that of the others, and the memory of 15 s never held enough streams.

Change: the least mean interval of a stream in 8 to 16 s represents an endpoint.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -12,12 +12,13 @@
 )
 
 const (
-	// memory is the time constant with which samples are forgotten. Endpoints are slow
-	// for moments of less than a second without being slow on the whole.
-	memory = 15 * time.Second
-	// minSamples is the number of samples that an estimate needs, and minEndpoints the
+	// period is the time for which streams are summed up. An estimate covers one to two
+	// periods, so that a moment in which all streams of an endpoint are slow is not taken
+	// for its pace.
+	period = 8 * time.Second
+	// minSamples is the number of streams that an estimate needs, and minEndpoints the
 	// number of estimates from which their median is meaningful.
-	minSamples   = 16.0
+	minSamples   = 4
 	minEndpoints = 4
 	// refreshInterval is the time between two estimates.
 	refreshInterval = time.Second
@@ -27,7 +28,7 @@
 	// random. An endpoint that differs does so until its difference is below keepShare of
 	// these.
 	minDifference = 0.45
-	spreadFactor  = 5.0
+	spreadFactor  = 4.0
 	keepShare     = 0.6
 	// minFactor and maxFactor bound a factor.
 	minFactor = 0.25
@@ -47,36 +48,41 @@
 // A Sample sums up streams of one endpoint. Its zero value has none.
 type Sample struct {
 	Count int `cbor:"1,keyasint"`
-	// LogSum is the sum of the logarithms of the mean times between two events, in ms.
-	LogSum float64 `cbor:"2,keyasint"`
+	// Least is the least mean time between two events of a stream, in ms. It is that of a
+	// stream which other prompts delayed little.
+	Least float64 `cbor:"2,keyasint"`
 	// Stalled counts the streams with a longer gap than they should have.
 	Stalled int `cbor:"3,keyasint,omitempty"`
 }
 
-// minInterval is the least time between two events that a sample counts. Events that were
-// delivered together have none.
-const minInterval = 100 * time.Microsecond
-
 // Add adds a stream with its mean time between two events.
 func (smp *Sample) Add(interval time.Duration, stalled bool) {
-	smp.Count++
-	smp.LogSum += math.Log(float64(max(interval, minInterval)) / float64(time.Millisecond))
+	one := Sample{Count: 1, Least: float64(interval) / float64(time.Millisecond)}
 	if stalled {
-		smp.Stalled++
+		one.Stalled = 1
 	}
+	smp.Merge(one)
 }
 
 // Merge adds the streams of another sample.
 func (smp *Sample) Merge(oth Sample) {
+	if smp.Count == 0 || oth.Count > 0 && oth.Least < smp.Least {
+		smp.Least = oth.Least
+	}
 	smp.Count += oth.Count
-	smp.LogSum += oth.LogSum
 	smp.Stalled += oth.Stalled
 }
 
-// An endpoint is the record of one endpoint. The sums decay.
+// valid reports whether a sample that another entry has sent is plausible.
+func (smp *Sample) valid() bool {
+	return smp.Count > 0 && smp.Least > 0 && !math.IsInf(smp.Least, 0) && smp.Stalled >= 0 && smp.Stalled <= smp.Count
+}
+
+// An endpoint is the record of one endpoint.
 type endpoint struct {
-	at                     time.Time
-	count, logSum, stalled float64
+	// current sums up the streams since startedAt, previous those of the period before.
+	current, previous Sample
+	startedAt         time.Time
 	// differs is set while the pace differs from that of the others.
 	differs bool
 }
@@ -90,7 +96,7 @@
 
 // Observe adds a sample of an endpoint. Malformed ones are ignored.
 func (trk *Tracker) Observe(vid wick.VMID, smp Sample, now time.Time) {
-	if smp.Count <= 0 || smp.Stalled < 0 || smp.Stalled > smp.Count || math.IsNaN(smp.LogSum) || math.IsInf(smp.LogSum, 0) {
+	if !smp.valid() {
 		return
 	}
 	if trk.ends == nil {
@@ -98,33 +104,34 @@
 	}
 	end := trk.ends[vid]
 	if end == nil {
-		end = &endpoint{at: now}
+		end = &endpoint{startedAt: now}
 		trk.ends[vid] = end
 	}
-	end.decay(now)
-	end.count += float64(smp.Count)
-	end.logSum += smp.LogSum
-	end.stalled += float64(smp.Stalled)
+	end.rotate(now)
+	end.current.Merge(smp)
 }
 
 // Forget forgets an endpoint, since it has ended or started again.
 func (trk *Tracker) Forget(vid wick.VMID) { delete(trk.ends, vid) }
 
-func (end *endpoint) decay(now time.Time) {
-	if passed := now.Sub(end.at); passed > 0 {
-		keep := math.Exp(-passed.Seconds() / memory.Seconds())
-		end.count *= keep
-		end.logSum *= keep
-		end.stalled *= keep
-		end.at = now
+// rotate begins a new period if the current one is over.
+func (end *endpoint) rotate(now time.Time) {
+	passed := now.Sub(end.startedAt)
+	if passed < period {
+		return
+	}
+	end.previous, end.current, end.startedAt = end.current, Sample{}, now
+	if passed >= 2*period {
+		end.previous = Sample{}
 	}
 }
 
-// known reports whether enough streams of the endpoint were seen.
-func (end *endpoint) known() bool { return end.count >= minSamples }
-
-// mean returns the mean logarithm of the time between two events.
-func (end *endpoint) mean() float64 { return end.logSum / end.count }
+// sample returns the sum of both periods, and false if it has too few streams.
+func (end *endpoint) sample() (Sample, bool) {
+	sum := end.previous
+	sum.Merge(end.current)
+	return sum, sum.Count >= minSamples
+}
 
 // Refresh returns the estimates of all endpoints if they are due, else nil.
 func (trk *Tracker) Refresh(now time.Time) map[wick.VMID]Estimate {
@@ -132,37 +139,40 @@
 		return nil
 	}
 	trk.refreshedAt = now
-	means := make([]float64, 0, len(trk.ends))
+	paces := make([]float64, 0, len(trk.ends))
 	for _, end := range trk.ends {
-		end.decay(now)
-		if end.known() {
-			means = append(means, end.mean())
+		end.rotate(now)
+		if smp, ok := end.sample(); ok {
+			paces = append(paces, math.Log(smp.Least))
 		}
 	}
-	enough := len(means) >= minEndpoints
-	med := median(means)
-	for idx, val := range means {
-		means[idx] = math.Abs(val - med)
+	enough := len(paces) >= minEndpoints
+	med := median(paces)
+	for idx, val := range paces {
+		paces[idx] = math.Abs(val - med)
 	}
-	least := max(minDifference, spreadFactor*median(means))
+	least := max(minDifference, spreadFactor*median(paces))
 	out := make(map[wick.VMID]Estimate, len(trk.ends))
 	for vid, end := range trk.ends {
-		out[vid] = end.estimate(med, least, enough)
+		if enough {
+			out[vid] = end.estimate(med, least)
+		}
 	}
 	return out
 }
 
 // estimate returns the estimate of an endpoint by the median of all and the least
 // difference that counts.
-func (end *endpoint) estimate(med, least float64, enough bool) Estimate {
-	if !end.known() || !enough {
+func (end *endpoint) estimate(med, least float64) Estimate {
+	smp, ok := end.sample()
+	if !ok {
 		return Estimate{}
 	}
 	if end.differs {
 		least *= keepShare
 	}
-	est := Estimate{Factor: 1, Stalls: end.stalled / end.count}
-	diff := end.mean() - med
+	est := Estimate{Factor: 1, Stalls: float64(smp.Stalled) / float64(smp.Count)}
+	diff := math.Log(smp.Least) - med
 	if end.differs = math.Abs(diff) > least; end.differs {
 		est.Factor = min(max(math.Exp(diff), minFactor), maxFactor)
 	}
