edge: parts of cold endpoints' rates while the records of entries can't be read

Cause: 12 s into an outage of the store the records of all other entries had expired, so that each entry used the whole rate of each cold endpoint, during the outage and until the others had published again; also after a suspension of the process. Change: records don't expire for this purpose while the store can't be read, for 12 s after that, and while the last read is more than 6 s old. The suspension has no test of its own.

--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -13,35 +13,28 @@
 // shareLimits divides the rates that endpoints allow among the entries, by the requests
 // that each of them sends. All entries derive the same parts from the same records.
 func (edg *Edge) shareLimits(now time.Time) {
-	recs := edg.servingRecords(now)
+	recs := edg.servingRecords(now, false)
 	edg.pool.SetNewLimitShare(1 / float64(max(len(recs), edg.cfg.Bounds.Entries, 1)))
-	limited, cold := edg.pool.LimitedEndpoints(), edg.pool.ColdEndpoints(now)
-	if len(limited) == 0 && len(cold) == 0 {
-		return
-	}
-	byID := make(map[wick.EntryID]*roster.Record, len(recs))
-	mems := make([]wick.Member, len(recs))
-	for idx := range recs {
-		byID[recs[idx].ID] = &recs[idx]
-		mems[idx] = recs[idx].Member()
-	}
-	// ranked returns the request rates of the entries in an order by endpoint, and the
-	// position of this one.
-	ranked := func(vid wick.VMID, svc wick.Service) ([]float64, int) {
-		order := place.Rank(string(vid), mems)
-		rates := make([]float64, len(order))
-		for idx, mem := range order {
-			rates[idx] = byID[mem.ID].Requests[svc]
+	if limited := edg.pool.LimitedEndpoints(); len(limited) > 0 {
+		rnk := newRanking(recs)
+		for _, lim := range limited {
+			rates, own := rnk.of(lim.ID, lim.Service, edg.cfg.ID)
+			edg.pool.SetLimitShare(lim.ID, pool.LimitShare(rates, own, lim.PerSecond), now)
 		}
-		return rates, slices.IndexFunc(order, func(mem wick.Member) bool { return mem.ID == edg.cfg.ID })
 	}
-	for _, lim := range limited {
-		rates, own := ranked(lim.ID, lim.Service)
-		edg.pool.SetLimitShare(lim.ID, pool.LimitShare(rates, own, lim.PerSecond), now)
+	edg.shareCold(now)
+}
+
+// shareCold divides the rates of cold endpoints.
+func (edg *Edge) shareCold(now time.Time) {
+	cold := edg.pool.ColdEndpoints(now)
+	if len(cold) == 0 {
+		return
 	}
+	rnk := newRanking(edg.servingRecords(now, edg.recordsLag(now)))
 	_, published := edg.roster.Find(edg.cfg.ID)
 	for _, col := range cold {
-		rates, own := ranked(col.ID, col.Service)
+		rates, own := rnk.of(col.ID, col.Service, edg.cfg.ID)
 		if !published {
 			// The other entries don't leave a part to this one yet.
 			own = -1
@@ -50,6 +43,40 @@
 	}
 }
 
+// recordsLag reports whether the records of other entries may be old because the store
+// can't be read, or could not be until a moment ago, or because this process was suspended.
+// The other entries go on using their parts then.
+func (edg *Edge) recordsLag(now time.Time) bool {
+	return !edg.members.FailingSince().IsZero() || now.Sub(edg.members.RecoveredAt()) < memberTimeout ||
+		now.Sub(edg.members.LastSuccess()) > 2*watchTimeout
+}
+
+// A ranking orders entries for endpoints.
+type ranking struct {
+	byID map[wick.EntryID]*roster.Record
+	mems []wick.Member
+}
+
+func newRanking(recs []roster.Record) ranking {
+	rnk := ranking{byID: make(map[wick.EntryID]*roster.Record, len(recs)), mems: make([]wick.Member, len(recs))}
+	for idx := range recs {
+		rnk.byID[recs[idx].ID] = &recs[idx]
+		rnk.mems[idx] = recs[idx].Member()
+	}
+	return rnk
+}
+
+// of returns the rates of the entries' requests to a service in the order for an endpoint,
+// and the position of an entry.
+func (rnk ranking) of(vid wick.VMID, svc wick.Service, own wick.EntryID) ([]float64, int) {
+	order := place.Rank(string(vid), rnk.mems)
+	rates := make([]float64, len(order))
+	for idx, mem := range order {
+		rates[idx] = rnk.byID[mem.ID].Requests[svc]
+	}
+	return rates, slices.IndexFunc(order, func(mem wick.Member) bool { return mem.ID == own })
+}
+
 // setColdPolicies applies what a plan says of cold endpoints.
 func (edg *Edge) setColdPolicies(pln *wick.Plan) {
 	policies := make(map[wick.Service]pool.ColdPolicy)
@@ -64,9 +91,10 @@
 	edg.pool.SetColdPolicies(policies, time.Now())
 }
 
-// servingRecords returns the records of the entries that serve, this one included.
-func (edg *Edge) servingRecords(now time.Time) []roster.Record {
-	recs := slices.DeleteFunc(edg.roster.Alive(now, memberTimeout, false), func(rec roster.Record) bool { return rec.Leaving || rec.ID == edg.cfg.ID })
+// servingRecords returns the records of the entries that serve, this one included. Old
+// ones count only if they are frozen.
+func (edg *Edge) servingRecords(now time.Time, frozen bool) []roster.Record {
+	recs := slices.DeleteFunc(edg.roster.Alive(now, memberTimeout, frozen), func(rec roster.Record) bool { return rec.Leaving || rec.ID == edg.cfg.ID })
 	own, ok := edg.roster.Find(edg.cfg.ID)
 	if !ok {
 		// Not published or read yet.
