edge: an entry that has just started uses no part of a cold endpoint's rate

Cause: after a restart an entry took its part as soon as any record of it was read, also that of its earlier process, while entries that had dropped it used the same part. Entries of a whole zone that start again together could double the rate. Change: it uses a part once it has read its own fifth record of this process. Result: without the change two of the four cases of TestColdShareAtStart fail, those of an earlier process and of the first record; with it all pass.

--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -32,7 +32,7 @@
 		return
 	}
 	rnk := newRanking(edg.servingRecords(now, edg.recordsLag(now)))
-	_, published := edg.roster.Find(edg.cfg.ID)
+	published := edg.isEstablished()
 	for _, col := range cold {
 		rates, own := rnk.of(col.ID, col.Service, edg.cfg.ID)
 		if !published {
@@ -43,6 +43,17 @@
 	}
 }
 
+// minSharedBeat is the number of records that an entry has published when the others have
+// read an earlier one. It sends one a second to its zone's poller, which writes them each
+// 2 s, and the others read within maxMemberInterval of each write.
+const minSharedBeat = 5
+
+// isEstablished reports whether the other entries have read that this process serves.
+func (edg *Edge) isEstablished() bool {
+	rec, ok := edg.roster.Find(edg.cfg.ID)
+	return ok && rec.Incarnation == edg.cfg.Incarnation && rec.Beat >= minSharedBeat
+}
+
 // recordsLag reports whether the records of other entries may be old because the store
 // can't be read, or could not be until a moment ago, or because this process was suspended.
 // The other entries go on using their parts then.
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -63,7 +63,7 @@
 		const entries, most = 10, 4
 		sit := newColdSite(t)
 		for num := range entries {
-			sit.publish(roster.Record{ID: wick.EntryID(fmt.Sprint("edge", num)), Requests: map[wick.Service]float64{"s": 1}})
+			sit.publish(roster.Record{ID: wick.EntryID(fmt.Sprint("edge", num)), Beat: minSharedBeat, Requests: map[wick.Service]float64{"s": 1}})
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -83,3 +83,32 @@
 		synctest.Wait()
 	})
 }
+
+// TestColdShareAtStart guards against an entry that has just started and uses a part of a
+// cold endpoint's rate that the others haven't left to it yet.
+func TestColdShareAtStart(t *testing.T) {
+	for name, tst := range map[string]struct {
+		rec  roster.Record
+		some bool
+	}{
+		"none published": {roster.Record{ID: "edge1", Incarnation: 2, Beat: 9}, false},
+		"an earlier one": {roster.Record{ID: "edge0", Incarnation: 1, Beat: 9}, false},
+		"just published": {roster.Record{ID: "edge0", Incarnation: 2, Beat: 1}, false},
+		"established":    {roster.Record{ID: "edge0", Incarnation: 2, Beat: minSharedBeat}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sit := newColdSite(t)
+				sit.edg.cfg.Incarnation = 2
+				data, err := json.Marshal(tst.rec)
+				if err != nil {
+					t.Fatal(err)
+				}
+				sit.edg.roster.Change(wick.Object{Key: wick.ObjectKey{Name: string(tst.rec.ID)}, Revision: 1, Data: data})
+				if num := sit.sent(2); (num > 0) != tst.some {
+					t.Errorf("%d requests are sent", num)
+				}
+			})
+		})
+	}
+}
