pool, edge: no request before the first list of evacuations

Cause: only the readiness check waited for the list. An entry that starts again at the address of its earlier process gets callers before the load balancer notices, and sent their requests to evacuated zones once the plan and the registry were read. Change: where zones may be evacuated, all count as evacuated until the first list is read; requests are refused as not executed. Result: TestRequestsNeedEvacuations fails without the change and passes with it, also TestEvacuationsUnread.

--- a/internal/edge/evacuate.go
+++ b/internal/edge/evacuate.go
@@ -42,6 +42,11 @@
 	evc.zones, evc.differsSince = make(map[wick.Zone]bool), make(map[wick.EntryID]time.Time)
 	evc.recoveredAt = evc.fol.RecoveredAt
 	evc.enabled = edg.cfg.Bounds.Evacuation > 0
+	if evc.enabled {
+		// Callers may come before the readiness check has failed: the load balancer knows
+		// an entry that starts again at the same address as ready.
+		edg.pool.AwaitEvacuated()
+	}
 	evc.fol.Store, evc.fol.Kind, evc.fol.Handler = edg.cfg.Store, edg.cfg.Kinds.Evacuation, evc
 }
 
--- a/internal/edge/evacuate_test.go
+++ b/internal/edge/evacuate_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wagtailwick/wagtailwick/internal/fake"
+	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -122,3 +123,22 @@
 		}
 	}
 }
+
+// TestRequestsNeedEvacuations guards against requests that an entry accepts before its
+// readiness check, at the address of its earlier process, and sends to an evacuated zone.
+func TestRequestsNeedEvacuations(t *testing.T) {
+	edg := New(Config{ID: "edge0", Zone: "z", Store: &fake.Store{}, Bounds: Bounds{Entries: 1, Evacuation: time.Second}})
+	edg.ready = &readyServer{}
+	edg.pool.Set(wick.Backend{ID: "i-1", Service: "s", Zone: "z", Slots: 8}, time.Now())
+	for _, tst := range []struct {
+		read, want bool
+	}{{false, false}, {true, true}} {
+		if tst.read {
+			edg.evacuations.Replace(nil)
+			edg.evacuations.Settled()
+		}
+		if _, err := edg.pool.Pick(pool.Query{Service: "s", Now: time.Now()}); (err == nil) != tst.want {
+			t.Errorf("evacuations read %v: error %v", tst.read, err)
+		}
+	}
+}
--- a/internal/pool/places.go
+++ b/internal/pool/places.go
@@ -13,13 +13,15 @@
 	mu        sync.RWMutex
 	regions   map[wick.Zone]wick.Region
 	evacuated map[wick.Zone]bool
+	// unread is set until the evacuated zones are known; all count as evacuated until then.
+	unread bool
 }
 
 // find returns the region of an availability zone and whether it is evacuated.
 func (plc *places) find(zone wick.Zone) (wick.Region, bool) {
 	plc.mu.RLock()
 	defer plc.mu.RUnlock()
-	return plc.regions[zone], plc.evacuated[zone]
+	return plc.regions[zone], plc.unread || plc.evacuated[zone]
 }
 
 // SetRegions sets the region of each availability zone.
@@ -30,6 +32,14 @@
 	pl.updatePlaces()
 }
 
+// AwaitEvacuated keeps requests from all endpoints until SetEvacuated is called.
+func (pl *Pool) AwaitEvacuated() {
+	pl.places.mu.Lock()
+	pl.places.unread = true
+	pl.places.mu.Unlock()
+	pl.updatePlaces()
+}
+
 // SetEvacuated sets the availability zones whose endpoints get no requests. Runs in
 // progress there may continue.
 func (pl *Pool) SetEvacuated(zones []wick.Zone) {
@@ -38,7 +48,7 @@
 		evacuated[zone] = true
 	}
 	pl.places.mu.Lock()
-	pl.places.evacuated = evacuated
+	pl.places.evacuated, pl.places.unread = evacuated, false
 	pl.places.mu.Unlock()
 	pl.updatePlaces()
 }
--- a/internal/pool/places_test.go
+++ b/internal/pool/places_test.go
@@ -69,3 +69,14 @@
 		})
 	}
 }
+
+// TestEvacuationsUnread guards against requests to an evacuated zone by an entry that has
+// just started and has read the endpoints, but not the evacuations.
+func TestEvacuationsUnread(t *testing.T) {
+	pl := newPool("a", "b")
+	pl.AwaitEvacuated()
+	pl.Set(backend(2, "c"), start)
+	assertNoEndpoint(t, pl, start)
+	pl.SetEvacuated([]wick.Zone{"a"})
+	assertZones(t, pl, Query{}, "b", "c")
+}
