relay: a run isn't stopped for a target whose zone is evacuated meanwhile

Cause: the zone of a move's target may be evacuated during the first copy. The run was then stopped, its memory was copied into the evacuated zone, and the copy was dropped afterwards, so that the stream lost its run. Change: the target is checked before the run is stopped, and another one is picked. Result: TestTargetEvacuated fails without the change and passes with it; tests of copies, handoffs and moves pass.

--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -123,7 +123,16 @@
 		case <-rsv.done:
 		case <-ctx.Done():
 		}
-		if ctx.Err() == nil && rsv.err != nil {
+		switch {
+		case ctx.Err() != nil:
+		case tgt.Evacuated():
+			// The run has not been stopped, so it may move elsewhere.
+			metrics.GetOrRegisterCounter("relay.moveTargetsDropped", nil).Inc(1)
+			go rsv.release(req.srv.cfg.Mover)
+			tgt.release()
+			hof.move(ctx, moveCtx, req, att)
+			return
+		case rsv.err != nil:
 			// The run continues on the same endpoint.
 			req.logMove(att.tgt.Backend, tgt.Backend, false, rsv.err)
 			tgt.release()
@@ -140,6 +149,11 @@
 	hof.stop = stopResult(err)
 	metrics.GetOrRegisterCounter("relay.moves", nil).Inc(1)
 	req.logMove(att.tgt.Backend, tgt.Backend, moved, err)
+	hof.settle(req, att, tgt, rsv, cpy, moved, err)
+}
+
+// settle records where a run continues after the answer to its move.
+func (hof *handoff) settle(req *request, att *attempt, tgt *target, rsv *copyReservation, cpy wick.RunSnapshot, moved bool, err error) {
 	switch {
 	case err == nil && moved:
 		hof.tgt, hof.cpy = tgt, cpy
