pool: explain which endpoint a query is assigned, without assigning it

Operators can't see why a request goes to an endpoint. Pool.Explain lists the endpoints of a service with the terms of their costs and the reasons for which others are excluded. It makes the choice by the same code as Pick (group.compare). limiter.wait no longer refills the bucket, since Explain calls it too.

--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -47,24 +47,30 @@
 // rate returns the requests per second that this entry may send.
 func (lmt *limiter) rate() float64 { return lmt.share * max(lmt.PerSecond, minLimitRate) }
 
-// refill adds the tokens of the time that has passed.
-func (lmt *limiter) refill(now time.Time) {
+// available returns the tokens with those of the time that has passed.
+func (lmt *limiter) available(now time.Time) float64 {
 	if passed := now.Sub(lmt.refilledAt).Seconds(); passed > 0 {
-		lmt.tokens = min(limitBurst, lmt.tokens+passed*lmt.rate())
-		lmt.refilledAt = now
+		return min(limitBurst, lmt.tokens+passed*lmt.rate())
 	}
+	return lmt.tokens
+}
+
+// refill adds the tokens of the time that has passed.
+func (lmt *limiter) refill(now time.Time) {
+	lmt.tokens, lmt.refilledAt = lmt.available(now), later(lmt.refilledAt, now)
 }
 
-// wait returns the time until one more request may be sent.
+// wait returns the time until one more request may be sent. It changes nothing, so that
+// Explain may call it.
 func (lmt *limiter) wait(now time.Time) time.Duration {
 	if !lmt.Set {
 		return 0
 	}
-	lmt.refill(now)
-	if lmt.tokens >= 1 {
+	tokens := lmt.available(now)
+	if tokens >= 1 {
 		return 0
 	}
-	secs := (1 - lmt.tokens) / lmt.rate()
+	secs := (1 - tokens) / lmt.rate()
 	if secs > maxLimitWait.Seconds() {
 		return maxLimitWait
 	}
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -76,10 +76,12 @@
 
 // allows reports whether the query allows the endpoint's version and region.
 func (que *Query) allows(end *endpoint) bool {
-	if !allowsRegion(que.Regions, end.region) || !allowsRegion(que.CustomerRegions, end.region) {
-		return false
-	}
-	return (que.OnlyVersion == "" || end.bke.Version == que.OnlyVersion) && !slices.Contains(que.ExceptVersions, end.bke.Version)
+	return que.allowsRegionOf(end) && (que.OnlyVersion == "" || end.bke.Version == que.OnlyVersion) && !slices.Contains(que.ExceptVersions, end.bke.Version)
+}
+
+// allowsRegionOf reports whether the query allows the endpoint's region.
+func (que *Query) allowsRegionOf(end *endpoint) bool {
+	return allowsRegion(que.Regions, end.region) && allowsRegion(que.CustomerRegions, end.region)
 }
 
 // An Assignment is the assignment of an endpoint to one request.
@@ -108,7 +110,7 @@
 func (pl *Pool) Pick(que Query) (*Assignment, error) {
 	grp := pl.groupOfService(que.Service)
 	if grp == nil {
-		return nil, eris.Wrapf(wick.ErrNotFound, "pool: no endpoint of %s", que.Service)
+		return nil, errNoService(que.Service)
 	}
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
@@ -135,22 +137,34 @@
 	return asg, nil
 }
 
+// errNoService returns the error for a service without endpoints.
+func errNoService(svc wick.Service) error {
+	return eris.Wrapf(wick.ErrNotFound, "pool: no endpoint of %s", svc)
+}
+
 // best returns the endpoint with the lowest cost among those with the highest
 // availability. With many endpoints it compares a sample of them, and all of them only
 // if none of the sample is available.
 func (grp *group) best(que *Query, preferred [2]*endpoint, zone wick.Zone) *endpoint {
-	if len(grp.all) <= maxFullScan {
-		end, _ := grp.cheapest(grp.all, que, preferred, zone)
-		return end
-	}
-	cnd := grp.sample(que, preferred, zone)
-	end, avail := grp.cheapest(cnd.ends[:cnd.num], que, preferred, zone)
-	if avail != available {
-		end, _ = grp.cheapest(grp.all, que, preferred, zone)
-	}
+	var cnd candidates
+	end, _ := grp.compare(que, preferred, zone, &cnd)
 	return end
 }
 
+// compare returns the best endpoint and those that it was compared with. A sample is held
+// by cnd.
+func (grp *group) compare(que *Query, preferred [2]*endpoint, zone wick.Zone, cnd *candidates) (best *endpoint, compared []*endpoint) {
+	if len(grp.all) > maxFullScan {
+		*cnd = grp.sample(que, preferred, zone)
+		compared = cnd.ends[:cnd.num]
+		if end, avail := grp.cheapest(compared, que, preferred, zone); avail == available {
+			return end, compared
+		}
+	}
+	best, _ = grp.cheapest(grp.all, que, preferred, zone)
+	return best, grp.all
+}
+
 // cheapest returns the endpoint of a list with the lowest cost among those with the
 // highest availability, nil if none is available.
 func (grp *group) cheapest(ends []*endpoint, que *Query, preferred [2]*endpoint, zone wick.Zone) (*endpoint, availability) {
