relay, edge, cmds: wagtailwick where shows where a request would go, without sending it

relay.Server.Explain resolves the route, the customer, the rank and the quota that is left, and explains the choice for each service and version that the request may get. What it reads of quotas, version orders and blocked prompts comes from relay.Views, which change nothing: quota.Allocation.Left, crash.Tracker.Peek and canary.Judge.Share. The admin server answers POST /where, and the command where prints the answer as text or JSON. Requests to the admin server are bounded at 64 KiB.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,10 +1,11 @@
-// Package admin serves the admin HTTP endpoints of an entry: state dump, metrics
-// and health check.
+// Package admin serves the admin HTTP endpoints of an entry: state dump, metrics,
+// queries and health check.
 package admin
 
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"sort"
 	"sync"
@@ -20,17 +21,27 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
 // A Dump returns the state of one component as a value that encodes to JSON.
 type Dump func() any
 
+// A Query answers a request with a value that encodes to JSON. Errors that wrap
+// wick.ErrInvalid are those of the caller.
+type Query func(body []byte) (any, error)
+
+// maxQueryBytes bounds the body of a request, which is a small JSON document.
+const maxQueryBytes = 64 << 10
+
 // A Server is the admin HTTP server. Its zero value has no components.
 type Server struct {
 	mu    sync.Mutex
 	dumps map[string]Dump
-	hertz *server.Hertz
-	lis   net.Listener
+	// queries holds the queries by path.
+	queries map[string]Query
+	hertz   *server.Hertz
+	lis     net.Listener
 	// Registry holds the metrics; the default registry if nil.
 	Registry metrics.Registry
 	// Gather, if not nil, updates the metrics before each scrape.
@@ -47,6 +58,15 @@
 	srv.dumps[part] = dump
 }
 
+// AddQuery registers a query, which is asked by POST requests to a path. It must be called
+// before Start.
+func (srv *Server) AddQuery(path string, qry Query) {
+	if srv.queries == nil {
+		srv.queries = make(map[string]Query)
+	}
+	srv.queries[path] = qry
+}
+
 // State returns the state of all components by name.
 func (srv *Server) State() map[string]any {
 	srv.mu.Lock()
@@ -73,6 +93,7 @@
 		server.WithListener(httpio.RetryListener{Listener: lis}),
 		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
+		server.WithMaxRequestBodySize(maxQueryBytes),
 		server.WithExitWaitTime(time.Second),
 		config.Option{F: func(opt *config.Options) { opt.NoDefaultServerHeader = true }},
 	)
@@ -81,6 +102,9 @@
 	srv.hertz.GET("/healthz", func(_ context.Context, req *app.RequestContext) {
 		req.String(consts.StatusOK, "ok\n")
 	})
+	for path, qry := range srv.queries {
+		srv.hertz.POST(path, func(_ context.Context, req *app.RequestContext) { serveQuery(req, qry) })
+	}
 	go func() {
 		if err := srv.hertz.Run(); err != nil {
 			logrus.WithError(err).Debug("admin: server stopped")
@@ -106,6 +130,24 @@
 	req.Data(consts.StatusOK, "application/json", append(data, '\n'))
 }
 
+func serveQuery(req *app.RequestContext, qry Query) {
+	val, err := qry(req.Request.Body())
+	switch {
+	case errors.Is(err, wick.ErrInvalid):
+		req.String(consts.StatusBadRequest, err.Error())
+		return
+	case err != nil:
+		req.String(consts.StatusInternalServerError, err.Error())
+		return
+	}
+	data, err := json.Marshal(val)
+	if err != nil {
+		req.String(consts.StatusInternalServerError, err.Error())
+		return
+	}
+	req.Data(consts.StatusOK, "application/json", append(data, '\n'))
+}
+
 func (srv *Server) serveMetrics(_ context.Context, req *app.RequestContext) {
 	if srv.Gather != nil {
 		srv.Gather()
--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -152,6 +152,21 @@
 	return choice
 }
 
+// Share returns the share of a service's requests that Choose aims to send to a candidate,
+// 0 if there is none or it was stopped.
+func (jdg *Judge) Share(svc wick.Service) wick.Share {
+	jdg.mu.Lock()
+	defer jdg.mu.Unlock()
+	tri := jdg.trials[svc]
+	if tri == nil {
+		return 0
+	}
+	if _, stopped := jdg.stops[tri.move.ID]; stopped && !jdg.noStop {
+		return 0
+	}
+	return tri.move.Share
+}
+
 // recordOutcome records the outcome of an attempt and stops the version if the
 // evidence is sufficient.
 func (jdg *Judge) recordOutcome(tri *trial, candidate bool, route string, smp wick.VersionSample) {
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -47,6 +47,7 @@
 	versionCommand,
 	replayCommand,
 	standinCommand,
+	whereCommand,
 }
 
 // Main runs the command given by args and returns the exit code.
--- a/internal/cmds/dump.go
+++ b/internal/cmds/dump.go
@@ -1,11 +1,13 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -55,8 +57,14 @@
 	return append(raw, '\n'), nil
 }
 
-// fetch returns the body of a GET request. Any status but 200 is an error.
-func fetch(url string) ([]byte, error) {
+// fetch returns the body of the answer to a GET request. Any status but 200 is an error.
+func fetch(url string) ([]byte, error) { return call(consts.MethodGet, url, nil) }
+
+// post returns the body of the answer to a POST request with a JSON body. Any status but 200
+// is an error.
+func post(url string, body []byte) ([]byte, error) { return call(consts.MethodPost, url, body) }
+
+func call(method, url string, body []byte) ([]byte, error) {
 	cli, err := client.NewClient(client.WithDialer(standard.NewDialer()), client.WithDialTimeout(dumpTimeout))
 	if err != nil {
 		return nil, eris.Wrap(err, "create client")
@@ -65,11 +73,16 @@
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	req.SetRequestURI(url)
+	req.SetMethod(method)
+	if body != nil {
+		req.Header.SetContentTypeBytes([]byte("application/json"))
+		req.SetBody(body)
+	}
 	if err := cli.DoTimeout(context.Background(), req, resp, dumpTimeout); err != nil {
-		return nil, eris.Wrapf(err, "get %s", url)
+		return nil, eris.Wrapf(err, "%s %s", strings.ToLower(method), url)
 	}
 	if code := resp.StatusCode(); code != consts.StatusOK {
-		return nil, eris.Errorf("get %s: status %d", url, code)
+		return nil, eris.Errorf("%s %s: status %d: %s", strings.ToLower(method), url, code, bytes.TrimSpace(resp.Body()))
 	}
 	return append([]byte(nil), resp.Body()...), nil
 }
--- a/internal/crash/block.go
+++ b/internal/crash/block.go
@@ -80,10 +80,34 @@
 		return Verdict{}
 	}
 	trk.purgeBlocks(now)
-	var out Verdict
-	var due []*block
+	out, due := trk.match(pro, rank, now)
+	for _, blk := range due {
+		blk.trials++
+		blk.base = now
+		trk.outbox.Blocks = append(trk.outbox.Blocks, blk.export(now))
+	}
+	out.Trial = len(due) > 0
+	return out
+}
+
+// Peek returns what Check would decide about a prompt. It starts no trial, and evidence that
+// has not been evaluated yet does not count.
+func (trk *Tracker) Peek(pro Prompt, rank func(key string) int, now time.Time) Verdict {
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	if len(pro.Shared) == 0 {
+		return Verdict{}
+	}
+	out, due := trk.match(pro, rank, now)
+	out.Trial = len(due) > 0
+	return out
+}
+
+// match returns the verdict of the blocks that concern a prompt, and those of which a trial
+// is due unless the prompt is blocked. trk.mu must be held.
+func (trk *Tracker) match(pro Prompt, rank func(key string) int, now time.Time) (out Verdict, due []*block) {
 	for key, blk := range trk.blocks {
-		if blk.lifted || !blk.matches(pro) {
+		if blk.lifted || now.Sub(blk.base) > maxBlockAge || !blk.matches(pro) {
 			continue
 		}
 		at := blk.trialAt()
@@ -95,15 +119,9 @@
 		due = append(due, blk)
 	}
 	if out.Blocked {
-		return out
-	}
-	for _, blk := range due {
-		blk.trials++
-		blk.base = now
-		trk.outbox.Blocks = append(trk.outbox.Blocks, blk.export(now))
+		return out, nil
 	}
-	out.Trial = len(due) > 0
-	return out
+	return out, due
 }
 
 // trialAt returns when the next trial is due.
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -70,6 +70,11 @@
 	return vdc
 }
 
+// peek returns what Check would decide, without starting a trial.
+func (crs *crashes) peek(pro crash.Prompt) crash.Verdict {
+	return crs.tracker.Peek(pro, crs.trialRank, time.Now())
+}
+
 // trialRank returns this entry's position among those that may start a trial.
 func (crs *crashes) trialRank(key string) int {
 	mems := place.Rank(key, crs.edg.roster.Members(time.Now(), memberTimeout))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -333,7 +333,7 @@
 	}
 	edg.relay = relay.New(relay.Config{
 		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Memory: edg.cfg.Memory, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
-		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Prober: edg.cfg.Prober, Crashes: &edg.crashes, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
+		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Prober: edg.cfg.Prober, Crashes: &edg.crashes, Views: views{edg}, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
 		IDHeader: edg.cfg.IDHeader, PlanConfirmed: edg.planConfirmed, EndpointLeaves: edg.announceLeaving,
 		RegistryAge: func() time.Duration { return time.Since(edg.backends.LastSuccess()) },
 	})
@@ -350,6 +350,7 @@
 	edg.admin.Add("leases", func() any { return edg.leases.Dump() })
 	edg.admin.Add("crashes", func() any { return edg.crashes.tracker.Record(time.Now()) })
 	edg.admin.Add("members", func() any { return edg.roster.All() })
+	edg.admin.AddQuery(WherePath, edg.where)
 	return eris.Wrap(edg.admin.Start(edg.cfg.AdminAddr), "edge")
 }
 
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -134,29 +134,55 @@
 // Choose restricts the versions that a request may be sent to during and after a
 // rollout.
 func (rls *rollouts) Choose(svc wick.Service, route wick.RouteName, now time.Time) relay.Choice {
+	ord, ok := rls.order(svc)
+	if choice, settled := settledChoice(&ord, ok); settled {
+		choice.Done = func(smp wick.VersionSample) { rls.jdg.Observe(svc, string(route), smp) }
+		return choice
+	}
+	vch := rls.jdg.Choose(wick.RouteQuery{Service: svc, Route: string(route), Now: now})
+	choice := oldVersions(&ord)
+	if vch.Candidate {
+		choice = newVersion(&ord)
+	}
+	choice.Done = vch.Done
+	return choice
+}
+
+// order returns the newest order of a service, and false if it has none.
+func (rls *rollouts) order(svc wick.Service) (wick.VersionOrder, bool) {
 	rls.mu.Lock()
+	defer rls.mu.Unlock()
 	rol := rls.orders[svc]
-	var ord wick.VersionOrder
-	if rol != nil {
-		ord = rol.ord
+	if rol == nil {
+		return wick.VersionOrder{}, false
 	}
-	rls.mu.Unlock()
-	observe := func(smp wick.VersionSample) { rls.jdg.Observe(svc, string(route), smp) }
+	return rol.ord, true
+}
+
+// settledChoice returns the choice of all requests to a service whose newest order, if there
+// is one, has ended, and false if it has not.
+func settledChoice(ord *wick.VersionOrder, exists bool) (relay.Choice, bool) {
 	switch {
-	case rol == nil:
-		return relay.Choice{Done: observe}
+	case !exists:
+		return relay.Choice{}, true
 	case ord.State == wick.OrderDone:
-		return relay.Choice{Only: ord.Target, Except: ord.Withheld, Fallback: true, Done: observe}
+		return newVersion(ord), true
 	case ord.State == wick.OrderRolledBack:
-		return relay.Choice{Except: unproved(&ord), Done: observe}
-	}
-	vch := rls.jdg.Choose(wick.RouteQuery{Service: svc, Route: string(route), Now: now})
-	if vch.Candidate {
-		return relay.Choice{Only: ord.Target, Except: ord.Withheld, Fallback: true, Done: vch.Done}
+		return oldVersions(ord), true
+	default:
+		return relay.Choice{}, false
 	}
-	return relay.Choice{Except: unproved(&ord), Done: vch.Done}
 }
 
+// newVersion restricts a request to the version that an order brings in, if there is an
+// endpoint of it.
+func newVersion(ord *wick.VersionOrder) relay.Choice {
+	return relay.Choice{Only: ord.Target, Except: ord.Withheld, Fallback: true}
+}
+
+// oldVersions keeps a request from the version that an order brings in.
+func oldVersions(ord *wick.VersionOrder) relay.Choice { return relay.Choice{Except: unproved(ord)} }
+
 // run evaluates and advances the active rollouts until ctx is cancelled.
 func (rls *rollouts) run(ctx context.Context) {
 	for retry.Sleep(ctx, rolloutInterval) {
--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -43,6 +43,7 @@
 	MsgEndpointEnded           = "edge: endpoint ended"
 	MsgPartsBlocked            = "edge: parts of prompts blocked"
 	MsgPartsAllowed            = "edge: parts of prompts allowed again"
+	MsgWhereAnswered           = "edge: question about a request's placement answered"
 )
 
 // Values of FieldReason: why a request was refused, failed or cut off.
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -150,6 +150,17 @@
 // Find resolves the route and customer of a request. It returns ErrNoPlan,
 // ErrNoRoute or ErrNoCustomer if it can't.
 func (cur *Current) Find(host, path string, key wick.CallerKey) (Match, error) {
+	return cur.find(host, path, func(tbl *Table) *wick.CustomerPlan { return tbl.Customer(key) })
+}
+
+// FindNamed is Find for a request of a customer that is given by its name.
+func (cur *Current) FindNamed(host, path string, cus wick.Customer) (Match, error) {
+	return cur.find(host, path, func(tbl *Table) *wick.CustomerPlan { return tbl.CustomerNamed(cus) })
+}
+
+// find resolves the route of a request, and its customer by customerOf, which returns nil
+// for an unknown one.
+func (cur *Current) find(host, path string, customerOf func(tbl *Table) *wick.CustomerPlan) (Match, error) {
 	tbl := cur.Load()
 	if tbl == nil {
 		return Match{}, ErrNoPlan
@@ -158,7 +169,7 @@
 	if rpl == nil {
 		return Match{}, ErrNoRoute
 	}
-	mat := Match{Table: tbl, Route: rpl, Customer: tbl.Customer(key)}
+	mat := Match{Table: tbl, Route: rpl, Customer: customerOf(tbl)}
 	if mat.Customer == nil && !rpl.Public && len(tbl.Plan.Customers) > 0 {
 		return Match{}, ErrNoCustomer
 	}
--- a/internal/pool/explain.go
+++ b/internal/pool/explain.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"errors"
 	"slices"
-	"time"
 
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -51,21 +49,6 @@
 	StepMillis  float64 `json:"stepMillis,omitempty"`
 }
 
-// RetryAfter returns the time until an endpoint may be sent the request, 0 if that is
-// unknown or now.
-func (exp *Explanation) RetryAfter() time.Duration {
-	var limited *LimitedError
-	var paused *PausedError
-	switch {
-	case errors.As(exp.Err, &limited):
-		return limited.RetryAfter
-	case errors.As(exp.Err, &paused):
-		return paused.RetryAfter
-	default:
-		return 0
-	}
-}
-
 // A Candidate is an endpoint of the service that a query asks for.
 type Candidate struct {
 	Endpoint wick.VMID         `json:"endpoint"`
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -97,10 +97,15 @@
 	at    time.Time
 }
 
+// available returns the level of the bucket when it is refilled at rate up to burst.
+func (buc *bucket) available(rate, burst float64, now time.Time) float64 {
+	return min(buc.level+rate*max(now.Sub(buc.at).Seconds(), 0), burst)
+}
+
 // take refills the bucket at rate up to burst and spends cost if the level
 // suffices. Otherwise it returns the time until it does.
 func (buc *bucket) take(cost, rate, burst float64, now time.Time) (bool, time.Duration) {
-	buc.level = min(buc.level+rate*max(now.Sub(buc.at).Seconds(), 0), burst)
+	buc.level = buc.available(rate, burst, now)
 	buc.at = now
 	if buc.level < cost {
 		if rate <= 0 {
@@ -180,12 +185,7 @@
 	alc.mu.Lock()
 	defer alc.mu.Unlock()
 	alc.recordDemand(cus.Name, cost, now)
-	share, known := alc.shares[cus.Name]
-	if !known {
-		share = alc.evenShare
-	}
-	share *= alc.allocatedShare
-	burst := alc.Tolerance.burst(cus.Quota) * share
+	rate, burst := alc.limits(cus)
 	buc := alc.buckets[cus.Name]
 	if buc == nil {
 		buc = &bucket{level: burst, at: now}
@@ -194,7 +194,30 @@
 		}
 		alc.buckets[cus.Name] = buc
 	}
-	return buc.take(cost, alc.Tolerance.rate(cus.Quota)*share, burst, now)
+	return buc.take(cost, rate, burst, now)
+}
+
+// limits returns the rate and the burst of this entry's allocation. alc.mu must be held.
+func (alc *Allocation) limits(cus *wick.CustomerPlan) (rate, burst float64) {
+	share, known := alc.shares[cus.Name]
+	if !known {
+		share = alc.evenShare
+	}
+	share *= alc.allocatedShare
+	return alc.Tolerance.rate(cus.Quota) * share, alc.Tolerance.burst(cus.Quota) * share
+}
+
+// Left returns the units that the entry's allocation has left. It spends none and counts
+// no demand.
+func (alc *Allocation) Left(cus *wick.CustomerPlan, now time.Time) float64 {
+	alc.mu.Lock()
+	defer alc.mu.Unlock()
+	rate, burst := alc.limits(cus)
+	buc := alc.buckets[cus.Name]
+	if buc == nil {
+		return burst
+	}
+	return buc.available(rate, burst, now)
 }
 
 // TakeAvailable spends up to cost units, as many as the entry's allocation has left,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,7 +86,7 @@
 }
 
 // A Config holds the dependencies of a Server. All fields but Prober,
-// Crashes and EndpointLeaves are required.
+// Crashes, Views and EndpointLeaves are required.
 type Config struct {
 	Listener net.Listener
 	// MaxConnections bounds the callers' open connections.
@@ -101,6 +101,7 @@
 	Mover    wick.Mover
 	Prober   wick.RunProber
 	Crashes  Crashes
+	Views    Views
 	Budget   *retry.Budget
 	Client   *wire.Client
 	Meter    Meter
@@ -148,6 +149,9 @@
 	if cfg.Crashes == nil {
 		cfg.Crashes = noCrashes{}
 	}
+	if cfg.Views == nil {
+		cfg.Views = noViews{}
+	}
 	if cfg.EndpointLeaves == nil {
 		cfg.EndpointLeaves = func(wick.Backend) {}
 	}
@@ -285,15 +289,8 @@
 	cfg := &req.srv.cfg
 	path, _, _ := strings.Cut(string(req.rct.Request.Header.RequestURI()), "?")
 	mat, err := cfg.Plans.Find(string(req.rct.Request.Header.Host()), path, req.params.Key)
-	switch {
-	case errors.Is(err, plan.ErrNoPlan):
-		return refusalNoPlan, false
-	case err != nil && !cfg.PlanConfirmed():
-		return refusalStalePlan, false
-	case errors.Is(err, plan.ErrNoRoute):
-		return refusalNoRoute, false
-	case err != nil:
-		return refusalNoCustomer, false
+	if err != nil {
+		return req.srv.unresolved(err), false
 	}
 	req.match = mat
 	req.service = plan.Choose(mat.Route)
@@ -312,6 +309,21 @@
 	return refusal{}, true
 }
 
+// unresolved returns the refusal of a request whose route or customer can't be resolved
+// because of err.
+func (srv *Server) unresolved(err error) refusal {
+	switch {
+	case errors.Is(err, plan.ErrNoPlan):
+		return refusalNoPlan
+	case !srv.cfg.PlanConfirmed():
+		return refusalStalePlan
+	case errors.Is(err, plan.ErrNoRoute):
+		return refusalNoRoute
+	default:
+		return refusalNoCustomer
+	}
+}
+
 // cost returns the units that the request costs of its customer's quota.
 func (req *request) cost() float64 { return quota.Cost(req.match.Customer.Quota, req.params) }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -81,12 +81,7 @@
 func (req *request) choose(tried []wick.VMID, resumed bool, maxWait time.Duration) (*target, error) {
 	now := time.Now()
 	choice := req.srv.cfg.Versions.Choose(req.service, req.match.Route.Name, now)
-	que := pool.Query{
-		Service: req.service, Model: len(req.params.Parts) > 0, Parts: req.params.Parts, InputTokens: req.params.InputTokens,
-		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersions: choice.Except, Exclude: tried, Resumed: resumed,
-		MaxWait: maxWait, TargetGap: req.match.Route.TargetGap, Now: now,
-	}
-	que.Regions, que.CustomerRegions = req.regions()
+	que := req.query(choice, tried, resumed, maxWait, now)
 	asg, err := req.srv.cfg.Pool.Pick(que)
 	if err != nil && choice.Fallback {
 		que.OnlyVersion = ""
@@ -101,6 +96,17 @@
 	return &target{Assignment: asg, choice: choice}, nil
 }
 
+// query returns the query for an endpoint of a choice of versions that is not in tried.
+func (req *request) query(choice Choice, tried []wick.VMID, resumed bool, maxWait time.Duration, now time.Time) pool.Query {
+	que := pool.Query{
+		Service: req.service, Model: len(req.params.Parts) > 0, Parts: req.params.Parts, InputTokens: req.params.InputTokens,
+		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersions: choice.Except, Exclude: tried, Resumed: resumed,
+		MaxWait: maxWait, TargetGap: req.match.Route.TargetGap, Now: now,
+	}
+	que.Regions, que.CustomerRegions = req.regions()
+	return que
+}
+
 // pickHandoffTarget picks an endpoint of the same version as old to move a run
 // to.
 func (req *request) pickHandoffTarget(old *target) (*target, error) {
