--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -208,6 +208,20 @@
 	}
 }
 
+// TestPeek guards against a trial that is started, and thereby used up, by a question.
+func TestPeek(t *testing.T) {
+	trk, now := blockedTracker(t)
+	for _, at := range []time.Time{now, now.Add(firstTrialDelay), now.Add(firstTrialDelay + time.Second)} {
+		for range 2 {
+			trk.Peek(behindOnePart(6), first, at)
+		}
+		got, want := trk.Peek(behindOnePart(6), first, at), trk.Check(behindOnePart(6), first, at)
+		if got != want {
+			t.Errorf("Peek = %+v, Check = %+v", got, want)
+		}
+	}
+}
+
 // TestNews guards against entries that don't learn what others know: late ones and those
 // that get no messages read it from records; and against a stale record that restores a
 // block that was lifted.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -322,6 +322,26 @@
 			t.Error("refused after a refund")
 		}
 	})
+	t.Run("left", func(t *testing.T) {
+		// Left must not refill the bucket, spend or count demand.
+		alc := &Allocation{}
+		alc.SetShares(nil, nil, false)
+		cus := plan(1000, 1000)
+		full := alc.Left(cus, now)
+		spend(alc, cus, 100, now, 10*time.Millisecond)
+		demand := alc.Demand(now)[customer]
+		later := now.Add(100 * time.Millisecond)
+		left := alc.Left(cus, later)
+		assertWithin(t, "left", alc.Left(cus, later), left, left)
+		assertWithin(t, "demand", alc.Demand(now)[customer], demand, demand)
+		assertWithin(t, "left later", alc.Left(cus, now.Add(time.Hour)), full, full)
+		if ok, _ := alc.Take(cus, left+1, later); ok {
+			t.Errorf("took more than the %v units that were left", left)
+		}
+		if ok, _ := alc.Take(cus, left, later); !ok {
+			t.Errorf("could not take the %v units that were left", left)
+		}
+	})
 	t.Run("no quota", func(t *testing.T) {
 		if ok, _ := new(Allocation).Take(plan(0, 0), 1e9, now); !ok {
 			t.Error("refused without a quota")
