--- a/internal/pool/explain_test.go
+++ b/internal/pool/explain_test.go
@@ -51,7 +51,8 @@
 	pl.Report("e12", Report{At: start, Load: wick.BackendLoad{Running: 2, Waiting: 1, NextTokens: 300}})
 	grp := pl.groups[service]
 	grp.eps["e4"].limit.tokens = -5
-	grp.eps["e3"].pause.extend(start.Add(time.Minute))
+	// It ends within the tests, so that the requests after it ramp up.
+	grp.eps["e3"].pause.extend(start.Add(10 * time.Second))
 	pl.MarkGone("e9", 0, start.Add(time.Minute))
 	grp.eps["e10"].backoffUntil = start.Add(time.Minute)
 	return pl
