--- a/internal/cmds/where.go
+++ b/internal/cmds/where.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -169,7 +171,10 @@
 	}
 	prn.err = tab.Flush()
 	if left := len(plc.Candidates) - limit; left > 0 {
-		prn.printf("%d more\n", left)
+		prn.printf("%d more rows\n", left)
+	}
+	for _, reason := range slices.Sorted(maps.Keys(plc.Excluded)) {
+		prn.printf("excluded as %s: %d\n", reason, plc.Excluded[reason])
 	}
 	if plc.Unsampled > 0 {
 		prn.printf("%d other endpoints were not in the sample that was compared\n", plc.Unsampled)
--- a/internal/pool/explain.go
+++ b/internal/pool/explain.go
@@ -30,16 +30,21 @@
 	ExcludedLimited Exclusion = "limited"
 )
 
+// maxListed bounds the endpoints that an explanation lists for each reason of exclusion, and
+// with them the time for which it holds the lock of a large service.
+const maxListed = 20
+
 // An Explanation tells which endpoint a query is assigned at a time, and why.
 type Explanation struct {
 	// Choice is the endpoint that the query is assigned, "" if there is none.
 	Choice wick.VMID `json:"choice,omitempty"`
 	// Err is the error of Pick if there is no choice.
 	Err error `json:"-"`
-	// Candidates are the endpoints in the order in which they are preferred, then those
-	// that are excluded. Endpoints of a large service that are not in the sample that was
-	// compared are only listed if they are excluded.
+	// Candidates are the endpoints that were compared, in the order in which they are
+	// preferred, then those that are excluded, at most maxListed for each reason.
 	Candidates []Candidate `json:"candidates"`
+	// Excluded counts all endpoints that are excluded.
+	Excluded map[Exclusion]int `json:"excluded,omitempty"`
 	// Unsampled is the number of the endpoints that might be sent the request, but were
 	// not in the sample. Another sample may lead to another choice.
 	Unsampled int `json:"unsampled,omitempty"`
@@ -121,14 +126,21 @@
 	if grp == nil {
 		return Explanation{Err: errNoService(que.Service)}
 	}
+	out := grp.explain(&que, pl.zone)
+	slices.SortFunc(out.Candidates, compareCandidates)
+	return out
+}
+
+// explain is Pool.Explain with the candidates in no particular order.
+func (grp *group) explain(que *Query, zone wick.Zone) Explanation {
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
-	preferred := grp.preferredFor(&que)
+	preferred := grp.preferredFor(que)
 	var cnd candidates
-	best, compared := grp.compare(&que, preferred, pl.zone, &cnd)
-	out := Explanation{PrefillRate: grp.engine.PrefillRate, StepMillis: grp.engine.StepMillis}
+	best, compared := grp.compare(que, preferred, zone, &cnd)
+	out := Explanation{Excluded: make(map[Exclusion]int), PrefillRate: grp.engine.PrefillRate, StepMillis: grp.engine.StepMillis}
 	if best == nil {
-		out.Err = grp.noneAvailable(&que)
+		out.Err = grp.noneAvailable(que)
 	} else {
 		out.Choice = best.bke.ID
 	}
@@ -137,14 +149,18 @@
 		inSample[end] = true
 	}
 	for _, end := range grp.all {
-		excl := end.exclusion(&que)
+		excl := end.exclusion(que)
 		if excl == "" && !inSample[end] {
 			out.Unsampled++
 			continue
 		}
-		out.Candidates = append(out.Candidates, grp.candidate(end, &que, preferred, pl.zone, excl))
+		if excl != "" {
+			out.Excluded[excl]++
+		}
+		if excl == "" || out.Excluded[excl] <= maxListed {
+			out.Candidates = append(out.Candidates, grp.candidate(end, que, preferred, zone, excl))
+		}
 	}
-	slices.SortFunc(out.Candidates, compareCandidates)
 	return out
 }
 
--- a/internal/pool/explain_test.go
+++ b/internal/pool/explain_test.go
@@ -113,10 +113,11 @@
 		pl := New("a")
 		const endpoints = 300
 		for num := range endpoints {
-			pl.Set(backend(num, "a"), start)
+			pl.Set(backend(num, map[bool]wick.Zone{true: "evacuated", false: "a"}[num%3 == 0]), start)
 		}
+		pl.SetEvacuated([]wick.Zone{"evacuated"})
 		exp := pl.Explain(Query{Service: service, Now: start})
-		if exp.Choice == "" || exp.Candidates[0].Endpoint != exp.Choice || exp.Unsampled == 0 || exp.Unsampled+len(exp.Candidates) != endpoints {
+		if exp.Choice == "" || exp.Candidates[0].Endpoint != exp.Choice || exp.Unsampled == 0 || exp.Unsampled+len(exp.Candidates)-maxListed != endpoints*2/3 || exp.Excluded[ExcludedEvacuated] != endpoints/3 {
 			t.Errorf("choice %q, %d candidates, %d not in the sample", exp.Choice, len(exp.Candidates), exp.Unsampled)
 		}
 	})
