--- a/internal/cmds/where.go
+++ b/internal/cmds/where.go
@@ -126,7 +126,7 @@
 		prn.printf("the prompt would be let through as the trial of a block\n")
 	}
 	if ans.Refusal != "" {
-		prn.printf("refused: %s, retry after %d ms\n", ans.Refusal, ans.RetryAfterMillis)
+		prn.printf("refused: %s\n", describeRefusal(ans.Refusal, ans.RetryAfterMillis))
 	}
 	for idx := range ans.Placements {
 		prn.placement(&ans.Placements[idx], limit)
@@ -134,6 +134,13 @@
 	return prn.err
 }
 
+func describeRefusal(reason string, retryAfterMillis int64) string {
+	if retryAfterMillis <= 0 {
+		return reason
+	}
+	return fmt.Sprintf("%s, retry after %d ms", reason, retryAfterMillis)
+}
+
 func orNone(text string) string {
 	if text == "" {
 		return "none"
@@ -153,7 +160,7 @@
 	if plc.Choice != "" {
 		prn.printf(": %s\n", plc.Choice)
 	} else {
-		prn.printf(": refused, %s, retry after %d ms\n", plc.Refusal, plc.RetryAfterMillis)
+		prn.printf(": refused, %s\n", describeRefusal(plc.Refusal, plc.RetryAfterMillis))
 	}
 	prn.printf("engines: %g prompt tokens a ms, step %g ms (0: prior)\n", plc.PrefillRate, plc.StepMillis)
 	if prn.err != nil {
