--- a/internal/pool/explain.go
+++ b/internal/pool/explain.go
@@ -181,7 +181,7 @@
 		WaitMillis: end.wait(que.Now).Milliseconds(), avail: end.availability(que.Now),
 	}
 	out.Availability = availabilityNames[out.avail]
-	out.Pace, _ = end.pace(que.Now)
+	out.Pace = end.factor()
 	if que.Model {
 		out.Prefill = grp.uncached(end, que, preferred)
 	}
--- a/internal/pool/explain_test.go
+++ b/internal/pool/explain_test.go
@@ -28,7 +28,7 @@
 func newMixedPool() *Pool {
 	pl := New("a")
 	pl.SetRegions(map[wick.Zone]wick.Region{"a": "r", "b": "r", "evacuated": "r", "abroad": "x"})
-	pl.SetColdPolicies(map[wick.Service]ColdPolicy{service: coldPolicy})
+	pl.SetColdPolicies(map[wick.Service]ColdPolicy{service: coldPolicy}, start)
 	pl.SetEvacuated([]wick.Zone{"evacuated"})
 	const endpoints = 14
 	for num := range endpoints {
@@ -46,7 +46,8 @@
 		}
 		pl.Set(bke, start)
 	}
-	pl.Report("e0", Report{At: start, Load: wick.BackendLoad{Running: 1}, Pace: pace.Estimate{Factor: 3, Stalls: 0.5}})
+	pl.Report("e0", Report{At: start, Load: wick.BackendLoad{Running: 1}})
+	pl.groups[service].eps["e0"].setPace(pace.Estimate{Factor: 3, Stalls: 0.5})
 	pl.Report("e4", Report{At: start, Load: wick.BackendLoad{Limit: wick.RateLimit{Set: true, PerSecond: 1}}})
 	pl.Report("e12", Report{At: start, Load: wick.BackendLoad{Running: 2, Waiting: 1, NextTokens: 300}})
 	grp := pl.groups[service]
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -226,10 +226,7 @@
 		running = max(running, load.Running)
 		wait = max(wait, grp.engine.WaitingMillis(load.Waiting)+grp.engine.PrefillMillis(load.NextTokens))
 	}
-	factor := end.pace.Factor
-	if factor <= 0 {
-		factor = 1
-	}
+	factor := end.factor()
 	ctm.running = factor * grp.engine.RunningMillis(running)
 	ctm.waiting = factor * wait
 	ctm.prefill = factor * uncachedWeight * grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -71,6 +71,15 @@
 	end.pace, end.class = est, cls
 }
 
+// factor returns the time that the endpoint takes as a multiple of that of the median
+// endpoint, 1 if it is unknown.
+func (end *endpoint) factor() float64 {
+	if end.pace.Factor <= 0 {
+		return 1
+	}
+	return end.pace.Factor
+}
+
 // A Stream describes the events of a complete stream.
 type Stream struct {
 	// Events is their number, Took the time from the first to the last.
