pool: the speed of endpoints counts in their costs only

Cause: keys that were assigned by speed moved whenever the class of an endpoint changed.

Change: keys are assigned as before; the factor remains in the cost.

--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -62,10 +62,9 @@
 	// backoffUntil is the end of the endpoint's ejection or refusal backoff.
 	backoffUntil time.Time
 	report       Report
-	// pace is the endpoint's estimated pace, class its class by that, and sample sums up
-	// this entry's streams that were not passed on yet.
+	// pace is the endpoint's estimated pace, and sample sums up this entry's streams that
+	// were not passed on yet.
 	pace   pace.Estimate
-	class  speedClass
 	sample pace.Sample
 	limit  limiter
 	cold   coldState
--- a/internal/pool/ring.go
+++ b/internal/pool/ring.go
@@ -44,11 +44,10 @@
 }
 
 // preferred returns the first and the second endpoint for a key among those that
-// allowed accepts. Either is nil if there are too few. An endpoint is assigned keys in
-// proportion to its weight.
+// allowed accepts. Either is nil if there are too few.
 func (rng ring) preferred(key string, allowed func(end *endpoint) bool) [2]*endpoint {
 	var out [2]*endpoint
-	var scores [2]float64
+	var weights [2]uint64
 	hash := xxhash.Sum64String(key)
 	at, _ := slices.BinarySearchFunc(rng, hash, func(pnt ringPoint, hash uint64) int { return cmp.Compare(pnt.hash, hash) })
 	for step, seen := 0, 0; step < len(rng) && seen < ringWindow; step++ {
@@ -57,13 +56,13 @@
 			continue
 		}
 		seen++
-		scr := end.class.score(mix(hash ^ end.hash))
+		wgt := mix(hash ^ end.hash)
 		switch {
-		case out[0] == nil || scr > scores[0]:
-			out[1], scores[1] = out[0], scores[0]
-			out[0], scores[0] = end, scr
-		case out[1] == nil || scr > scores[1]:
-			out[1], scores[1] = end, scr
+		case out[0] == nil || wgt > weights[0]:
+			out[1], weights[1] = out[0], weights[0]
+			out[0], weights[0] = end, wgt
+		case out[1] == nil || wgt > weights[1]:
+			out[1], weights[1] = end, wgt
 		}
 	}
 	return out
