pool, platform: endpoints that start during traffic are cold unless they say otherwise

Cause: only a positive cold_left_ms made an endpoint cold. A record without the field, of an endpoint that has just started, counted as warm. Change: such an endpoint is cold for the service's cold_start_s from when it was first seen, unless it was in the first list after the entry's start or its record states 0.

--- a/internal/pool/cold_test.go
+++ b/internal/pool/cold_test.go
@@ -186,3 +186,32 @@
 		t.Errorf("error %v, want a refusal for %v", err, left)
 	}
 }
+
+// TestColdStart guards against endpoints that start during traffic and count as warm because
+// their records don't say that they are cold, and against sound ones that count as cold when
+// an entry starts or reads their records again.
+func TestColdStart(t *testing.T) {
+	restarted, stated := backend(0, "a"), backend(1, "a")
+	restarted.Born, stated.ColdKnown = 2, true
+	for name, tst := range map[string]struct {
+		started []wick.Backend
+		cold    int
+	}{
+		"at the entry's start": {nil, 0},
+		"read again":           {[]wick.Backend{backend(0, "a")}, 0},
+		"new":                  {[]wick.Backend{backend(0, "a"), backend(1, "a")}, 1},
+		"started again":        {[]wick.Backend{restarted}, 1},
+		"stated as warm":       {[]wick.Backend{backend(0, "a"), stated}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pl := newColdFleet(t, 1, 0).pools[0]
+			pl.Replace([]wick.Backend{backend(0, "a")}, false, start)
+			for _, bke := range tst.started {
+				pl.Set(bke, start)
+			}
+			if got := len(pl.ColdEndpoints(start)); got != tst.cold {
+				t.Errorf("%d endpoints are cold, want %d", got, tst.cold)
+			}
+		})
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wagtailwick/wagtailwick/internal/pace"
@@ -31,6 +32,9 @@
 	limitShare float64
 	places     places
 	cold       coldPolicies
+	// listed is set once the first complete list was applied. Endpoints that come later
+	// have started during traffic.
+	listed atomic.Bool
 }
 
 // New returns an empty pool for an entry in a zone.
@@ -90,7 +94,7 @@
 	}
 	rec := pl.history.find(inc)
 	bke.Leaving = bke.Leaving || rec.leaving
-	grp.set(bke, rec.pausedUntil, now)
+	grp.set(bke, rec.pausedUntil, pl.listed.Load(), now)
 }
 
 // Remove removes an endpoint at once.
@@ -116,6 +120,7 @@
 	for _, vid := range pl.unlisted(listed) {
 		pl.Unlist(vid, afterOutage, now)
 	}
+	pl.listed.Store(true)
 }
 
 // Unlist removes an endpoint that is no longer listed. One whose registration may
@@ -316,11 +321,13 @@
 	return out
 }
 
-// set adds or updates an endpoint. A new one is paused until a time.
-func (grp *group) set(bke wick.Backend, pausedUntil, now time.Time) {
+// set adds or updates an endpoint. A new one is paused until a time. started is set if one
+// that is not known has started during traffic.
+func (grp *group) set(bke wick.Backend, pausedUntil time.Time, started bool, now time.Time) {
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
 	end := grp.eps[bke.ID]
+	started = started && (end == nil || end.bke.Born != bke.Born) && !bke.ColdKnown
 	// An incarnation that is leaving never returns to service.
 	bke.Leaving = bke.Leaving || end != nil && end.bke.Leaving && end.bke.Born == bke.Born
 	if end == nil || end.bke.Born != bke.Born || end.bke.Address != bke.Address || end.bke.Zone != bke.Zone {
@@ -336,6 +343,9 @@
 	grp.endCold(end, now)
 	end.coldListed = now.Add(bke.ColdFor)
 	grp.setCold(end, end.coldListed, now, "registry")
+	if started {
+		grp.setCold(end, now.Add(grp.cold.find(bke.Service).Start), now, "started")
+	}
 	if bke.Leaving {
 		end.leavesAt = time.Time{}
 		if bke.LeavesIn > 0 {
--- a/pkg/wick/plan.go
+++ b/pkg/wick/plan.go
@@ -156,8 +156,9 @@
 	// Born distinguishes successive starts of an endpoint with the same id.
 	Born int64
 	// ColdFor is how much longer the endpoint was going to be cold when the registry entry
-	// was written.
-	ColdFor time.Duration
+	// was written. ColdKnown is set if the entry states it, also as 0.
+	ColdFor   time.Duration
+	ColdKnown bool
 }
 
 // A VersionOrder requests the move of a service to endpoints of a version.
