edge: an entry that starts learns of evacuations that a restore of the store has lost

Cause: entries keep an evacuation that a restored store lacks for 10 s, until the operator writes it again. One that starts within that time reads the list without it and sent requests to the zone. Change: the reply to a catch-up names such zones and the time left; the entry that starts keeps them for that time. Result: TestEvacuationHeldAtStart fails without the change and passes with it; tests of evacuations and of catching up pass.

--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -44,6 +44,10 @@
 	Left []leavingEndpoint `cbor:"3,keyasint,omitempty"`
 	// Record is the JSON of the sender's own record, if the request asks for it.
 	Record []byte `cbor:"4,keyasint,omitempty"`
+	// Held lists the evacuated zones that a restore of the store has lost, which stay
+	// evacuated for HeldFor.
+	Held    []wick.Zone   `cbor:"5,keyasint,omitempty"`
+	HeldFor time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // A planObject is the object of the plan in force. Its zero value is ready to use.
@@ -79,6 +83,7 @@
 	if obj, ok := edg.planObject.newer(req.Plan); ok {
 		rep.Plan, rep.PlanData = obj.Key.Name, obj.Data
 	}
+	rep.Held, rep.HeldFor = edg.evacuations.held(time.Now())
 	for _, inc := range edg.pool.Left() {
 		rep.Left = append(rep.Left, leavingEndpoint{ID: inc.ID, Born: inc.Born})
 	}
@@ -131,6 +136,7 @@
 // adoptCatchUp adopts the reply of another entry.
 func (edg *Edge) adoptCatchUp(from wick.EntryID, rep *catchUpReply) {
 	edg.markLeft(from, rep.Left)
+	edg.evacuations.adoptHeld(rep.Held, rep.HeldFor, time.Now())
 	if rep.Plan == "" {
 		return
 	}
--- a/internal/edge/evacuate.go
+++ b/internal/edge/evacuate.go
@@ -31,6 +31,9 @@
 	// zones holds the evacuated zones. The value is true for one that is in the store,
 	// false for one that a restore of the store may have lost.
 	zones map[wick.Zone]bool
+	// heldUntil is the end of the time for which this entry keeps zones that another one
+	// has told it of, since a restore of the store may have lost them.
+	heldUntil time.Time
 	// differsSince is when the zones of another entry first differed from these. Entries
 	// that agree are missing.
 	differsSince map[wick.EntryID]time.Time
@@ -65,9 +68,9 @@
 	for idx := range objs {
 		listed[wick.Zone(objs[idx].Key.Name)] = true
 	}
-	wait := rewriteTime - time.Since(evc.recoveredAt())
 	evc.mu.Lock()
 	defer evc.mu.Unlock()
+	wait := evc.holdTime(time.Now())
 	if missing := evc.unlisted(listed); wait > 0 && len(missing) > 0 {
 		maps.Copy(listed, missing)
 		time.AfterFunc(wait, evc.fol.Relist)
@@ -85,6 +88,44 @@
 	evc.zones = listed
 }
 
+// holdTime returns how much longer zones stay evacuated that are not listed. evc.mu must be
+// held.
+func (evc *evacuations) holdTime(now time.Time) time.Duration {
+	return max(rewriteTime-now.Sub(evc.recoveredAt()), evc.heldUntil.Sub(now))
+}
+
+// held returns the zones that a restore of the store may have lost and how much longer they
+// stay evacuated.
+func (evc *evacuations) held(now time.Time) ([]wick.Zone, time.Duration) {
+	evc.mu.Lock()
+	defer evc.mu.Unlock()
+	var out []wick.Zone
+	for zone, listed := range evc.zones {
+		if !listed {
+			out = append(out, zone)
+		}
+	}
+	return out, evc.holdTime(now)
+}
+
+// adoptHeld keeps zones evacuated that another entry has read before a restore of the store.
+// An entry that has started since can't know of them.
+func (evc *evacuations) adoptHeld(zones []wick.Zone, length time.Duration, now time.Time) {
+	if !evc.enabled || len(zones) == 0 || length <= 0 {
+		return
+	}
+	evc.mu.Lock()
+	for _, zone := range zones {
+		if _, ok := evc.zones[zone]; !ok {
+			evc.zones[zone] = false
+			evc.logChange(zone, true)
+		}
+	}
+	evc.heldUntil = now.Add(min(length, rewriteTime))
+	evc.mu.Unlock()
+	evc.fol.Relist()
+}
+
 // unlisted returns the evacuated zones that are not listed, with the value false. evc.mu
 // must be held.
 func (evc *evacuations) unlisted(listed map[wick.Zone]bool) map[wick.Zone]bool {
--- a/internal/edge/evacuate_test.go
+++ b/internal/edge/evacuate_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wagtailwick/wagtailwick/internal/fake"
+	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -142,3 +143,34 @@
 		}
 	}
 }
+
+// TestEvacuationHeldAtStart guards against an entry that starts while a restored store lacks
+// an evacuation and sends requests to the zone, as the others still know not to.
+func TestEvacuationHeldAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old, rdr := newEvacuationReader(t), newEvacuationReader(t)
+		old.list("a", "b")
+		now := time.Now()
+		old.edg.evacuations.recoveredAt = func() time.Time { return now }
+		old.list("b")
+		time.Sleep(rewriteTime / 2)
+		body, err := peer.Encode(catchUpRequest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		rep, err := old.edg.handleCatchUp(t.Context(), "edge1", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reply, ok := rep.(catchUpReply)
+		if !ok {
+			t.Fatalf("reply %T", rep)
+		}
+		rdr.edg.adoptCatchUp("edge0", &reply)
+		rdr.list("b")
+		rdr.assertZones("a", "b")
+		time.Sleep(rewriteTime/2 + time.Millisecond)
+		rdr.list("b")
+		rdr.assertZones("b")
+	})
+}
