--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -229,7 +229,7 @@
 	factor := end.factor()
 	ctm.running = factor * grp.engine.RunningMillis(running)
 	ctm.waiting = factor * wait
-	ctm.prefill = factor * uncachedWeight * grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
+	ctm.prefill = uncachedWeight * grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
 	if que.TargetGap > 0 {
 		ctm.stalls = end.pace.Stalls * stallMillis
 	}
