edge, pool, relay: gauges of cold and evacuated endpoints; regions of all attempts tested

Cause: cold and evacuated endpoints were visible in the log only, and no test held that retries and moved runs stay in the allowed regions. Change: pool.<service>.cold and .evacuated, edge.evacuatedZones; TestRegionsOfAttempts. Result: the test passes, no fault was found there.

--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -5,6 +5,8 @@
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
 // memoryBytes is the runtime metric of the process's total mapped memory.
@@ -30,7 +32,8 @@
 	setGauge("edge.controlHeld", held)
 	setGauge("edge.entries", int64(len(edg.roster.Alive(now, memberTimeout, false))))
 	setGauge("retry.left", int64(edg.budget.Available()))
-	edg.updatePoolGauges()
+	setGauge("edge.evacuatedZones", int64(len(edg.evacuations.list())))
+	edg.updatePoolGauges(now)
 	smp := []metrics.Sample{{Name: memoryBytes}}
 	metrics.Read(smp)
 	if smp[0].Value.Kind() == metrics.KindUint64 {
@@ -39,18 +42,24 @@
 }
 
 // updatePoolGauges sets the gauges of each service's endpoints.
-func (edg *Edge) updatePoolGauges() {
+func (edg *Edge) updatePoolGauges(now time.Time) {
+	cold := make(map[wick.Service]int64)
+	for _, col := range edg.pool.ColdEndpoints(now) {
+		cold[col.Service]++
+	}
 	for svc, zones := range edg.pool.Summaries() {
-		live, leaving, inFlight, limited := 0, 0, 0, 0
+		live, leaving, inFlight, limited, evacuated := 0, 0, 0, 0, 0
 		for _, sum := range zones {
 			live, leaving, inFlight = live+sum.Live, leaving+sum.Leaving, inFlight+sum.InFlight
-			limited += sum.Limited
+			limited, evacuated = limited+sum.Limited, evacuated+sum.Evacuated
 		}
 		prefix := "pool." + string(svc)
 		setGauge(prefix+".live", int64(live))
 		setGauge(prefix+".leaving", int64(leaving))
 		setGauge(prefix+".inFlight", int64(inFlight))
 		setGauge(prefix+".limited", int64(limited))
+		setGauge(prefix+".evacuated", int64(evacuated))
+		setGauge(prefix+".cold", cold[svc])
 	}
 }
 
--- a/internal/pool/summary.go
+++ b/internal/pool/summary.go
@@ -15,6 +15,9 @@
 	Spot int `json:"spot"`
 	// Limited counts the live endpoints that limit their requests.
 	Limited int `json:"limited"`
+	// Evacuated counts the live endpoints that get no requests because their zone is
+	// evacuated.
+	Evacuated int `json:"evacuated"`
 }
 
 // Summaries returns the counts by service and zone.
@@ -39,6 +42,9 @@
 		if end.limit.Set && !end.bke.Leaving {
 			sum.Limited++
 		}
+		if end.evacuated && !end.bke.Leaving {
+			sum.Evacuated++
+		}
 		switch {
 		case end.bke.Leaving:
 			sum.Leaving++
--- a/internal/relay/evacuate_test.go
+++ b/internal/relay/evacuate_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,10 +50,7 @@
 		}
 		<-rly.leaveAfterFirstEvent(con)
 	})
-	for num := range 3 {
-		vid := wick.VMID(fmt.Sprint("e", num))
-		rly.pool.Set(wick.Backend{ID: vid, Service: "s", Zone: wick.Zone(fmt.Sprint("z", num)), Address: rly.addrs[vid], Slots: 4, Reclaimable: true}, time.Now())
-	}
+	rly.spreadZones(3)
 	rly.mover.moved = true
 	mvr := &evacuatingMover{testMover: &rly.mover, rly: rly}
 	rly.srv.cfg.Mover = mvr
@@ -67,3 +65,59 @@
 		t.Errorf("runs moved to zones %v while %s is evacuated", mvr.moved, mvr.evacuated)
 	}
 }
+
+// spreadZones puts each endpoint into a zone of its own, named z and its number.
+func (rly *testRelay) spreadZones(endpoints int) {
+	for num := range endpoints {
+		vid := wick.VMID(fmt.Sprint("e", num))
+		rly.pool.Set(wick.Backend{ID: vid, Service: "s", Zone: wick.Zone(fmt.Sprint("z", num)), Address: rly.addrs[vid], Slots: 4, Reclaimable: true}, time.Now())
+	}
+}
+
+// TestRegionsOfAttempts guards against retries and moved runs that leave the allowed
+// regions of the route or the customer, and against requests that wait or run somewhere
+// although no endpoint there is left.
+func TestRegionsOfAttempts(t *testing.T) {
+	const endpoints = 4
+	for name, tst := range map[string]struct {
+		path            string
+		route, customer []wick.Region
+		status          int
+		want            []wick.VMID
+	}{
+		"retry":     {"/look/1", []wick.Region{"north"}, nil, http.StatusOK, []wick.VMID{"e0", "e1"}},
+		"moved run": {"/say/1", nil, []wick.Region{"north"}, http.StatusOK, []wick.VMID{"e0", "e1"}},
+		"none left": {"/look/1", []wick.Region{"north"}, []wick.Region{"south"}, http.StatusServiceUnavailable, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var rly *testRelay
+			rly = newTestRelay(t, endpoints, func(req *http.Request, con net.Conn, num int) {
+				switch {
+				case num == 0 && req.URL.Path == "/say/1":
+					<-rly.leaveAfterFirstEvent(con)
+				case num == 0:
+				case req.URL.Path == "/say/1":
+					beginStream(con, "id: 2\ndata: b\n\n")
+					endStream(con)
+				default:
+					reply(con, req, http.StatusOK, "done")
+				}
+			})
+			rly.spreadZones(endpoints)
+			rly.pool.SetRegions(map[wick.Zone]wick.Region{"z0": "north", "z1": "north", "z2": "south", "z3": "south"})
+			pln := &rly.srv.cfg.Plans.Load().Plan
+			pln.Customers[0].Regions = tst.customer
+			for idx := range pln.Routes {
+				pln.Routes[idx].Regions = tst.route
+			}
+			rly.mover.moved = true
+			status, _, _ := rly.post(tst.path, "X-Model", "m")
+			rly.mu.Lock()
+			defer rly.mu.Unlock()
+			slices.Sort(rly.order)
+			if status != tst.status || !slices.Equal(rly.order, tst.want) {
+				t.Errorf("status %d from endpoints %v, want %d from %v", status, rly.order, tst.status, tst.want)
+			}
+		})
+	}
+}
