pool: an entry without a part of a cold endpoint's rate sends nothing to it

Cause: an entry that lost its part to another kept the request that it had saved up and those that waited for their turns, so that each change of the parts added a burst. Change: the bucket is emptied with the part, and waiting requests need another token. Result: TestColdShareLost fails without either and passes with both; tests of pool pass.

--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -192,5 +192,9 @@
 	pl.withEndpoint(vid, func(_ *group, end *endpoint) {
 		end.cold.bucket.refill(now)
 		end.cold.bucket.share = share
+		if share <= 0 {
+			// What was saved up belongs to the entries that have the parts now.
+			end.cold.bucket.tokens = min(end.cold.bucket.tokens, 0)
+		}
 	})
 }
--- a/internal/pool/coldturn.go
+++ b/internal/pool/coldturn.go
@@ -49,7 +49,8 @@
 // can take one now. The group's lock must be held.
 func (asg *Assignment) hasTurn(now time.Time) bool {
 	end := asg.end
-	if !end.isCold(now) || asg.holdsToken() && now.Sub(asg.turnAt) < maxTokenAge {
+	held := asg.holdsToken() && end.cold.bucket.share > 0
+	if !end.isCold(now) || held && now.Sub(asg.turnAt) < maxTokenAge {
 		return true
 	}
 	asg.coldSince = time.Time{}
--- a/internal/pool/coldturn_test.go
+++ b/internal/pool/coldturn_test.go
@@ -88,3 +88,22 @@
 		t.Errorf("%d runs continue at a cold endpoint at once, want 1", num)
 	}
 }
+
+// TestColdShareLost guards against bursts when the parts of a cold endpoint's rate move to
+// other entries: each of those that had one sent what it had saved up or had waiting.
+func TestColdShareLost(t *testing.T) {
+	const turn = 200 * time.Millisecond
+	pl, _ := newColdPool(t, 0)
+	now := start.Add(time.Second)
+	asgs := []*Assignment{
+		pick(t, pl, Query{Service: service, Now: now}),
+		pick(t, pl, Query{Service: service, Now: now, MaxWait: turn}),
+	}
+	pl.SetColdShare("e0", 0, now)
+	assertSendable(t, asgs, now.Add(turn), 0)
+	pl, _ = newColdPool(t, 0)
+	pl.SetColdShare("e0", 0, now)
+	if _, err := pl.Pick(Query{Service: service, Now: now}); err == nil {
+		t.Error("a request is sent without a share")
+	}
+}
