edge, platform: cold endpoints by their load reports

Cause: an endpoint that starts again between two polls, or becomes cold at any moment, counted as warm until its next record in the registry was read, up to 3 s later, and its empty queue drew the requests of all entries. Change: pollers read Wagtailwick-Cold-Ms and the start in the load report and tell the other entries in the load notice. Services whose plan has no rate are left out.

--- a/internal/edge/loadpoll.go
+++ b/internal/edge/loadpoll.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wagtailwick/wagtailwick/internal/logs"
+	"github.com/wagtailwick/wagtailwick/internal/pool"
 	"github.com/wagtailwick/wagtailwick/internal/retry"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -113,7 +114,7 @@
 	lpl.schedule.polled(&bke, load, now)
 	if err != nil {
 		log.WithError(err).WithField(logs.FieldEndpoint, bke.ID).Debug("edge: failed to poll load")
-		lpl.pollFailed(&bke, err, now)
+		lpl.pollFailed(&bke, err, ctx.Err() != nil, now)
 		return
 	}
 	delete(lpl.failures, bke.ID)
@@ -122,24 +123,38 @@
 	}
 	lpl.ntc.Loads = append(lpl.ntc.Loads, endpointLoad{
 		ID: bke.ID, Running: load.Running, Waiting: load.Waiting, Next: load.NextTokens,
-		Limit: load.Limit.PerSecond, HasLimit: load.Limit.Set,
+		Limit: load.Limit.PerSecond, HasLimit: load.Limit.Set, Cold: reportedCold(&load, lpl.edg.pool.ColdPolicy(bke.Service)),
 	})
 }
 
-// minUnreachablePolls is the number of consecutive failed polls from which an endpoint
-// counts as unreachable. One may be lost.
-const minUnreachablePolls = 2
+// reportedCold returns how much longer an endpoint is cold by its report. One that started
+// again, which the registry doesn't show yet, is cold for as long as after each start.
+func reportedCold(load *wick.BackendLoad, pol pool.ColdPolicy) time.Duration {
+	switch {
+	case pol.Rate <= 0:
+		return 0
+	case load.Restarted:
+		return max(load.ColdFor, pol.Start)
+	default:
+		return load.ColdFor
+	}
+}
+
+// minExpiredPolls is the number of consecutive polls without an answer in time from which
+// an endpoint counts as unreachable. One may have been busy, or the poller suspended.
+const minExpiredPolls = 2
 
-// pollFailed records a failed poll of an endpoint. One whose start makes it cold is polled
-// again soon, since it has to be known as unreachable before it returns.
-func (lpl *loadPoller) pollFailed(bke *wick.Backend, err error, now time.Time) {
+// pollFailed records a failed poll of an endpoint, which has expired or was refused. One
+// whose start makes it cold is polled again soon, since it has to be known as unreachable
+// before it returns. One that answered with an error status has been reached.
+func (lpl *loadPoller) pollFailed(bke *wick.Backend, err error, expired bool, now time.Time) {
 	if errors.Is(err, wick.ErrInvalid) || lpl.edg.pool.ColdPolicy(bke.Service).Rate <= 0 {
 		delete(lpl.failures, bke.ID)
 		return
 	}
 	lpl.failures[bke.ID]++
 	lpl.schedule[bke.ID] = now.Add(loadPollInterval / 2)
-	if lpl.failures[bke.ID] >= minUnreachablePolls {
+	if !expired || lpl.failures[bke.ID] >= minExpiredPolls {
 		lpl.ntc.Unreachable = append(lpl.ntc.Unreachable, bke.ID)
 	}
 }
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -57,6 +57,9 @@
 	// Limit is the request rate that the endpoint allows all entries, if HasLimit is set.
 	Limit    float64 `cbor:"5,keyasint,omitempty"`
 	HasLimit bool    `cbor:"6,keyasint,omitempty"`
+	// Cold is how much longer the endpoint is cold, if its service limits the requests to
+	// cold endpoints.
+	Cold time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // isLoadPoller reports whether this entry is the one of its availability zone that
@@ -79,6 +82,7 @@
 		edg.pool.MarkUnreachable(vid, now.Add(2*loadPollInterval), now)
 	}
 	for _, load := range ntc.Loads {
+		edg.pool.MarkCold(load.ID, now.Add(load.Cold), now)
 		edg.pool.Report(load.ID, pool.Report{
 			At: now, Load: wick.BackendLoad{
 				Running: load.Running, Waiting: load.Waiting, NextTokens: load.Next,
--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -151,6 +151,11 @@
 	})
 }
 
+// MarkCold records that an endpoint's load report shows that it is cold until a time.
+func (pl *Pool) MarkCold(vid wick.VMID, until, now time.Time) {
+	pl.withEndpoint(vid, func(grp *group, end *endpoint) { grp.setCold(end, until, now, "report") })
+}
+
 // MarkZoneCold records that the endpoints of an availability zone may have become cold.
 func (pl *Pool) MarkZoneCold(zone wick.Zone, now time.Time) {
 	pl.mu.RLock()
