pool: one record makes an endpoint cold for at most a minute

Cause: cold times only grow, and a record may state up to a year, so that one faulty record limited a sound endpoint until its next start. Change: a bound of a minute, or of twice cold_start_s if that is longer. Result: TestColdTimeBound fails without the change and passes with it; tests of pool pass.

--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -110,10 +110,18 @@
 	return wait
 }
 
+// maxColdTime bounds the time for which one record or report makes an endpoint cold. Later
+// ones extend it. A faulty one would limit a sound endpoint for good. It is longer where
+// endpoints are cold for longer after a start.
+const maxColdTime = time.Minute
+
 // setCold limits the requests to an endpoint until a time, if its service limits those of
 // cold ones. The group's lock must be held.
 func (grp *group) setCold(end *endpoint, until, now time.Time, cause string) {
 	pol := grp.cold.find(end.bke.Service)
+	if limit := now.Add(max(maxColdTime, 2*pol.Start)); until.After(limit) {
+		until = limit
+	}
 	if end.removed || pol.Rate <= 0 || !until.After(now) || !until.After(end.cold.until) {
 		return
 	}
--- a/internal/pool/cold_test.go
+++ b/internal/pool/cold_test.go
@@ -215,3 +215,16 @@
 		})
 	}
 }
+
+// TestColdTimeBound guards against a sound endpoint that is limited for good by one faulty
+// record.
+func TestColdTimeBound(t *testing.T) {
+	pl := newColdFleet(t, 1, 1).pools[0]
+	faulty := backend(0, "a")
+	faulty.ColdFor = 1000 * time.Hour
+	pl.Set(faulty, start)
+	pl.Set(backend(0, "a"), start.Add(maxColdTime))
+	if num := len(pl.ColdEndpoints(start.Add(maxColdTime))); num != 0 {
+		t.Errorf("%d endpoints are cold after %v", num, maxColdTime)
+	}
+}
