edge: an entry that drains uses no part of a cold endpoint's rate

Cause: the others divide the part of a draining entry at once, while it went on using it for its grace period. Where a zone's entries are updated together, this doubles the rate. Change: a draining entry has no part; its requests go to warm endpoints or are refused. Result: the new case of TestColdShareAtStart fails without the change; all pass with it.

--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -48,8 +48,12 @@
 // 2 s, and the others read within maxMemberInterval of each write.
 const minSharedBeat = 5
 
-// isEstablished reports whether the other entries have read that this process serves.
+// isEstablished reports whether the other entries have read that this process serves, and
+// it doesn't drain: they divide its part among them then.
 func (edg *Edge) isEstablished() bool {
+	if edg.ready.draining.Load() {
+		return false
+	}
 	rec, ok := edg.roster.Find(edg.cfg.ID)
 	return ok && rec.Incarnation == edg.cfg.Incarnation && rec.Beat >= minSharedBeat
 }
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -85,21 +85,24 @@
 }
 
 // TestColdShareAtStart guards against an entry that has just started and uses a part of a
-// cold endpoint's rate that the others haven't left to it yet.
+// cold endpoint's rate that the others haven't left to it yet, and against one that drains
+// and goes on using a part that others have.
 func TestColdShareAtStart(t *testing.T) {
 	for name, tst := range map[string]struct {
-		rec  roster.Record
-		some bool
+		rec            roster.Record
+		draining, some bool
 	}{
-		"none published": {roster.Record{ID: "edge1", Incarnation: 2, Beat: 9}, false},
-		"an earlier one": {roster.Record{ID: "edge0", Incarnation: 1, Beat: 9}, false},
-		"just published": {roster.Record{ID: "edge0", Incarnation: 2, Beat: 1}, false},
-		"established":    {roster.Record{ID: "edge0", Incarnation: 2, Beat: minSharedBeat}, true},
+		"none published": {roster.Record{ID: "edge1", Incarnation: 2, Beat: 9}, false, false},
+		"an earlier one": {roster.Record{ID: "edge0", Incarnation: 1, Beat: 9}, false, false},
+		"just published": {roster.Record{ID: "edge0", Incarnation: 2, Beat: 1}, false, false},
+		"established":    {roster.Record{ID: "edge0", Incarnation: 2, Beat: minSharedBeat}, false, true},
+		"draining":       {roster.Record{ID: "edge0", Incarnation: 2, Beat: minSharedBeat}, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				sit := newColdSite(t)
 				sit.edg.cfg.Incarnation = 2
+				sit.edg.ready.draining.Store(tst.draining)
 				data, err := json.Marshal(tst.rec)
 				if err != nil {
 					t.Fatal(err)
