relay, pool: spread the retries of callers at cold endpoints

Cause: all callers of a service whose endpoints are cold were told the same time, that of the end of the cold time, and would come at once. Change: a refusal because of a cold endpoint adds up to a quarter of the time, 0.5 s at most, as after a pause. Limits that endpoints name are told as before.

--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -98,6 +98,9 @@
 	Service wick.Service
 	// RetryAfter is the time until one of them may be sent a request.
 	RetryAfter time.Duration
+	// Cold is set if that one is cold. Many callers are told the same time then: that of
+	// its end.
+	Cold bool
 }
 
 func (err *LimitedError) Error() string {
@@ -236,13 +239,16 @@
 }
 
 // nextTurn returns the least time until an endpoint that a query allows may be sent a
-// request, and false if none limits its requests.
-func (grp *group) nextTurn(que *Query) (time.Duration, bool) {
-	least, found := maxLimitWait, false
+// request and whether that endpoint is cold, and false if none limits its requests.
+func (grp *group) nextTurn(que *Query) (least time.Duration, cold, found bool) {
+	least = maxLimitWait
 	for _, end := range grp.all {
-		if end.isLimited(que.Now) && end.availability(que.Now) != unavailable && que.matches(end) {
-			least, found = min(least, end.retryAfter(que.Now)), true
+		if !end.isLimited(que.Now) || end.availability(que.Now) == unavailable || !que.matches(end) {
+			continue
+		}
+		if wait := end.retryAfter(que.Now); !found || wait < least {
+			least, cold, found = min(least, wait), end.isCold(que.Now), true
 		}
 	}
-	return least, found
+	return least, cold, found
 }
--- a/internal/pool/pause.go
+++ b/internal/pool/pause.go
@@ -118,13 +118,13 @@
 
 // noneAvailable returns the error for a query that no endpoint matches now.
 func (grp *group) noneAvailable(que *Query) error {
-	turn, limited := grp.nextTurn(que)
+	turn, cold, limited := grp.nextTurn(que)
 	end, paused := grp.nextPauseEnd(que)
 	switch {
 	case paused && (!limited || end < turn):
 		return &PausedError{Service: que.Service, RetryAfter: end}
 	case limited:
-		return &LimitedError{Service: que.Service, RetryAfter: turn}
+		return &LimitedError{Service: que.Service, RetryAfter: turn, Cold: cold}
 	default:
 		return eris.Wrapf(wick.ErrNotFound, "pool: no endpoint of %s is available", que.Service)
 	}
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -130,6 +130,8 @@
 		req.finishWithoutReply(actDrop)
 	case errors.Is(err, errTurnExpired):
 		req.finishWithoutReply(actTimeout)
+	case errors.As(err, &limited) && limited.Cold:
+		req.refuse(refusalLimited.withRetryAfter(spread(limited.RetryAfter)))
 	case errors.As(err, &limited):
 		req.refuse(refusalLimited.withRetryAfter(limited.RetryAfter))
 	case errors.As(err, &paused):
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -7,6 +7,9 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/pool"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
 // TestLimitedEndpoint guards against an endpoint that gets more requests than the limit
@@ -44,3 +47,24 @@
 		t.Errorf("%d requests served in %v, want about %d", served, duration, limit)
 	}
 }
+
+// TestColdRetryAfter guards against callers that are all told to come again at the moment at
+// which an endpoint is warm.
+func TestColdRetryAfter(t *testing.T) {
+	const callers = 4
+	rly := newTestRelay(t, 1, func(req *http.Request, con net.Conn, _ int) { reply(con, req, http.StatusOK, "ok") })
+	rly.pool.SetColdPolicies(map[wick.Service]pool.ColdPolicy{"s": {Start: time.Minute, Rate: 5, Bound: 12.5}}, time.Now())
+	rly.pool.MarkZoneCold("a", time.Now())
+	latest := 0.0
+	for range callers {
+		res := rly.request("/look/1")
+		after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		if res.StatusCode != http.StatusServiceUnavailable || err != nil || after < time.Minute.Seconds()-1 {
+			t.Errorf("status %d with Retry-After %q", res.StatusCode, res.Header.Get("Retry-After"))
+		}
+		latest = max(latest, after)
+	}
+	if latest <= time.Minute.Seconds() {
+		t.Errorf("all of %d callers are told to come within %v s", callers, latest)
+	}
+}
