cost, relay, pool, edge: learn the work of requests

Cause: endpoints were chosen by counts of requests, although requests that look alike differ many times over in work, and by hints that are often far off.

internal/cost learns the events of answers, and the time of plain ones, by service, route, customer and first prompt part, and calibrates hints. The pool weighs the requests in flight at an endpoint by the learned work that is left of each, adds this entry's sends since the report with an estimate of those of the other entries, and avoids endpoints whose reported free memory lacks room; the load notice carries that only where it is short.

Effect on placement: not measured yet.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wagtailwick/wagtailwick/internal/admin"
+	"github.com/wagtailwick/wagtailwick/internal/cost"
 	"github.com/wagtailwick/wagtailwick/internal/feed"
 	"github.com/wagtailwick/wagtailwick/internal/lease"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
@@ -151,13 +152,15 @@
 
 // An Edge is an entry.
 type Edge struct {
-	cfg           Config
-	plans         plan.Current
-	planObject    planObject
-	backends      *feed.Follower
-	config        *feed.Follower
-	members       *feed.Follower
-	pool          *pool.Pool
+	cfg        Config
+	plans      plan.Current
+	planObject planObject
+	backends   *feed.Follower
+	config     *feed.Follower
+	members    *feed.Follower
+	pool       *pool.Pool
+	// costs learns the work of requests.
+	costs         cost.Learner
 	roster        *roster.Roster
 	quotas        quotas
 	peers         atomic.Pointer[peer.Transport]
@@ -333,7 +336,7 @@
 	}
 	edg.relay = relay.New(relay.Config{
 		Listener: lis, MaxConnections: edg.cfg.MaxConnections, Memory: edg.cfg.Memory, Dialect: edg.cfg.Dialect, Plans: &edg.plans,
-		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Prober: edg.cfg.Prober, Crashes: &edg.crashes, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
+		Pool: edg.pool, Quotas: &edg.quotas, Versions: edg.rollouts, Mover: edg.cfg.Mover, Prober: edg.cfg.Prober, Crashes: &edg.crashes, Costs: &edg.costs, Budget: &edg.budget, Client: &edg.client, Meter: &edg.tally,
 		IDHeader: edg.cfg.IDHeader, PlanConfirmed: edg.planConfirmed, EndpointLeaves: edg.announceLeaving,
 		RegistryAge: func() time.Duration { return time.Since(edg.backends.LastSuccess()) },
 	})
--- a/internal/edge/loadpoll.go
+++ b/internal/edge/loadpoll.go
@@ -131,10 +131,12 @@
 		lpl.paces[bke.Service] = trk
 	}
 	trk.Observe(&bke, load, runs, gap, time.Now())
-	lpl.ntc.Loads = append(lpl.ntc.Loads, endpointLoad{
+	epl := endpointLoad{
 		ID: bke.ID, Running: load.Running, Waiting: load.Waiting, Next: load.NextTokens,
 		Limit: load.Limit.PerSecond, HasLimit: load.Limit.Set,
-	})
+	}
+	epl.setMemory(&load)
+	lpl.ntc.Loads = append(lpl.ntc.Loads, epl)
 }
 
 // addPaces adds the pace of the endpoints to their loads.
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -69,6 +69,21 @@
 	// stall.
 	Factor int `cbor:"7,keyasint,omitempty"`
 	Stalls int `cbor:"8,keyasint,omitempty"`
+	// Short is set if less than shortMemoryShare of the memory is free: Free tokens.
+	Short bool        `cbor:"9,keyasint,omitempty"`
+	Free  wick.Tokens `cbor:"10,keyasint,omitempty"`
+}
+
+// shortMemoryShare is the share of free memory below which an endpoint's memory is published.
+// Prompts and outputs take less than a tenth of an endpoint's memory each.
+const shortMemoryShare = 0.25
+
+// setMemory sets the free memory if it is short.
+func (epl *endpointLoad) setMemory(load *wick.BackendLoad) {
+	free := load.MemoryTotal - load.MemoryUsed
+	if load.MemoryTotal > 0 && float64(free) < shortMemoryShare*float64(load.MemoryTotal) {
+		epl.Short, epl.Free = true, max(free, 0)
+	}
 }
 
 // estimate returns the endpoint's pace.
@@ -110,7 +125,7 @@
 	}
 	for _, load := range ntc.Loads {
 		edg.pool.Report(load.ID, pool.Report{
-			At: now, Pace: load.estimate(), Load: wick.BackendLoad{
+			At: now, Pace: load.estimate(), MemoryShort: load.Short, FreeMemory: load.Free, Load: wick.BackendLoad{
 				Running: load.Running, Waiting: load.Waiting, NextTokens: load.Next,
 				Limit: wick.RateLimit{Set: load.HasLimit, PerSecond: max(load.Limit, 0)},
 			},
--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -39,6 +39,8 @@
 	MsgEndpointLimit           = "pool: endpoint names a limit"
 	MsgEndpointPaused          = "pool: endpoint wants no requests"
 	MsgEndpointCold            = "pool: endpoint is cold"
+	MsgMemoryShort             = "pool: endpoint is short of memory"
+	MsgMemoryFree              = "pool: endpoint has memory again"
 	MsgEndpointUnlimited       = "pool: endpoint names no limit any more"
 	MsgEndpointEnded           = "edge: endpoint ended"
 	MsgPartsBlocked            = "edge: parts of prompts blocked"
--- a/internal/perf/engine.go
+++ b/internal/perf/engine.go
@@ -68,10 +68,14 @@
 
 // RunningMillis returns the delay that running requests cause for another one, in
 // milliseconds.
-func (eng Engine) RunningMillis(running int) float64 {
-	return delayedSteps * eng.decodeMillis() * float64(running)
+func (eng Engine) RunningMillis(running float64) float64 {
+	return delayedSteps * eng.decodeMillis() * running
 }
 
+// OutputMillis returns the engine time of generated tokens, in milliseconds, without the time
+// that the requests of a batch share.
+func (eng Engine) OutputMillis(tokens float64) float64 { return eng.decodeMillis() * tokens }
+
 // WaitingMillis returns the time until queued requests have been admitted, in
 // milliseconds.
 func (eng Engine) WaitingMillis(waiting int) float64 {
--- /dev/null
+++ b/internal/pool/backlog.go
@@ -0,0 +1,146 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/cost"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// minWorkFactor and maxWorkFactor bound the work of the requests in flight at an endpoint
+// relative to that of as many average ones, whatever was learned.
+const (
+	minWorkFactor = 0.25
+	maxWorkFactor = 4.0
+)
+
+// A backlog is the learned work that is left of this entry's requests in flight.
+type backlog struct {
+	// known is the number of requests whose work is known, work the sum of what is left.
+	known int
+	work  float64
+}
+
+// A job is the part of a request in the backlogs of its endpoint and group.
+type job struct {
+	est   cost.Estimate
+	known bool
+	left  float64
+}
+
+// addWork adds a request to the backlogs if its work has been learned. The group's lock must
+// be held, as for all functions of this file.
+func (asg *Assignment) addWork(est cost.Estimate) {
+	if est.Samples == 0 {
+		return
+	}
+	asg.job = job{est: est, known: true}
+	asg.end.backlog.known++
+	asg.grp.backlog.known++
+	asg.setLeft(est.Output)
+}
+
+// setLeft sets the work that is left of the request.
+func (asg *Assignment) setLeft(left float64) {
+	diff := left - asg.job.left
+	asg.job.left = left
+	asg.end.backlog.work += diff
+	asg.grp.backlog.work += diff
+}
+
+// removeWork removes the request from the backlogs.
+func (asg *Assignment) removeWork() {
+	if !asg.job.known {
+		return
+	}
+	asg.setLeft(0)
+	asg.job.known = false
+	asg.end.backlog.known--
+	asg.grp.backlog.known--
+}
+
+// Generated records that a number of tokens of the answer were generated.
+func (asg *Assignment) Generated(tokens float64) {
+	asg.grp.mu.Lock()
+	defer asg.grp.mu.Unlock()
+	if asg.job.known {
+		asg.run.output = wick.Tokens(tokens)
+		asg.setLeft(asg.job.est.Remaining(tokens))
+	}
+}
+
+// weigh returns a number of requests in flight at an endpoint, with those of known work
+// counted by what is left of it relative to the average of the service.
+func (grp *group) weigh(end *endpoint, inFlight float64) float64 {
+	if end.backlog.known == 0 || grp.backlog.work <= 0 {
+		return inFlight
+	}
+	known := float64(end.backlog.known)
+	factor := end.backlog.work / known * float64(grp.backlog.known) / grp.backlog.work
+	return inFlight + known*(min(max(factor, minWorkFactor), maxWorkFactor)-1)
+}
+
+// sends are this entry's requests to an endpoint since its last report.
+type sends struct {
+	// report numbers the reports.
+	report int
+	// count is the number of requests in flight, prefill their prompt tokens to process, and
+	// memory the tokens that they need.
+	count, prefill, memory float64
+}
+
+// A sent is the part of a request in its endpoint's sends.
+type sent struct {
+	report                 int
+	count, prefill, memory float64
+}
+
+// addSend records a request that was sent.
+func (asg *Assignment) addSend(que *Query) {
+	snd := &asg.end.sends
+	asg.sent = sent{snd.report, 1, float64(asg.prefill), que.memory()}
+	snd.count++
+	snd.prefill += asg.sent.prefill
+	snd.memory += asg.sent.memory
+}
+
+// endSentPrefill ends the part of the request in the prefill of the sends.
+func (asg *Assignment) endSentPrefill() {
+	if snd := &asg.end.sends; asg.sent.report == snd.report {
+		snd.prefill -= asg.sent.prefill
+	}
+	asg.sent.prefill = 0
+}
+
+// endSend records that the request has ended.
+func (asg *Assignment) endSend() {
+	asg.endSentPrefill()
+	if snd := &asg.end.sends; asg.sent.report == snd.report {
+		snd.count -= asg.sent.count
+		snd.memory -= asg.sent.memory
+	}
+	asg.sent = sent{}
+}
+
+// herdFactor returns how many requests all entries have probably sent to an endpoint since its
+// last report for each one that this entry has sent there. The rate at which an endpoint is
+// chosen is not known, so it is taken as gamma distributed, with a shape of 1 and with the mean
+// of the service's endpoints: one request of this entry is evidence for more of the others, but
+// for fewer than in proportion to its share of the requests.
+func (grp *group) herdFactor(now time.Time, perSecond float64, end *endpoint) float64 {
+	const shape = 1.0
+	mean := perSecond * now.Sub(end.report.At).Seconds()
+	if mean <= 0 || grp.limitShare >= 1 {
+		return 1
+	}
+	return 1 + (1-grp.limitShare)/(shape/mean+grp.limitShare)
+}
+
+// requestsPerEndpoint returns the requests per second that an endpoint of the service gets on
+// average from all entries, by this entry's rate and share.
+func (grp *group) requestsPerEndpoint(now time.Time) float64 {
+	if grp.limitShare <= 0 || len(grp.all) == 0 {
+		return 0
+	}
+	return grp.requestRate.rate(now) / grp.limitShare / float64(len(grp.all))
+}
--- /dev/null
+++ b/internal/pool/backlog_test.go
@@ -0,0 +1,109 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/cost"
+	"github.com/wagtailwick/wagtailwick/internal/pace"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// learned returns a query of a request whose work was learned.
+func learned(model bool, output float64) Query {
+	return Query{Model: model, Expected: cost.Estimate{Output: output, High: 2 * output, Samples: 20, PerEvent: 1}}
+}
+
+// TestBacklog guards against a choice that counts requests alike although one has much more
+// work left than the other.
+func TestBacklog(t *testing.T) {
+	for name, model := range map[string]bool{"model": true, "plain": false} {
+		t.Run(name, func(t *testing.T) {
+			pl := newPool("a", "a")
+			long := pick(t, pl, learned(model, 900))
+			assertPicked(t, long, "e0")
+			short := pick(t, pl, learned(model, 30))
+			assertPicked(t, short, "e1")
+			next := pick(t, pl, learned(model, 30))
+			assertPicked(t, next, "e1")
+			next.Done(ResultAnswered, start)
+			if model {
+				// The long one is about to end, and the short one has become long.
+				long.Generated(1800)
+				short.Generated(30)
+				short.setLeft(500)
+				assertPicked(t, pick(t, pl, learned(model, 30)), "e0")
+			}
+			long.Done(ResultAnswered, start)
+			short.Done(ResultAnswered, start)
+		})
+	}
+	t.Run("ends with the requests", func(t *testing.T) {
+		pl := newPool("a")
+		asg := pick(t, pl, learned(true, 100))
+		asg.Generated(40)
+		asg.Done(ResultCancelled, start)
+		asg.Generated(50)
+		if grp := pl.groups[service]; grp.backlog != (backlog{}) || grp.eps["e0"].backlog != (backlog{}) {
+			t.Errorf("backlog %+v after the last request", grp.backlog)
+		}
+	})
+}
+
+// TestUnevenOutput guards against long answers at slow endpoints while short ones take the fast
+// ones.
+func TestUnevenOutput(t *testing.T) {
+	pl := newPool("a", "a")
+	pl.Report("e0", Report{At: start, Pace: pace.Estimate{Factor: 2.2}})
+	pl.Report("e1", Report{At: start, Pace: pace.Estimate{Factor: 1}, Load: wick.BackendLoad{Running: 4}})
+	assertPicked(t, pick(t, pl, learned(true, 20)), "e0")
+	assertPicked(t, pick(t, pl, learned(true, 800)), "e1")
+}
+
+// TestHerd guards against all entries sending their next requests to the endpoint that the last
+// report shows as idle, and against the requests of one entry multiplied by their number.
+func TestHerd(t *testing.T) {
+	const share = 0.1
+	pl := newPool("a", "a")
+	pl.SetNewLimitShare(share)
+	for _, vid := range []wick.VMID{"e0", "e1"} {
+		pl.Report(vid, Report{At: start, Load: wick.BackendLoad{Running: 3}})
+	}
+	counts := make(map[wick.VMID]int)
+	for step := range 8 {
+		counts[pick(t, pl, Query{Model: true, Now: start.Add(time.Duration(step) * 50 * time.Millisecond)}).Backend.ID]++
+	}
+	if counts["e0"] != 4 {
+		t.Errorf("sends %v, want them divided evenly", counts)
+	}
+	grp := pl.groups[service]
+	end, now := grp.eps["e0"], start.Add(400*time.Millisecond)
+	if got := grp.herdFactor(now, grp.requestsPerEndpoint(now), end); got < 2 || got > 1/share {
+		t.Errorf("one request stands for %.1f, want more than one and at most %.0f", got, 1/share)
+	}
+	if got := grp.herdFactor(now, 0.01, end); got > 1.1 {
+		t.Errorf("one request stands for %.1f in a service with few requests", got)
+	}
+	pl.Report("e0", Report{At: now, Load: wick.BackendLoad{Running: 3}})
+	assertPicked(t, pick(t, pl, Query{Model: true, Now: now}), "e0")
+}
+
+// TestMemory guards against a request to an endpoint whose free memory lacks room for it, which
+// makes the engine preempt runs, also if the room went to requests since the report; and against
+// no endpoint at all if all of them report, truly or not, that they have none.
+func TestMemory(t *testing.T) {
+	que := Query{Model: true, InputTokens: 4000, OutputTokens: 500}
+	short := Report{At: start, MemoryShort: true, FreeMemory: 10000}
+	pl := newPool("a", "a")
+	pl.Report("e0", short)
+	pl.Report("e1", Report{At: start, Load: wick.BackendLoad{Running: 5}})
+	first := pick(t, pl, que)
+	assertPicked(t, first, "e0")
+	assertPicked(t, pick(t, pl, Query{Model: true, InputTokens: 5600, OutputTokens: 500}), "e1")
+	first.Done(ResultAnswered, start)
+	assertPicked(t, pick(t, pl, Query{Model: true, InputTokens: 5600, OutputTokens: 500}), "e0")
+	for _, vid := range []wick.VMID{"e0", "e1"} {
+		pl.Report(vid, Report{At: start, MemoryShort: true})
+	}
+	pick(t, pl, que)
+}
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -32,6 +32,9 @@
 	Load wick.BackendLoad
 	// Pace is that of the endpoint; the zero value is unknown.
 	Pace pace.Estimate
+	// MemoryShort is set if little of the endpoint's memory is free: FreeMemory tokens.
+	MemoryShort bool
+	FreeMemory  wick.Tokens
 }
 
 // An endpoint is the record of one endpoint. It is guarded by the group's lock.
@@ -57,6 +60,8 @@
 	// pendingPrefill estimates the tokens to prefill for requests in flight
 	// whose answer has not begun.
 	pendingPrefill wick.Tokens
+	backlog        backlog
+	sends          sends
 	// failureRate is the moving average of failed answers, from 0 to 1.
 	failureRate float64
 	// consecutiveLosses counts consecutive requests without a complete answer.
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailwick/wagtailwick/internal/cost"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -49,6 +50,8 @@
 	InputTokens wick.Tokens
 	// OutputTokens is the expected number of generated tokens.
 	OutputTokens wick.Tokens
+	// Expected is the work that was learned from earlier requests, if it has samples.
+	Expected cost.Estimate
 	// TargetGap is the longest gap between events of a stream that is in time, 0 for other
 	// requests.
 	TargetGap time.Duration
@@ -67,6 +70,9 @@
 	// requests may be sent one more.
 	MaxWait time.Duration
 	Now     time.Time
+
+	// perEndpoint is the mean rate of requests to an endpoint of the service.
+	perEndpoint float64
 }
 
 // matches reports whether the query allows the endpoint.
@@ -99,6 +105,8 @@
 	end     *endpoint
 	prefill wick.Tokens
 	run     run
+	job     job
+	sent    sent
 	once    sync.Once
 }
 
@@ -113,6 +121,7 @@
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
 	preferred := grp.preferredFor(&que)
+	que.perEndpoint = grp.requestsPerEndpoint(que.Now)
 	end := grp.best(&que, preferred, pl.zone)
 	if end == nil {
 		return nil, grp.noneAvailable(&que)
@@ -122,6 +131,7 @@
 	end.inFlight++
 	end.pause.sent++
 	grp.requestRate.add(1, que.Now)
+	asg.addWork(que.Expected)
 	if que.Model {
 		asg.prefill = grp.uncached(end, &que, preferred)
 		asg.run = run{model: !que.Resumed, prefill: asg.prefill, output: que.OutputTokens, pickedAt: que.Now, queued: end.queued(que.Now)}
@@ -131,6 +141,7 @@
 		grp.modelRate.add(1, que.Now)
 		grp.prefillRate.add(float64(asg.prefill), que.Now)
 		grp.outputRate.add(float64(que.OutputTokens), que.Now)
+		asg.addSend(&que)
 	}
 	return asg, nil
 }
@@ -177,19 +188,19 @@
 // costTerms are the parts of the estimated time until an endpoint answers, in
 // milliseconds.
 type costTerms struct {
-	// failures, stalls and slots are penalties, for failed answers, for streams that make
-	// no progress and for the slots in use of a plain service.
-	failures, stalls, slots float64
+	// failures, stalls, slots and memory are penalties, for failed answers, for streams that
+	// make no progress, for the slots in use of a plain service and for memory that lacks.
+	failures, stalls, slots, memory float64
 	// running is the delay by running requests, waiting by queued ones, prefill by the
-	// request's own prompt.
-	running, waiting, prefill float64
+	// request's own prompt, output by its own tokens beyond that at the median endpoint.
+	running, waiting, prefill, output float64
 	// turn is the time until a limited endpoint may be sent the request, zone the cost of
 	// an endpoint in another zone.
 	turn, zone float64
 }
 
 func (ctm *costTerms) total() float64 {
-	return ctm.failures + ctm.stalls + ctm.slots + ctm.running + ctm.waiting + ctm.prefill + ctm.turn + ctm.zone
+	return ctm.failures + ctm.stalls + ctm.slots + ctm.memory + ctm.running + ctm.waiting + ctm.prefill + ctm.output + ctm.turn + ctm.zone
 }
 
 // cost estimates the time until an endpoint answers.
@@ -202,19 +213,26 @@
 		ctm.zone = crossZoneMillis
 	}
 	if !que.Model {
-		ctm.slots = fullSlotsMillis * float64(end.inFlight) / float64(max(end.bke.Slots, 1))
+		ctm.slots = fullSlotsMillis * grp.weigh(end, float64(end.inFlight)) / float64(max(end.bke.Slots, 1))
 		return ctm
 	}
-	running, wait := end.inFlight, grp.engine.PrefillMillis(end.pendingPrefill)
+	running, wait := float64(end.inFlight), grp.engine.PrefillMillis(end.pendingPrefill)
 	if que.Now.Sub(end.report.At) < maxReportAge {
 		load := &end.report.Load
-		running = max(running, load.Running)
-		wait = max(wait, grp.engine.WaitingMillis(load.Waiting)+grp.engine.PrefillMillis(load.NextTokens))
+		sent := grp.herdFactor(que.Now, que.perEndpoint, end)
+		running = max(running, float64(load.Running)+sent*end.sends.count)
+		wait = max(wait, grp.engine.WaitingMillis(load.Waiting)+grp.engine.PrefillMillis(load.NextTokens+wick.Tokens(sent*end.sends.prefill)))
+		if end.lacksRoom(que) {
+			ctm.memory = noRoomMillis
+		}
 	}
 	factor, stalls := end.pace(que.Now)
-	ctm.running = factor * grp.engine.RunningMillis(running)
+	ctm.running = factor * grp.engine.RunningMillis(grp.weigh(end, running))
 	ctm.waiting = factor * wait
 	ctm.prefill = factor * uncachedWeight * grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
+	if que.Expected.Samples > 0 {
+		ctm.output = (factor - 1) * grp.engine.OutputMillis(que.Expected.Output)
+	}
 	if que.TargetGap > 0 {
 		ctm.stalls = stalls * stallMillis
 	}
@@ -294,6 +312,7 @@
 func (asg *Assignment) endPrefill() {
 	asg.end.pendingPrefill -= asg.prefill
 	asg.prefill = 0
+	asg.endSentPrefill()
 }
 
 // Done records the end and the result of the request. Calls after the first have
@@ -303,6 +322,8 @@
 		asg.grp.mu.Lock()
 		defer asg.grp.mu.Unlock()
 		asg.endPrefill()
+		asg.endSend()
+		asg.removeWork()
 		if res == ResultAnswered {
 			asg.end.pause.answered++
 			asg.grp.learnTokens(&asg.run, now)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -65,6 +65,8 @@
 	limitShare float64
 	// limited lists the endpoints that limit their requests.
 	limited []*endpoint
+	// backlog is that of all endpoints.
+	backlog backlog
 }
 
 // Set adds or updates an endpoint.
@@ -197,7 +199,9 @@
 // Report records a load report of an endpoint.
 func (pl *Pool) Report(vid wick.VMID, rep Report) {
 	pl.withEndpoint(vid, func(grp *group, end *endpoint) {
+		end.noteMemory(&rep)
 		end.report = rep
+		end.sends = sends{report: end.sends.report + 1}
 		grp.setLimit(end, rep.Load.Limit, rep.At)
 	})
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -87,6 +87,7 @@
 	}
 	att.reportCrash(otc)
 	now := time.Now()
+	att.recordTime(otc, now)
 	att.tgt.Done(att.poolResult(otc, now), now)
 	if att.tgt.choice.Done != nil {
 		att.tgt.choice.Done(att.versionSample(otc, now))
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -30,6 +30,7 @@
 // answered in time with status 200 are sampled.
 func (req *request) logAnswered(late bool, fld logrus.Fields) {
 	fld[logs.FieldSends], fld["late"] = req.retries.attempts, late
+	req.addWork(fld)
 	if req.retries.attempts <= 1 && !late && fld[logs.FieldStatus] == http.StatusOK {
 		ok, leftOut := req.srv.routineLogs.Allow(time.Now())
 		if !ok {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wagtailwick/wagtailwick/internal/audit"
+	"github.com/wagtailwick/wagtailwick/internal/cost"
 	"github.com/wagtailwick/wagtailwick/internal/crash"
 	"github.com/wagtailwick/wagtailwick/internal/httpio"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
@@ -86,7 +87,7 @@
 }
 
 // A Config holds the dependencies of a Server. All fields but Prober,
-// Crashes and EndpointLeaves are required.
+// Crashes, Costs and EndpointLeaves are required.
 type Config struct {
 	Listener net.Listener
 	// MaxConnections bounds the callers' open connections.
@@ -104,6 +105,8 @@
 	Budget   *retry.Budget
 	Client   *wire.Client
 	Meter    Meter
+	// Costs learns the work of requests.
+	Costs *cost.Learner
 	// PlanConfirmed reports whether the current plan was recently confirmed to
 	// be the latest. If it wasn't, an unknown route or key may have been added
 	// by a newer plan.
@@ -148,6 +151,9 @@
 	if cfg.Crashes == nil {
 		cfg.Crashes = noCrashes{}
 	}
+	if cfg.Costs == nil {
+		cfg.Costs = &cost.Learner{}
+	}
 	if cfg.EndpointLeaves == nil {
 		cfg.EndpointLeaves = func(wick.Backend) {}
 	}
@@ -227,6 +233,8 @@
 	// header is a copy of the caller's end-to-end headers.
 	header http.Header
 	body   []byte
+	// expected is the work that the request probably causes.
+	expected cost.Estimate
 	// prompt is that of a model request.
 	prompt crash.Prompt
 	// fate is closed once it is known whether the endpoint of the last attempt has
@@ -264,6 +272,7 @@
 		req.writeRefusal(logs.MsgRefused, rfl)
 		return
 	}
+	req.predict()
 	defer func() { req.recordLatency(time.Since(now)) }()
 	defer req.buffered.release()
 	defer req.secured.release()
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -83,7 +83,7 @@
 	choice := req.srv.cfg.Versions.Choose(req.service, req.match.Route.Name, now)
 	que := pool.Query{
 		Service: req.service, Model: len(req.params.Parts) > 0, Parts: req.params.Parts, InputTokens: req.params.InputTokens,
-		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersions: choice.Except, Exclude: tried, Resumed: resumed,
+		OutputTokens: req.expectedOutput(), Expected: req.expected, OnlyVersion: choice.Only, ExceptVersions: choice.Except, Exclude: tried, Resumed: resumed,
 		MaxWait: maxWait, TargetGap: req.match.Route.TargetGap, Now: now,
 	}
 	que.Regions, que.CustomerRegions = req.regions()
@@ -105,7 +105,7 @@
 // to.
 func (req *request) pickHandoffTarget(old *target) (*target, error) {
 	que := pool.Query{
-		Service: req.service, Model: true, Parts: req.params.Parts, InputTokens: 0, OutputTokens: req.params.ExpectedOutput(), Resumed: true,
+		Service: req.service, Model: true, Parts: req.params.Parts, InputTokens: 0, OutputTokens: req.expectedOutput(), Expected: req.expected, Resumed: true,
 		OnlyVersion: old.Backend.Version, Exclude: req.tried, Now: time.Now(),
 	}
 	que.Regions, que.CustomerRegions = req.regions()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -31,6 +31,8 @@
 	// lastEventID is the id of the last event that was forwarded.
 	lastEventID string
 	eventCount  int
+	// progressCount is the number of events forwarded that are parts of the answer.
+	progressCount int
 	// firstEventAt is when the first event was forwarded, zero before.
 	firstEventAt time.Time
 	// lastEventAt is when the last event was forwarded, longestGap the longest time between
@@ -113,7 +115,10 @@
 		return outcomeServerError, nil
 	case otc == outcomeReply && att.rep.Status < http.StatusMultipleChoices:
 		otc, hof := fwd.forwardWithHandoff(ctx, att)
-		fwd.complete = otc == outcomeReply
+		att.noteGenerated()
+		if fwd.complete = otc == outcomeReply; fwd.complete {
+			fwd.recordStream()
+		}
 		return otc, hof
 	default:
 		brp, otc := fwd.req.bufferReply(ctx, att, otc)
@@ -266,8 +271,12 @@
 		fwd.lastEventID = evt.id
 	}
 	if evt.isProgress() {
+		fwd.progressCount++
 		fwd.unresumable = evt.id == ""
 	}
+	if att.received%generatedInterval == 0 {
+		att.noteGenerated()
+	}
 	return true
 }
 
