--- a/internal/perf/engine.go
+++ b/internal/perf/engine.go
@@ -72,9 +72,15 @@
 	return delayedSteps * eng.decodeMillis() * running
 }
 
-// OutputMillis returns the engine time of generated tokens, in milliseconds, without the time
-// that the requests of a batch share.
-func (eng Engine) OutputMillis(tokens float64) float64 { return eng.decodeMillis() * tokens }
+// DecodeMillis returns the time in which a run in a batch generates a number of tokens, in
+// milliseconds.
+func (eng Engine) DecodeMillis(tokens, batch float64) float64 {
+	step := eng.StepMillis
+	if step <= 0 {
+		step = priorStepMillis
+	}
+	return step * (1 + sequenceShare*batch) * tokens
+}
 
 // WaitingMillis returns the time until queued requests have been admitted, in
 // milliseconds.
--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -80,6 +80,19 @@
 	return inFlight + known*(min(max(factor, minWorkFactor), maxWorkFactor)-1)
 }
 
+// slotMillis returns the time until an endpoint whose slots are all in use has one for another
+// request, behind those that wait: the work that is left of an average run there, for each slot
+// that must become free. It returns 0 while there are free slots, or the work is not known.
+func (grp *group) slotMillis(end *endpoint, running, waiting float64) float64 {
+	slots := float64(end.bke.Slots)
+	missing := running + waiting + 1 - slots
+	if slots <= 0 || missing <= 0 || grp.backlog.known == 0 {
+		return 0
+	}
+	left := grp.backlog.work / float64(grp.backlog.known) * grp.weigh(end, running) / max(running, 1)
+	return missing / slots * grp.engine.DecodeMillis(left, slots)
+}
+
 // sends are this entry's requests to an endpoint since its last report.
 type sends struct {
 	// report numbers the reports.
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -192,15 +192,15 @@
 	// make no progress, for the slots in use of a plain service and for memory that lacks.
 	failures, stalls, slots, memory float64
 	// running is the delay by running requests, waiting by queued ones, prefill by the
-	// request's own prompt, output by its own tokens beyond that at the median endpoint.
-	running, waiting, prefill, output float64
+	// request's own prompt.
+	running, waiting, prefill float64
 	// turn is the time until a limited endpoint may be sent the request, zone the cost of
 	// an endpoint in another zone.
 	turn, zone float64
 }
 
 func (ctm *costTerms) total() float64 {
-	return ctm.failures + ctm.stalls + ctm.slots + ctm.memory + ctm.running + ctm.waiting + ctm.prefill + ctm.output + ctm.turn + ctm.zone
+	return ctm.failures + ctm.stalls + ctm.slots + ctm.memory + ctm.running + ctm.waiting + ctm.prefill + ctm.turn + ctm.zone
 }
 
 // cost estimates the time until an endpoint answers.
@@ -216,9 +216,10 @@
 		ctm.slots = fullSlotsMillis * grp.weigh(end, float64(end.inFlight)) / float64(max(end.bke.Slots, 1))
 		return ctm
 	}
-	running, wait := float64(end.inFlight), grp.engine.PrefillMillis(end.pendingPrefill)
+	running, queued, wait := float64(end.inFlight), 0, grp.engine.PrefillMillis(end.pendingPrefill)
 	if que.Now.Sub(end.report.At) < maxReportAge {
 		load := &end.report.Load
+		queued = load.Waiting
 		sent := grp.herdFactor(que.Now, que.perEndpoint, end)
 		running = max(running, float64(load.Running)+sent*end.sends.count)
 		wait = max(wait, grp.engine.WaitingMillis(load.Waiting)+grp.engine.PrefillMillis(load.NextTokens+wick.Tokens(sent*end.sends.prefill)))
@@ -228,11 +229,8 @@
 	}
 	factor, stalls := end.pace(que.Now)
 	ctm.running = factor * grp.engine.RunningMillis(grp.weigh(end, running))
-	ctm.waiting = factor * wait
+	ctm.waiting = factor * max(wait, grp.slotMillis(end, running, float64(queued)))
 	ctm.prefill = factor * uncachedWeight * grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
-	if que.Expected.Samples > 0 {
-		ctm.output = (factor - 1) * grp.engine.OutputMillis(que.Expected.Output)
-	}
 	if que.TargetGap > 0 {
 		ctm.stalls = stalls * stallMillis
 	}
