pool, relay: bound what a false load report changes

Cause: a report of a negative load made up for requests in flight: an endpoint with it got 53 of 60 requests in the new TestFalseLoads, and now 20 to 40.

--- a/internal/pool/backlog_test.go
+++ b/internal/pool/backlog_test.go
@@ -118,3 +118,33 @@
 	}
 	pick(t, pl, que)
 }
+
+// TestFalseLoads guards against an endpoint that reports an impossible load, by mistake or on
+// purpose, and gets all requests of an entry by that, or none.
+func TestFalseLoads(t *testing.T) {
+	const requests = 60
+	for name, tst := range map[string]struct {
+		load  wick.BackendLoad
+		least int
+		most  int
+	}{
+		"less than nothing": {wick.BackendLoad{Running: -1000, Waiting: -1000, NextTokens: -1 << 40}, 20, 40},
+		"none":              {wick.BackendLoad{}, 20, 40},
+		"too much":          {wick.BackendLoad{Running: 1 << 40, Waiting: 1 << 40, NextTokens: 1 << 40}, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pl := newPool("a", "a")
+			pl.Report("e0", Report{At: start, Load: tst.load, MemoryShort: tst.load.Running > 0, FreeMemory: -5})
+			pl.Report("e1", Report{At: start})
+			num := 0
+			for range requests {
+				if pick(t, pl, learned(true, 100)).Backend.ID == "e0" {
+					num++
+				}
+			}
+			if num < tst.least || num > tst.most {
+				t.Errorf("%d of %d requests, want %d to %d", num, requests, tst.least, tst.most)
+			}
+		})
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -199,6 +199,9 @@
 // Report records a load report of an endpoint.
 func (pl *Pool) Report(vid wick.VMID, rep Report) {
 	pl.withEndpoint(vid, func(grp *group, end *endpoint) {
+		// A negative load would make up for requests in flight.
+		rep.Load.Running, rep.Load.Waiting = max(rep.Load.Running, 0), max(rep.Load.Waiting, 0)
+		rep.Load.NextTokens, rep.FreeMemory = max(rep.Load.NextTokens, 0), max(rep.FreeMemory, 0)
 		end.noteMemory(&rep)
 		end.report = rep
 		end.sends = sends{report: end.sends.report + 1}
--- a/internal/relay/cost.go
+++ b/internal/relay/cost.go
@@ -47,7 +47,7 @@
 	if req.expected.Samples == 0 {
 		return req.params.ExpectedOutput()
 	}
-	return wick.Tokens(math.Ceil(req.expected.Output))
+	return wick.Tokens(max(math.Round(req.expected.Output), 1))
 }
 
 // recordStream learns from a complete stream. The rest of a stream whose beginning the caller
