--- a/internal/cmds/where.go
+++ b/internal/cmds/where.go
@@ -210,6 +210,7 @@
 	add("failures", trm.Failures)
 	add("stalls", trm.Stalls)
 	add("slots", trm.Slots)
+	add("memory", trm.Memory)
 	add("running", trm.Running)
 	add("waiting", trm.Waiting)
 	add("prefill", trm.Prefill)
--- a/internal/edge/loadpoll.go
+++ b/internal/edge/loadpoll.go
@@ -121,10 +121,12 @@
 	if load.Leaving && lpl.edg.pool.MarkLeaving(bke.ID, bke.Born, time.Now()) {
 		lpl.edg.announceLeaving(bke)
 	}
-	lpl.ntc.Loads = append(lpl.ntc.Loads, endpointLoad{
+	epl := endpointLoad{
 		ID: bke.ID, Running: load.Running, Waiting: load.Waiting, Next: load.NextTokens,
 		Limit: load.Limit.PerSecond, HasLimit: load.Limit.Set, Cold: reportedCold(&load, lpl.edg.pool.ColdPolicy(bke.Service)),
-	})
+	}
+	epl.setMemory(&load)
+	lpl.ntc.Loads = append(lpl.ntc.Loads, epl)
 }
 
 // reportedCold returns how much longer an endpoint is cold by its report. One that started
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -60,6 +60,21 @@
 	// Cold is how much longer the endpoint is cold, if its service limits the requests to
 	// cold endpoints.
 	Cold time.Duration `cbor:"7,keyasint,omitempty"`
+	// Short is set if less than shortMemoryShare of the memory is free: Free tokens.
+	Short bool        `cbor:"8,keyasint,omitempty"`
+	Free  wick.Tokens `cbor:"9,keyasint,omitempty"`
+}
+
+// shortMemoryShare is the share of free memory below which an endpoint's memory is published.
+// Prompts and outputs take less than a tenth of an endpoint's memory each.
+const shortMemoryShare = 0.25
+
+// setMemory sets the free memory if it is short.
+func (epl *endpointLoad) setMemory(load *wick.BackendLoad) {
+	free := load.MemoryTotal - load.MemoryUsed
+	if load.MemoryTotal > 0 && float64(free) < shortMemoryShare*float64(load.MemoryTotal) {
+		epl.Short, epl.Free = true, max(free, 0)
+	}
 }
 
 // isLoadPoller reports whether this entry is the one of its availability zone that
@@ -84,7 +99,7 @@
 	for _, load := range ntc.Loads {
 		edg.pool.MarkCold(load.ID, now.Add(load.Cold), now)
 		edg.pool.Report(load.ID, pool.Report{
-			At: now, Load: wick.BackendLoad{
+			At: now, MemoryShort: load.Short, FreeMemory: load.Free, Load: wick.BackendLoad{
 				Running: load.Running, Waiting: load.Waiting, NextTokens: load.Next,
 				Limit: wick.RateLimit{Set: load.HasLimit, PerSecond: max(load.Limit, 0)},
 			},
--- a/internal/logs/names.go
+++ b/internal/logs/names.go
@@ -42,6 +42,8 @@
 	MsgEndpointPaused          = "pool: endpoint wants no requests"
 	MsgEndpointSpeed           = "pool: speed of an endpoint has changed"
 	MsgEndpointCold            = "pool: endpoint is cold"
+	MsgMemoryShort             = "pool: endpoint is short of memory"
+	MsgMemoryFree              = "pool: endpoint has memory again"
 	MsgEndpointUnlimited       = "pool: endpoint names no limit any more"
 	MsgEndpointEnded           = "edge: endpoint ended"
 	MsgPartsBlocked            = "edge: parts of prompts blocked"
--- a/internal/perf/engine.go
+++ b/internal/perf/engine.go
@@ -68,8 +68,18 @@
 
 // RunningMillis returns the delay that running requests cause for another one, in
 // milliseconds.
-func (eng Engine) RunningMillis(running int) float64 {
-	return delayedSteps * eng.decodeMillis() * float64(running)
+func (eng Engine) RunningMillis(running float64) float64 {
+	return delayedSteps * eng.decodeMillis() * running
+}
+
+// DecodeMillis returns the time in which a run in a batch generates a number of tokens, in
+// milliseconds.
+func (eng Engine) DecodeMillis(tokens, batch float64) float64 {
+	step := eng.StepMillis
+	if step <= 0 {
+		step = priorStepMillis
+	}
+	return step * (1 + sequenceShare*batch) * tokens
 }
 
 // WaitingMillis returns the time until queued requests have been admitted, in
--- /dev/null
+++ b/internal/pool/backlog_test.go
@@ -0,0 +1,150 @@
+package pool
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/cost"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
+)
+
+// learned returns a query of a request whose work was learned.
+func learned(model bool, output float64) Query {
+	return Query{Model: model, Expected: cost.Estimate{Output: output, High: 2 * output, Samples: 20, PerEvent: 1}}
+}
+
+// TestBacklog guards against a choice that counts requests alike although one has much more
+// work left than the other.
+func TestBacklog(t *testing.T) {
+	for name, model := range map[string]bool{"model": true, "plain": false} {
+		t.Run(name, func(t *testing.T) {
+			pl := newPool("a", "a")
+			long := pick(t, pl, learned(model, 900))
+			assertPicked(t, long, "e0")
+			short := pick(t, pl, learned(model, 30))
+			assertPicked(t, short, "e1")
+			next := pick(t, pl, learned(model, 30))
+			assertPicked(t, next, "e1")
+			next.Done(ResultAnswered, start)
+			if model {
+				// The long one is about to end, and the short one has become long.
+				long.Generated(1800)
+				short.Generated(30)
+				short.setLeft(500)
+				assertPicked(t, pick(t, pl, learned(model, 30)), "e0")
+			}
+			long.Done(ResultAnswered, start)
+			short.Done(ResultAnswered, start)
+		})
+	}
+	t.Run("ends with the requests", func(t *testing.T) {
+		pl := newPool("a")
+		asg := pick(t, pl, learned(true, 100))
+		asg.Generated(40)
+		asg.Done(ResultCancelled, start)
+		asg.Generated(50)
+		if grp := pl.groups[service]; grp.backlog != (backlog{}) || grp.eps["e0"].backlog != (backlog{}) {
+			t.Errorf("backlog %+v after the last request", grp.backlog)
+		}
+	})
+}
+
+// TestSlots guards against a request that waits for the long answers at an endpoint whose slots
+// are all in use, while as many short ones run at another.
+func TestSlots(t *testing.T) {
+	pl := newPool("a", "a")
+	slots := backend(0, "a").Slots
+	for vid, output := range map[wick.VMID]float64{"e0": 900, "e1": 300} {
+		for range slots {
+			que := learned(true, output)
+			que.Exclude = []wick.VMID{"e0", "e1"}
+			que.Exclude = slices.DeleteFunc(que.Exclude, func(oth wick.VMID) bool { return oth == vid })
+			pick(t, pl, que)
+		}
+	}
+	for _, vid := range []wick.VMID{"e0", "e1"} {
+		pl.Report(vid, Report{At: start, Load: wick.BackendLoad{Running: slots}})
+	}
+	// The prompts that wait at the second one take 140 ms.
+	pl.Report("e1", Report{At: start, Load: wick.BackendLoad{Running: slots, NextTokens: 5000}})
+	assertPicked(t, pick(t, pl, learned(true, 30)), "e1")
+}
+
+// TestHerd guards against all entries sending their next requests to the endpoint that the last
+// report shows as idle, and against the requests of one entry multiplied by their number.
+func TestHerd(t *testing.T) {
+	const share = 0.1
+	pl := newPool("a", "a")
+	pl.SetNewLimitShare(share)
+	for _, vid := range []wick.VMID{"e0", "e1"} {
+		pl.Report(vid, Report{At: start, Load: wick.BackendLoad{Running: 3}})
+	}
+	counts := make(map[wick.VMID]int)
+	for step := range 8 {
+		counts[pick(t, pl, Query{Model: true, Now: start.Add(time.Duration(step) * 50 * time.Millisecond)}).Backend.ID]++
+	}
+	if counts["e0"] != 4 {
+		t.Errorf("sends %v, want them divided evenly", counts)
+	}
+	grp := pl.groups[service]
+	end, now := grp.eps["e0"], start.Add(400*time.Millisecond)
+	if got := grp.herdFactor(now, grp.requestsPerEndpoint(now), end); got < 2 || got > 1/share {
+		t.Errorf("one request stands for %.1f, want more than one and at most %.0f", got, 1/share)
+	}
+	if got := grp.herdFactor(now, 0.01, end); got > 1.1 {
+		t.Errorf("one request stands for %.1f in a service with few requests", got)
+	}
+	pl.Report("e0", Report{At: now, Load: wick.BackendLoad{Running: 3}})
+	assertPicked(t, pick(t, pl, Query{Model: true, Now: now}), "e0")
+}
+
+// TestMemory guards against a request to an endpoint whose free memory lacks room for it, which
+// makes the engine preempt runs, also if the room went to requests since the report; and against
+// no endpoint at all if all of them report, truly or not, that they have none.
+func TestMemory(t *testing.T) {
+	que := Query{Model: true, InputTokens: 4000, OutputTokens: 500}
+	short := Report{At: start, MemoryShort: true, FreeMemory: 10000}
+	pl := newPool("a", "a")
+	pl.Report("e0", short)
+	pl.Report("e1", Report{At: start, Load: wick.BackendLoad{Running: 5}})
+	first := pick(t, pl, que)
+	assertPicked(t, first, "e0")
+	assertPicked(t, pick(t, pl, Query{Model: true, InputTokens: 5600, OutputTokens: 500}), "e1")
+	first.Done(ResultAnswered, start)
+	assertPicked(t, pick(t, pl, Query{Model: true, InputTokens: 5600, OutputTokens: 500}), "e0")
+	for _, vid := range []wick.VMID{"e0", "e1"} {
+		pl.Report(vid, Report{At: start, MemoryShort: true})
+	}
+	pick(t, pl, que)
+}
+
+// TestFalseLoads guards against an endpoint that reports an impossible load, by mistake or on
+// purpose, and gets all requests of an entry by that, or none.
+func TestFalseLoads(t *testing.T) {
+	const requests = 60
+	for name, tst := range map[string]struct {
+		load  wick.BackendLoad
+		least int
+		most  int
+	}{
+		"less than nothing": {wick.BackendLoad{Running: -1000, Waiting: -1000, NextTokens: -1 << 40}, 20, 40},
+		"none":              {wick.BackendLoad{}, 20, 40},
+		"too much":          {wick.BackendLoad{Running: 1 << 40, Waiting: 1 << 40, NextTokens: 1 << 40}, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pl := newPool("a", "a")
+			pl.Report("e0", Report{At: start, Load: tst.load, MemoryShort: tst.load.Running > 0, FreeMemory: -5})
+			pl.Report("e1", Report{At: start})
+			num := 0
+			for range requests {
+				if pick(t, pl, learned(true, 100)).Backend.ID == "e0" {
+					num++
+				}
+			}
+			if num < tst.least || num > tst.most {
+				t.Errorf("%d of %d requests, want %d to %d", num, requests, tst.least, tst.most)
+			}
+		})
+	}
+}
--- a/internal/pool/explain.go
+++ b/internal/pool/explain.go
@@ -102,6 +102,7 @@
 	Failures float64 `json:"failures,omitempty"`
 	Stalls   float64 `json:"stalls,omitempty"`
 	Slots    float64 `json:"slots,omitempty"`
+	Memory   float64 `json:"memory,omitempty"`
 	Running  float64 `json:"running,omitempty"`
 	Waiting  float64 `json:"waiting,omitempty"`
 	Prefill  float64 `json:"prefill,omitempty"`
@@ -111,7 +112,7 @@
 
 func (ctm *costTerms) export() Terms {
 	return Terms{
-		Failures: ctm.failures, Stalls: ctm.stalls, Slots: ctm.slots, Running: ctm.running,
+		Failures: ctm.failures, Stalls: ctm.stalls, Slots: ctm.slots, Memory: ctm.memory, Running: ctm.running,
 		Waiting: ctm.waiting, Prefill: ctm.prefill, Turn: ctm.turn, Zone: ctm.zone,
 	}
 }
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -23,6 +23,11 @@
 	log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "factor": end.factor(), "stalls": est.Stalls}).Info(logs.MsgEndpointSpeed)
 }
 
+// SetPace sets the pace of an endpoint until it is next estimated.
+func (pl *Pool) SetPace(vid wick.VMID, est pace.Estimate) {
+	pl.withEndpoint(vid, func(_ *group, end *endpoint) { end.setPace(est) })
+}
+
 // factor returns the time that the endpoint takes as a multiple of that of the median
 // endpoint, 1 if it is unknown.
 func (end *endpoint) factor() float64 {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -100,7 +100,7 @@
 func (req *request) query(choice Choice, tried []wick.VMID, resumed bool, maxWait time.Duration, now time.Time) pool.Query {
 	que := pool.Query{
 		Service: req.service, Model: len(req.params.Parts) > 0, Parts: req.params.Parts, InputTokens: req.params.InputTokens,
-		OutputTokens: req.params.ExpectedOutput(), OnlyVersion: choice.Only, ExceptVersions: choice.Except, Exclude: tried, Resumed: resumed,
+		OutputTokens: req.expectedOutput(), Expected: req.expected, OnlyVersion: choice.Only, ExceptVersions: choice.Except, Exclude: tried, Resumed: resumed,
 		MaxWait: maxWait, TargetGap: req.match.Route.TargetGap, Now: now,
 	}
 	que.Regions, que.CustomerRegions = req.regions()
@@ -111,7 +111,7 @@
 // to.
 func (req *request) pickHandoffTarget(old *target) (*target, error) {
 	que := pool.Query{
-		Service: req.service, Model: true, Parts: req.params.Parts, InputTokens: 0, OutputTokens: req.params.ExpectedOutput(), Resumed: true,
+		Service: req.service, Model: true, Parts: req.params.Parts, InputTokens: 0, OutputTokens: req.expectedOutput(), Expected: req.expected, Resumed: true,
 		OnlyVersion: old.Backend.Version, Exclude: req.tried, Now: time.Now(),
 	}
 	que.Regions, que.CustomerRegions = req.regions()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -32,6 +32,8 @@
 	// lastEventID is the id of the last event that was forwarded.
 	lastEventID string
 	eventCount  int
+	// progressCount is the number of events forwarded that are parts of the answer.
+	progressCount int
 	// firstEventAt is when the first event was forwarded, zero before.
 	firstEventAt time.Time
 	// lastEventAt is when the last event was forwarded, longestGap the longest time between
@@ -114,9 +116,11 @@
 		return outcomeServerError, nil
 	case otc == outcomeReply && att.rep.Status < http.StatusMultipleChoices:
 		otc, hof := fwd.forwardWithHandoff(ctx, att)
+		att.noteGenerated()
 		fwd.complete = otc == outcomeReply
 		if fwd.complete {
 			att.tgt.Streamed(pool.Stream{Events: att.received, Took: fwd.lastEventAt.Sub(att.firstEventAt), Stalled: fwd.stalled()})
+			fwd.recordStream()
 		}
 		return otc, hof
 	default:
@@ -270,8 +274,12 @@
 		fwd.lastEventID = evt.id
 	}
 	if evt.isProgress() {
+		fwd.progressCount++
 		fwd.unresumable = evt.id == ""
 	}
+	if att.received%generatedInterval == 0 {
+		att.noteGenerated()
+	}
 	return true
 }
 
