--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -25,9 +25,9 @@
 	fullSlotsMillis = 100.0
 	// failureMillis is the cost of an endpoint with a failure rate of 1.
 	failureMillis = 2000.0
-	// stallMillis is the cost of an endpoint whose streams stall all the time: a stream
-	// that is late is worth little more than a failed one.
-	stallMillis = 2000.0
+	// stallMillis is the cost of an endpoint whose streams stall all the time. At four times
+	// that, requests went where their prompts were not cached.
+	stallMillis = 500.0
 	// uncachedWeight weighs prefill time more than queueing time, because the
 	// prefill of one request also delays the requests queued behind it.
 	uncachedWeight = 2.0
