httpio, admin, edge: bound the admin and readiness listeners, test the limits

Cause: the admin and readiness servers had hertz's defaults (head 1 MiB, body 4 MiB, 3 min) and any number of connections. A head in pieces of a few bytes was parsed after each of them. What followed refused trailers could have been taken for the next request.

The reader waits for the end of a head or a full buffer before hertz parses it, and drops what it holds with a refusal.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -12,8 +12,6 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
@@ -68,14 +66,9 @@
 	if err != nil {
 		return eris.Wrap(err, "admin: listen")
 	}
-	srv.lis = lis
-	srv.hertz = server.New(
-		server.WithListener(httpio.RetryListener{Listener: lis}),
-		server.WithTransport(standard.NewTransporter),
-		server.WithDisablePrintRoute(true),
-		server.WithExitWaitTime(time.Second),
-		config.Option{F: func(opt *config.Options) { opt.NoDefaultServerHeader = true }},
-	)
+	own, opts := httpio.NewInternal(lis)
+	srv.lis = own
+	srv.hertz = server.New(append(opts, server.WithExitWaitTime(time.Second))...)
 	srv.hertz.GET("/dump", srv.serveDump)
 	srv.hertz.GET("/metrics", srv.serveMetrics)
 	srv.hertz.GET("/healthz", func(_ context.Context, req *app.RequestContext) {
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -334,3 +334,16 @@
 		b.Errorf("%d open", trk.Open())
 	}
 }
+
+// TestResponseToEmptyLines guards against a refusal of empty lines that is reported as a fault
+// of the program, and against a response without any input that is not.
+func TestResponseToEmptyLines(t *testing.T) {
+	for input, want := range map[string]int64{"\r\n": 0, "\r\n\n": 0, "": 1} {
+		rnn := newRun(t, 8, input)
+		rnn.readAll()
+		rnn.writeAll("HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n")
+		if got := rnn.counts()["unasked"]; got != want {
+			t.Errorf("input %q: %d responses without a request, want %d", input, got, want)
+		}
+	}
+}
--- a/internal/edge/ready.go
+++ b/internal/edge/ready.go
@@ -7,8 +7,6 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/rotisserie/eris"
 
@@ -39,10 +37,8 @@
 // serveReady answers readiness checks on a listener.
 func serveReady(lis net.Listener) *readyServer {
 	rds := &readyServer{}
-	hrz := server.New(
-		server.WithListener(httpio.RetryListener{Listener: lis}), server.WithTransport(standard.NewTransporter), server.WithDisablePrintRoute(true),
-		config.Option{F: func(opt *config.Options) { opt.NoDefaultServerHeader = true }},
-	)
+	_, opts := httpio.NewInternal(lis)
+	hrz := server.New(opts...)
 	hrz.Use(rds.handle)
 	go func() {
 		if err := hrz.Run(); err != nil {
--- a/internal/httpio/input.go
+++ b/internal/httpio/input.go
@@ -1,6 +1,7 @@
 package httpio
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -33,6 +34,8 @@
 	mostHeadBytes  = 1 << 20
 	// firstInputBytes is the size of the buffer with which a connection waits for a request.
 	firstInputBytes = 2 << 10
+	// firstPeekBytes is what hertz asks for before it sets the time for a request.
+	firstPeekBytes = 4
 	// inputLogsPerSecond bounds the log lines for inputs that are refused.
 	inputLogsPerSecond = 5
 )
@@ -169,7 +172,8 @@
 	if icn.off+size > cap(icn.buf) {
 		icn.buf, icn.off = append(make([]byte, 0, size), icn.buf[icn.off:]...), 0
 	}
-	for icn.Len() < num {
+	from := max(icn.off, len(icn.buf)-len("\n\r"))
+	for icn.Len() < num || icn.Len() < size && icn.awaitsHeadEnd(num, from) {
 		got, err := icn.cal.Read(icn.buf[len(icn.buf) : icn.off+size])
 		icn.buf = icn.buf[:len(icn.buf)+got]
 		if err != nil {
@@ -179,6 +183,14 @@
 	return nil
 }
 
+// awaitsHeadEnd reports whether num bytes are wanted for a head whose end isn't in buf[from:].
+// hertz parses the whole head after each read, which for a head in pieces of a few bytes would
+// take time with the square of its size.
+func (icn *inputConn) awaitsHeadEnd(num, from int) bool {
+	return icn.inHead && num > firstPeekBytes &&
+		!bytes.Contains(icn.buf[from:], []byte("\n\r\n")) && !bytes.Contains(icn.buf[from:], []byte("\n\n"))
+}
+
 // Skip consumes bytes that were read. The first ones of a request are its head.
 func (icn *inputConn) Skip(num int) error {
 	if num > icn.Len() {
@@ -243,8 +255,9 @@
 // refuse refuses the current request, which has not run: its head or trailers are not
 // complete. It returns the error of the read.
 func (icn *inputConn) refuse(why refusedInput) error {
-	part := "trailers"
-	icn.err = why.trailer
+	part, num := "trailers", icn.Len()
+	// What was read must not be taken for the next request.
+	icn.err, icn.buf, icn.off = why.trailer, nil, 0
 	if icn.inHead {
 		part = "head"
 		icn.err = hertzerrors.ErrNothingRead // keeps hertz from sending its own response
@@ -252,7 +265,7 @@
 	metrics.GetOrRegisterCounter("front.inputs."+part+why.suffix, nil).Inc(1)
 	if ok, left := inputLogs.Allow(time.Now()); ok {
 		log.WithFields(logrus.Fields{
-			"part": part, "remote": icn.RemoteAddr().String(), "bytes": icn.Len(), "limit": icn.limit,
+			"part": part, "remote": icn.cal.RemoteAddr().String(), "bytes": num, "limit": icn.limit,
 			logs.FieldStatus: why.status, logs.FieldSuppressed: left,
 		}).Warn(logs.MsgInputRefused)
 	}
--- a/internal/wire/framing_test.go
+++ b/internal/wire/framing_test.go
@@ -74,3 +74,29 @@
 		})
 	}
 }
+
+// TestEndlessTrailerOfReply guards against an endpoint's trailer lines without end that are
+// kept in memory. net/http bounds them; the test keeps that from changing unnoticed.
+func TestEndlessTrailerOfReply(t *testing.T) {
+	const most = 1 << 20
+	sent := make(chan int, 1)
+	url := serveRaw(t, func(con net.Conn) {
+		fmt.Fprint(con, chunkedHead, "1\r\nx\r\n0\r\n")
+		num, line := 0, "A: "+strings.Repeat("b", 997)
+		for ; num < 64*most; num += len(line) {
+			if _, err := io.WriteString(con, line+"\r\n"); err != nil {
+				break
+			}
+		}
+		sent <- num
+	})
+	cli := &Client{}
+	if _, err := cli.Exchange(t.Context(), Call{Method: http.MethodGet, URL: url}, most); err == nil {
+		t.Error("a reply with endless trailers was read to its end")
+	}
+	cli.Close()
+	// The buffers of the kernel take a few MiB.
+	if num := <-sent; num > 32*most {
+		t.Errorf("%d bytes of trailers were taken", num)
+	}
+}
