admin: a panic in a dump or a query gets 500 and does not end the entry

hertz recovers nothing by itself, so a fault in a handler would have ended the process: without the change TestQuery ends with the panic (trial). With it, go test ./internal/admin passes.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
@@ -97,6 +98,8 @@
 		server.WithExitWaitTime(time.Second),
 		config.Option{F: func(opt *config.Options) { opt.NoDefaultServerHeader = true }},
 	)
+	// A panic in a dump or a query must not end the process.
+	srv.hertz.Use(recovery.Recovery())
 	srv.hertz.GET("/dump", srv.serveDump)
 	srv.hertz.GET("/metrics", srv.serveMetrics)
 	srv.hertz.GET("/healthz", func(_ context.Context, req *app.RequestContext) {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -1,13 +1,52 @@
 package admin
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/wagtailwick/wagtailwick/internal/ports"
+	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
+// TestQuery guards against queries whose faults end the process or look like answers.
+func TestQuery(t *testing.T) {
+	addr, err := ports.Addr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var srv Server
+	srv.AddQuery("/ask", func(body []byte) (any, error) {
+		switch string(body) {
+		case "invalid":
+			return nil, wick.ErrInvalid
+		case "panic":
+			panic("fault")
+		}
+		return len(body), nil
+	})
+	if err := srv.Start(addr); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = srv.Stop(t.Context()) }()
+	for _, tst := range []struct {
+		body   string
+		status int
+	}{{"panic", 500}, {"invalid", 400}, {strings.Repeat("x", maxQueryBytes+1), 413}, {"four", 200}} {
+		res, err := http.Post("http://"+addr+"/ask", "text/plain", strings.NewReader(tst.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if res.StatusCode != tst.status {
+			t.Errorf("%.9s: status %d, want %d", tst.body, res.StatusCode, tst.status)
+		}
+	}
+}
+
 // TestExposition guards against metric lines that scrapers can't parse.
 func TestExposition(t *testing.T) {
 	reg := metrics.NewRegistry()
