--- a/internal/pool/explain_test.go
+++ b/internal/pool/explain_test.go
@@ -20,17 +20,17 @@
 
 var mixedExclusions = map[wick.VMID]Exclusion{
 	"e1": ExcludedLeaving, "e2": ExcludedEvacuated, "e3": ExcludedPaused, "e4": ExcludedLimited, "e5": ExcludedCold,
-	"e6": ExcludedVersion, "e7": ExcludedRegion, "e8": ExcludedTried, "e9": ExcludedGone,
+	"e6": ExcludedVersion, "e7": ExcludedRegion, "e8": ExcludedTried, "e9": ExcludedGone, "e14": ExcludedUnlisted,
 }
 
-// newMixedPool returns a pool of which e0 is slow, e1 to e9 are excluded from mixedQuery,
+// newMixedPool returns a pool of which e0 is slow, e1 to e9 and e14 are excluded from mixedQuery,
 // e10 is in backoff, e11 in another zone, and e12 and e13 are alike.
 func newMixedPool() *Pool {
 	pl := New("a")
 	pl.SetRegions(map[wick.Zone]wick.Region{"a": "r", "b": "r", "evacuated": "r", "abroad": "x"})
 	pl.SetColdPolicies(map[wick.Service]ColdPolicy{service: coldPolicy})
 	pl.SetEvacuated([]wick.Zone{"evacuated"})
-	const endpoints = 14
+	const endpoints = 15
 	for num := range endpoints {
 		bke := backend(num, map[int]wick.Zone{2: "evacuated", 7: "abroad", 11: "b"}[num])
 		if bke.Zone == "" {
@@ -53,6 +53,7 @@
 	grp.eps["e4"].limit.tokens = -5
 	// It ends within the tests, so that the requests after it ramp up.
 	grp.eps["e3"].pause.extend(start.Add(10 * time.Second))
+	pl.Unlist("e14", true, start.Add(-2*unlistedGrace))
 	pl.MarkGone("e9", 0, start.Add(time.Minute))
 	grp.eps["e10"].backoffUntil = start.Add(time.Minute)
 	return pl
