--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/middlewares/server/recovery"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/rcrowley/go-metrics"
@@ -89,6 +90,8 @@
 	own, opts := httpio.NewInternal(lis)
 	srv.lis = own
 	srv.hertz = server.New(append(opts, server.WithMaxRequestBodySize(maxQueryBytes), server.WithExitWaitTime(time.Second))...)
+	// A panic in a dump or a query must not end the process.
+	srv.hertz.Use(recovery.Recovery())
 	srv.hertz.GET("/dump", srv.serveDump)
 	srv.hertz.GET("/metrics", srv.serveMetrics)
 	srv.hertz.GET("/healthz", func(_ context.Context, req *app.RequestContext) {
