--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -58,6 +58,7 @@
 	latest := 0.0
 	for range callers {
 		res := rly.request("/look/1")
+		res.Body.Close()
 		after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
 		if res.StatusCode != http.StatusServiceUnavailable || err != nil || after < time.Minute.Seconds()-1 {
 			t.Errorf("status %d with Retry-After %q", res.StatusCode, res.Header.Get("Retry-After"))
