--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -18,8 +18,9 @@
 	Adapt func(wkl *Workload)
 	// Rollout runs one move per seed and kind of candidate version.
 	Rollout bool
-	// Work compares what is known of the output of requests, on a load of its own.
-	Work bool
+	// Work is the rate of requests per second of a topic that compares what is known of their
+	// output, on a load of its own.
+	Work float64
 }
 
 // Topics lists all comparisons.
@@ -56,7 +57,8 @@
 			wkl.PerSecond /= 5
 		},
 	},
-	{Name: "work", Policies: workPolicies(), Work: true},
+	{Name: "work", Policies: workPolicies(), Work: 14},
+	{Name: "workfull", Policies: workPolicies(), Work: 17},
 }
 
 // workPolicies returns the columns of the work topic.
@@ -79,7 +81,7 @@
 
 // Run runs a topic with a workload and prints its table.
 func Run(out io.Writer, tpc *Topic, wkl Workload, opt Options) error {
-	if tpc.Work {
+	if tpc.Work > 0 {
 		return runWork(out, tpc, opt)
 	}
 	if tpc.Adapt != nil {
@@ -124,7 +126,7 @@
 	grp.SetLimit(max(opt.Procs, 1))
 	for num := range opt.Seeds {
 		grp.Go(func() error {
-			trc := workTrace(opt.First + uint64(num)) //nolint:gosec // a count
+			trc := workTrace(opt.First+uint64(num), tpc.Work) //nolint:gosec // a count
 			for idx, pol := range tpc.Policies {
 				runs[idx][num] = newWorkSimulation(pol.know).replay(trc)
 			}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -18,6 +18,10 @@
 	// perCustomer counts requests and answers within the latency targets.
 	perCustomer map[wick.Customer]*[2]int
 	rollout     *rollout
+	// expected and actual are the sums of the estimated and the actual output of answers,
+	// errs the sum of the logarithms of the factors between the two. Only work topics have
+	// them.
+	expected, actual, errs float64
 }
 
 func newResult() *result { return &result{perCustomer: make(map[wick.Customer]*[2]int)} }
--- a/internal/bench/work.go
+++ b/internal/bench/work.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -63,8 +64,8 @@
 	factors map[wick.VMID]float64
 	entries []*workEntry
 	res     *result
-	// whole holds the times of complete answers for each of their tokens, relative to the
-	// target.
+	// whole holds the times of complete answers relative to their targets, a second for the
+	// target itself.
 	whole []time.Duration
 }
 
@@ -165,6 +166,9 @@
 		events := (wrq.answer + tokensPerEvent - 1) / tokensPerEvent
 		wen.learner.Record(wrq.cost, float64(events), sim.now)
 		sim.answered(wrq, first.Sub(began), sim.now.Sub(began))
+		if est.Output > 0 {
+			sim.res.countEstimate(est.Output, float64(wrq.answer))
+		}
 	}
 	if err := sim.byID[asg.Backend.ID].start(cll); err != nil {
 		sim.res.refused++
@@ -172,12 +176,18 @@
 	}
 }
 
+// countEstimate counts the estimate of an answer's tokens.
+func (res *result) countEstimate(expected, actual float64) {
+	res.expected += expected
+	res.actual += actual
+	res.errs += math.Abs(math.Log(expected / actual))
+}
+
 // answered counts a complete answer.
 func (sim *workSimulation) answered(wrq *workRequest, first, whole time.Duration) {
 	sim.res.answered++
 	sim.res.first = append(sim.res.first, first)
 	target := workFirstTarget + time.Duration(wrq.answer)*workTokenTarget
-	// Answers of different lengths are compared by the share of their targets, in thousandths.
 	sim.whole = append(sim.whole, time.Duration(float64(whole)/float64(target)*float64(time.Second)))
 	if first <= workFirstTarget && whole <= target {
 		sim.res.inTime++
@@ -199,6 +209,8 @@
 var workFigures = []figure{
 	figures[0], figures[1],
 	{"answered, %", percent, func(res *result) float64 { return 100 * ratio(float64(res.answered), float64(res.offered)) }},
+	{"sum of estimates, % of all tokens", percent, func(res *result) float64 { return 100 * ratio(res.expected, res.actual) }},
+	{"estimate is off by a factor of, mean", percent, func(res *result) float64 { return math.Exp(ratio(res.errs, float64(res.answered))) }},
 	{"first token p50, ms", whole, func(res *result) float64 { return quantile(res.first, 0.5) }},
 	{"first token p99, ms", whole, func(res *result) float64 { return quantile(res.first, 0.99) }},
 	{"whole answer p50, % of its target", percent, func(res *result) float64 { return quantile(res.between, 0.5) / 10 }},
--- a/internal/bench/worktrace.go
+++ b/internal/bench/worktrace.go
@@ -10,11 +10,10 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// The load of the work topic: answers are short or long, with a probability that depends on the
+// The load of the work topics: answers are short or long, with a probability that depends on the
 // prompt and changes in the middle of the run. One customer's hints say nothing.
 const (
 	workDuration  = 2 * time.Minute
-	workPerSecond = 17.0
 	workCustomers = 5
 	workPrompts   = 4
 	workEntries   = 6
@@ -41,12 +40,12 @@
 // inputTokens returns the length of the prompt.
 func (wrq *workRequest) inputTokens() wick.Tokens { return wrq.parts[0].Tokens + wrq.parts[1].Tokens }
 
-// workTrace generates the requests for a seed.
-func workTrace(seed uint64) []workRequest {
+// workTrace generates the requests for a seed, at a mean rate.
+func workTrace(seed uint64, perSecond float64) []workRequest {
 	rnd := rand.New(rand.NewPCG(seed, 17)) //nolint:gosec // the trace must be reproducible
 	var out []workRequest
 	for at := time.Duration(0); ; {
-		at += time.Duration(rnd.ExpFloat64() / workPerSecond * float64(time.Second))
+		at += time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second))
 		if at >= workDuration {
 			return out
 		}
--- a/internal/cost/cost.go
+++ b/internal/cost/cost.go
@@ -196,7 +196,7 @@
 		return out
 	}
 	if req.Hint > 0 {
-		lrn.addHint(&out, &req, est.spread)
+		lrn.addHint(&out, &req, est.deviation)
 	}
 	out.PerEvent = lrn.perEvent(&req)
 	out.Output, out.High = out.Output*out.PerEvent, out.High*out.PerEvent
@@ -217,16 +217,18 @@
 }
 
 // addHint combines an estimate in events with the calibrated hint of the caller, each weighted
-// by how little the actual values spread around it. spread is that of the estimate.
-func (lrn *Learner) addHint(est *Estimate, req *Request, spread float64) {
+// by how little the actual values deviate from it. deviation is that of the estimate: its rare long
+// answers count in full, since hints tell them apart, while hints that are rarely far off are
+// trusted otherwise.
+func (lrn *Learner) addHint(est *Estimate, req *Request, deviation float64) {
 	all := lrn.find(req.key(levelHint))
 	if all.weight < minSamples {
 		return
 	}
 	cal := all.refine(lrn.find(req.key(levelCustomerHint)))
 	weight := 0.5
-	if sum := spread*spread + cal.spread*cal.spread; sum > 0 {
-		weight = spread * spread / sum
+	if sum := deviation*deviation + cal.spread*cal.spread; sum > 0 {
+		weight = deviation * deviation / sum
 	}
 	hint := float64(req.Hint)
 	est.Output += weight * (cal.median*hint - est.Output)
--- a/internal/cost/window.go
+++ b/internal/cost/window.go
@@ -40,8 +40,9 @@
 	// weight is the sum of the weights of the samples, which is at most their number.
 	weight float64
 	// mean, median, high and top describe the values; spread is their mean deviation from the
-	// median as a logarithm of the ratio.
-	mean, median, high, top, spread float64
+	// median as a logarithm of the ratio, deviation the root of the mean square of it, which
+	// rare values far off dominate.
+	mean, median, high, top, spread, deviation float64
 }
 
 // A sample is a value with its weight.
@@ -83,8 +84,11 @@
 	out.high = quantile(smps, highQuantile*out.weight)
 	out.top = quantile(smps, topQuantile*out.weight)
 	for _, smp := range smps {
-		out.spread += smp.weight * math.Abs(math.Log(smp.val/out.median)) / out.weight
+		off := math.Log(smp.val / out.median)
+		out.spread += smp.weight * math.Abs(off) / out.weight
+		out.deviation += smp.weight * off * off / out.weight
 	}
+	out.deviation = math.Sqrt(out.deviation)
 	return out
 }
 
@@ -124,5 +128,6 @@
 	return stats{
 		weight: sts.weight, mean: mix(sts.mean, spc.mean), median: mix(sts.median, spc.median),
 		high: mix(sts.high, spc.high), top: mix(sts.top, spc.top), spread: mix(sts.spread, spc.spread),
+		deviation: mix(sts.deviation, spc.deviation),
 	}
 }
--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -135,14 +135,14 @@
 	asg.sent = sent{}
 }
 
-// herdFactor returns how many requests all entries have probably sent to an endpoint since its
-// last report for each one that this entry has sent there. The rate at which an endpoint is
+// herdFactor returns how many requests all entries have probably sent to an endpoint since a
+// report of some age for each one that this entry has sent there. The rate at which an endpoint is
 // chosen is not known, so it is taken as gamma distributed, with a shape of 1 and with the mean
 // of the service's endpoints: one request of this entry is evidence for more of the others, but
 // for fewer than in proportion to its share of the requests.
-func (grp *group) herdFactor(now time.Time, perSecond float64, end *endpoint) float64 {
+func (grp *group) herdFactor(age time.Duration, perSecond float64) float64 {
 	const shape = 1.0
-	mean := perSecond * now.Sub(end.report.At).Seconds()
+	mean := perSecond * age.Seconds()
 	if mean <= 0 || grp.limitShare >= 1 {
 		return 1
 	}
--- a/internal/pool/backlog_test.go
+++ b/internal/pool/backlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -88,11 +89,12 @@
 		t.Errorf("sends %v, want them divided evenly", counts)
 	}
 	grp := pl.groups[service]
-	end, now := grp.eps["e0"], start.Add(400*time.Millisecond)
-	if got := grp.herdFactor(now, grp.requestsPerEndpoint(now), end); got < 2 || got > 1/share {
+	const age = 400 * time.Millisecond
+	now := start.Add(age)
+	if got := grp.herdFactor(age, grp.requestsPerEndpoint(now)); got < 2 || got > 1/share {
 		t.Errorf("one request stands for %.1f, want more than one and at most %.0f", got, 1/share)
 	}
-	if got := grp.herdFactor(now, 0.01, end); got > 1.1 {
+	if got := grp.herdFactor(age, 0.01); got > 1.1 {
 		t.Errorf("one request stands for %.1f in a service with few requests", got)
 	}
 	pl.Report("e0", Report{At: now, Load: wick.BackendLoad{Running: 3}})
@@ -148,3 +150,25 @@
 		})
 	}
 }
+
+// BenchmarkBest measures the comparison for one request among 10,000 endpoints with runs.
+func BenchmarkBest(b *testing.B) {
+	pl := New("a")
+	for idx := range 10000 {
+		pl.Set(backend(idx, manyZones[idx%len(manyZones)]), start)
+		pl.Report(wick.VMID("e"+strconv.Itoa(idx)), Report{At: start, Load: wick.BackendLoad{Running: 6}})
+	}
+	que := learned(true, 300)
+	que.Service, que.InputTokens, que.Now = service, 4000, start
+	que.Parts = []wick.PromptPart{{ID: "shared", Tokens: 3000}, {ID: "own", Tokens: 1000}}
+	for range 1000 {
+		if _, err := pl.Pick(que); err != nil {
+			b.Fatal(err)
+		}
+	}
+	grp := pl.groups[service]
+	b.ReportAllocs()
+	for b.Loop() {
+		grp.best(&que, grp.preferredFor(&que), pl.zone)
+	}
+}
--- a/internal/pool/memory.go
+++ b/internal/pool/memory.go
@@ -16,10 +16,10 @@
 	return float64(que.InputTokens) + max(float64(que.OutputTokens), que.Expected.High)
 }
 
-// lacksRoom reports whether the free memory in the last report of an endpoint, without what the
-// requests since then need, is too small for a request.
+// lacksRoom reports whether the free memory in the last report of an endpoint that is short of
+// it, without what the requests since then need, is too small for a request.
 func (end *endpoint) lacksRoom(que *Query) bool {
-	return end.report.MemoryShort && float64(end.report.FreeMemory)-end.sends.memory < que.memory()
+	return float64(end.report.FreeMemory)-end.sends.memory < que.memory()
 }
 
 // noteMemory logs that an endpoint begins or ceases to be short of memory.
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -217,13 +217,18 @@
 		return ctm
 	}
 	running, queued, wait := float64(end.inFlight), 0, grp.engine.PrefillMillis(end.pendingPrefill)
-	if que.Now.Sub(end.report.At) < maxReportAge {
+	if age := que.Now.Sub(end.report.At); age < maxReportAge {
 		load := &end.report.Load
 		queued = load.Waiting
-		sent := grp.herdFactor(que.Now, que.perEndpoint, end)
-		running = max(running, float64(load.Running)+sent*end.sends.count)
-		wait = max(wait, grp.engine.WaitingMillis(load.Waiting)+grp.engine.PrefillMillis(load.NextTokens+wick.Tokens(sent*end.sends.prefill)))
-		if end.lacksRoom(que) {
+		reported, prefill := float64(load.Running), load.NextTokens
+		if end.sends.count > 0 {
+			sent := grp.herdFactor(age, que.perEndpoint)
+			reported += sent * end.sends.count
+			prefill += wick.Tokens(sent * end.sends.prefill)
+		}
+		running = max(running, reported)
+		wait = max(wait, grp.engine.WaitingMillis(load.Waiting)+grp.engine.PrefillMillis(prefill))
+		if end.report.MemoryShort && end.lacksRoom(que) {
 			ctm.memory = noRoomMillis
 		}
 	}
