pool, bench: count waiting requests once in the wait for a slot

Cause: this entry's requests in flight include those that wait at an endpoint, and the reported ones were added to them. Counters for requests that are sent to an endpoint without a free slot or without free memory. The work topics run once, not for each workload.

Measured: the tests of internal/pool that the change concerns pass.

--- a/internal/cmds/bench.go
+++ b/internal/cmds/bench.go
@@ -30,6 +30,10 @@
 				if err := bench.Run(ev.stdout, tpc, wkl, bench.Options{Seeds: *seeds, First: *first, Procs: *procs}); err != nil {
 					return fmt.Errorf("bench %s: %w", tpc.Name, err)
 				}
+				if tpc.Work > 0 {
+					// Its load does not depend on the workload.
+					break
+				}
 			}
 		}
 		return nil
--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/wagtailwick/wagtailwick/internal/cost"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
@@ -80,19 +82,34 @@
 	return inFlight + known*(min(max(factor, minWorkFactor), maxWorkFactor)-1)
 }
 
-// slotMillis returns the time until an endpoint whose slots are all in use has one for another
-// request, behind those that wait: the work that is left of an average run there, for each slot
-// that must become free. It returns 0 while there are free slots, or the work is not known.
-func (grp *group) slotMillis(end *endpoint, running, waiting float64) float64 {
+// slotMillis returns the time until an endpoint with a number of requests that run or wait has a
+// slot for another one behind them: the work that is left of an average request there, for each
+// slot that must become free. It returns 0 while there are free slots, or the work is not known.
+func (grp *group) slotMillis(end *endpoint, requests float64) float64 {
 	slots := float64(end.bke.Slots)
-	missing := running + waiting + 1 - slots
+	missing := requests + 1 - slots
 	if slots <= 0 || missing <= 0 || grp.backlog.known == 0 {
 		return 0
 	}
-	left := grp.backlog.work / float64(grp.backlog.known) * grp.weigh(end, running) / max(running, 1)
+	left := grp.backlog.work / float64(grp.backlog.known) * grp.weigh(end, requests) / max(requests, 1)
 	return missing / slots * grp.engine.DecodeMillis(left, slots)
 }
 
+// countPick counts the choice of an endpoint without a free slot or without free memory: it was
+// the best one nevertheless.
+func (grp *group) countPick(end *endpoint, que *Query, preferred [2]*endpoint, zone wick.Zone) {
+	if !que.Model {
+		return
+	}
+	ctm := grp.cost(end, que, preferred, zone)
+	if ctm.full {
+		metrics.GetOrRegisterCounter("pool.picksWithoutSlot", nil).Inc(1)
+	}
+	if ctm.memory > 0 {
+		metrics.GetOrRegisterCounter("pool.picksWithoutMemory", nil).Inc(1)
+	}
+}
+
 // sends are this entry's requests to an endpoint since its last report.
 type sends struct {
 	// report numbers the reports.
--- a/internal/pool/backlog_test.go
+++ b/internal/pool/backlog_test.go
@@ -39,6 +39,18 @@
 			short.Done(ResultAnswered, start)
 		})
 	}
+	t.Run("not that of an earlier start", func(t *testing.T) {
+		pl := newPool("a")
+		asg := pick(t, pl, learned(true, 900))
+		bke := backend(0, "a")
+		bke.Born = 7
+		pl.Set(bke, start)
+		asg.Generated(30)
+		asg.Done(ResultIncomplete, start)
+		if got := pl.groups[service].eps["e0"].backlog; got != (backlog{}) {
+			t.Errorf("backlog %+v of an endpoint that has just started", got)
+		}
+	})
 	t.Run("ends with the requests", func(t *testing.T) {
 		pl := newPool("a")
 		asg := pick(t, pl, learned(true, 100))
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -126,6 +126,7 @@
 	if end == nil {
 		return nil, grp.noneAvailable(&que)
 	}
+	grp.countPick(end, &que, preferred, pl.zone)
 	asg := &Assignment{Backend: end.bke, Leaving: end.leaving, PauseBegun: end.pause.begun, Wait: end.take(que.Now), pl: pl, grp: grp, end: end}
 	asg.Band = loadBand(end)
 	end.inFlight++
@@ -197,6 +198,8 @@
 	// turn is the time until a limited endpoint may be sent the request, zone the cost of
 	// an endpoint in another zone.
 	turn, zone float64
+	// full is set if waiting is the time until a slot is free.
+	full bool
 }
 
 func (ctm *costTerms) total() float64 {
@@ -216,17 +219,17 @@
 		ctm.slots = fullSlotsMillis * grp.weigh(end, float64(end.inFlight)) / float64(max(end.bke.Slots, 1))
 		return ctm
 	}
-	running, queued, wait := float64(end.inFlight), 0, grp.engine.PrefillMillis(end.pendingPrefill)
+	// all counts the requests that run or wait.
+	running, all, wait := float64(end.inFlight), float64(end.inFlight), grp.engine.PrefillMillis(end.pendingPrefill)
 	if age := que.Now.Sub(end.report.At); age < maxReportAge {
 		load := &end.report.Load
-		queued = load.Waiting
 		reported, prefill := float64(load.Running), load.NextTokens
 		if end.sends.count > 0 {
 			sent := grp.herdFactor(age, que.perEndpoint)
 			reported += sent * end.sends.count
 			prefill += wick.Tokens(sent * end.sends.prefill)
 		}
-		running = max(running, reported)
+		running, all = max(running, reported), max(all, reported+float64(load.Waiting))
 		wait = max(wait, grp.engine.WaitingMillis(load.Waiting)+grp.engine.PrefillMillis(prefill))
 		if end.report.MemoryShort && end.lacksRoom(que) {
 			ctm.memory = noRoomMillis
@@ -234,7 +237,10 @@
 	}
 	factor, stalls := end.pace(que.Now)
 	ctm.running = factor * grp.engine.RunningMillis(grp.weigh(end, running))
-	ctm.waiting = factor * max(wait, grp.slotMillis(end, running, float64(queued)))
+	if slot := grp.slotMillis(end, all); slot > wait {
+		wait, ctm.full = slot, true
+	}
+	ctm.waiting = factor * wait
 	ctm.prefill = factor * uncachedWeight * grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
 	if que.TargetGap > 0 {
 		ctm.stalls = stalls * stallMillis
