pool: take the slots of an endpoint from its load if that shows more

Cause: an endpoint that runs more requests than the registry's slots would have looked as if all of these above had to end before it could take one.

--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -82,17 +82,16 @@
 	return inFlight + known*(min(max(factor, minWorkFactor), maxWorkFactor)-1)
 }
 
-// slotMillis returns the time until an endpoint with a number of requests that run or wait has a
-// slot for another one behind them: the work that is left of an average request there, for each
-// slot that must become free. It returns 0 while there are free slots, or the work is not known.
-func (grp *group) slotMillis(end *endpoint, requests float64) float64 {
-	slots := float64(end.bke.Slots)
-	missing := requests + 1 - slots
+// slotMillis returns the time until an endpoint has a slot for one more request behind those that
+// run or wait there: the work that is left of an average one, for each slot that must become
+// free. It returns 0 while there are free slots, or the work is not known.
+func (grp *group) slotMillis(end *endpoint, requests float64, slots int) float64 {
+	missing := requests + 1 - float64(slots)
 	if slots <= 0 || missing <= 0 || grp.backlog.known == 0 {
 		return 0
 	}
 	left := grp.backlog.work / float64(grp.backlog.known) * grp.weigh(end, requests) / max(requests, 1)
-	return missing / slots * grp.engine.DecodeMillis(left, slots)
+	return missing / float64(slots) * grp.engine.DecodeMillis(left, float64(slots))
 }
 
 // countPick counts the choice of an endpoint without a free slot or without free memory: it was
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -220,6 +220,7 @@
 		return ctm
 	}
 	// all counts the requests that run or wait.
+	slots := end.bke.Slots
 	running, all, wait := float64(end.inFlight), float64(end.inFlight), grp.engine.PrefillMillis(end.pendingPrefill)
 	if age := que.Now.Sub(end.report.At); age < maxReportAge {
 		load := &end.report.Load
@@ -230,6 +231,8 @@
 			prefill += wick.Tokens(sent * end.sends.prefill)
 		}
 		running, all = max(running, reported), max(all, reported+float64(load.Waiting))
+		// An endpoint that runs more than its slots has more of them.
+		slots = max(slots, load.Running)
 		wait = max(wait, grp.engine.WaitingMillis(load.Waiting)+grp.engine.PrefillMillis(prefill))
 		if end.report.MemoryShort && end.lacksRoom(que) {
 			ctm.memory = noRoomMillis
@@ -237,7 +240,7 @@
 	}
 	factor, stalls := end.pace(que.Now)
 	ctm.running = factor * grp.engine.RunningMillis(grp.weigh(end, running))
-	if slot := grp.slotMillis(end, all); slot > wait {
+	if slot := grp.slotMillis(end, all, slots); slot > wait {
 		wait, ctm.full = slot, true
 	}
 	ctm.waiting = factor * wait
