relay: check a request's turn by the present time

Cause: a timer's channel gives the time at which the timer was due, however late it is received. After a suspension of the process a waiting request was checked as of then, so that neither the lateness of its turn nor pauses and cold times since counted. Change: the clock is read after the wait. Tests of turns run with the package.

--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -31,8 +31,10 @@
 	tim := time.NewTimer(tgt.Wait)
 	defer tim.Stop()
 	select {
-	case now := <-tim.C:
-		return tgt.Usable(now)
+	case <-tim.C:
+		// The timer's own value is the time at which it was due, also if the process was
+		// suspended then.
+		return tgt.Usable(time.Now())
 	case <-tgt.Leaving:
 	case <-tgt.PauseBegun:
 	case <-ctx.Done():
