where, cost: show the learned work of a request; no verdict of admission

Cause: the command had a field for the learned cost, and one for a verdict of admission, which is not in force. Predictions kept windows of samples longer.

--- a/internal/cmds/where.go
+++ b/internal/cmds/where.go
@@ -119,9 +119,6 @@
 	if lrn := ans.Expected.Learned; lrn != nil {
 		prn.printf("learned from %d requests: mean %.1f, 0.9 quantile %.1f\n", lrn.Samples, lrn.Mean, lrn.High)
 	}
-	if adm := ans.Admission; adm != nil {
-		prn.printf("admission: admitted %v %s, expected wait %d ms, retry after %d ms\n", adm.Admit, adm.Reason, adm.WaitMillis, adm.RetryAfterMillis)
-	}
 	if ans.Trial {
 		prn.printf("the prompt would be let through as the trial of a block\n")
 	}
--- a/internal/cost/cost.go
+++ b/internal/cost/cost.go
@@ -164,9 +164,10 @@
 	win.add(val, lrn.now.Sub(lrn.start))
 }
 
-// find returns the statistics of a window, the zero value if there is none.
+// find returns the statistics of a window, the zero value if there is none. It does not keep
+// the window longer: predictions change nothing.
 func (lrn *Learner) find(key key) stats {
-	win, ok := lrn.windows.Get(key)
+	win, ok := lrn.windows.Peek(key)
 	if !ok {
 		return stats{}
 	}
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -95,8 +95,6 @@
 	// Trial is set for a prompt that would be let through as the trial of a block.
 	Trial    bool     `json:"trial,omitempty"`
 	Expected Expected `json:"expected"`
-	// Admission is the verdict of admission control, nil where it doesn't apply.
-	Admission *Admission `json:"admission,omitempty"`
 	// Placements has one element for each service of the route and version option.
 	Placements []Placement `json:"placements,omitempty"`
 }
@@ -130,15 +128,6 @@
 	Samples int     `json:"samples"`
 }
 
-// An Admission is a verdict of admission control.
-type Admission struct {
-	Admit            bool   `json:"admit"`
-	Reason           string `json:"reason,omitempty"`
-	RetryAfterMillis int64  `json:"retryAfterMillis,omitempty"`
-	// WaitMillis is the predicted time until the first token.
-	WaitMillis int64 `json:"waitMillis"`
-}
-
 // A Placement is the choice of an endpoint for a share of the requests like the one asked
 // for.
 type Placement struct {
@@ -181,6 +170,10 @@
 		out.Refusal, out.RetryAfterMillis = refusalPromptBlocked.withRetryAfter(vdc.RetryAfter).explain()
 	}
 	out.Placements = req.placements(ask.Tried, now)
+	// That of the route's last service, if it has several.
+	if est := &req.expected; est.Samples > 0 {
+		out.Expected.Learned = &LearnedCost{Mean: est.Output, High: est.High, Samples: est.Samples}
+	}
 	return out
 }
 
@@ -230,6 +223,7 @@
 	var out []Placement
 	for _, spl := range req.match.Route.Splits {
 		req.service = spl.Service
+		req.expected = req.srv.cfg.Costs.Predict(req.costRequest())
 		for _, opt := range req.srv.cfg.Views.VersionOptions(spl.Service) {
 			out = append(out, req.placement(opt, spl.Weight/total, tried, now))
 		}
