--- a/internal/cmds/where_test.go
+++ b/internal/cmds/where_test.go
@@ -16,7 +16,7 @@
 
 var whereAnswer = edge.WhereAnswer{Entry: "front-1", Zone: "a", Explanation: relay.Explanation{
 	Route: "chat", Kind: "stream", Customer: "acme", Rank: 2, Quota: &relay.QuotaState{Rate: 10, Burst: 20, Cost: 5, Left: 7},
-	Expected:  relay.Expected{OutputTokens: 40, Source: "lengthHint", Learned: &relay.LearnedCost{Mean: 30, High: 90, Samples: 12}},
+	Expected: relay.Expected{OutputTokens: 40, Source: "lengthHint", Learned: &relay.LearnedCost{Mean: 30, High: 90, Samples: 12}},
 	Placements: []relay.Placement{{Service: "s", Share: 1, Explanation: pool.Explanation{Choice: "i-1", Unsampled: 3, Excluded: map[pool.Exclusion]int{pool.ExcludedPaused: 1}, Candidates: []pool.Candidate{
 		{Endpoint: "i-1", Zone: "a", Availability: "available", Cost: 52, Terms: pool.Terms{Waiting: 12, Zone: 40}, Pace: 1, Load: pool.LoadReported, Running: 4},
 		{Endpoint: "i-2", Zone: "b", Availability: "unavailable", Excluded: pool.ExcludedPaused, Pace: 1},
