--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -82,7 +82,7 @@
 // Run runs a topic with a workload and prints its table.
 func Run(out io.Writer, tpc *Topic, wkl Workload, opt Options) error {
 	if tpc.Work > 0 {
-		return runWork(out, tpc, opt)
+		return runWork(out, tpc, wkl.Duration, opt)
 	}
 	if tpc.Adapt != nil {
 		tpc.Adapt(&wkl)
@@ -117,7 +117,7 @@
 }
 
 // runWork runs the work topic and prints its table.
-func runWork(out io.Writer, tpc *Topic, opt Options) error {
+func runWork(out io.Writer, tpc *Topic, length time.Duration, opt Options) error {
 	runs := make([][]*result, len(tpc.Policies))
 	for idx := range runs {
 		runs[idx] = make([]*result, opt.Seeds)
@@ -126,9 +126,9 @@
 	grp.SetLimit(max(opt.Procs, 1))
 	for num := range opt.Seeds {
 		grp.Go(func() error {
-			trc := workTrace(opt.First+uint64(num), tpc.Work) //nolint:gosec // a count
+			trc := workTrace(opt.First+uint64(num), tpc.Work, length) //nolint:gosec // a count
 			for idx, pol := range tpc.Policies {
-				runs[idx][num] = newWorkSimulation(pol.know).replay(trc)
+				runs[idx][num] = newWorkSimulation(pol.know).replay(trc, length)
 			}
 			return nil
 		})
--- a/internal/bench/work.go
+++ b/internal/bench/work.go
@@ -194,13 +194,13 @@
 	}
 }
 
-// replay runs a trace to completion.
-func (sim *workSimulation) replay(trc []workRequest) *result {
+// replay runs a trace of some length to completion.
+func (sim *workSimulation) replay(trc []workRequest, length time.Duration) *result {
 	for idx := range trc {
 		wrq := &trc[idx]
 		sim.after(wrq.at, func() { sim.arrive(wrq) })
 	}
-	sim.run(sim.now.Add(workDuration + time.Minute))
+	sim.run(sim.now.Add(length + time.Minute))
 	sim.res.between = sim.whole
 	return sim.res
 }
--- a/internal/bench/worktrace.go
+++ b/internal/bench/worktrace.go
@@ -13,7 +13,6 @@
 // The load of the work topics: answers are short or long, with a probability that depends on the
 // prompt and changes in the middle of the run. One customer's hints say nothing.
 const (
-	workDuration  = 2 * time.Minute
 	workCustomers = 5
 	workPrompts   = 4
 	workEntries   = 6
@@ -40,25 +39,25 @@
 // inputTokens returns the length of the prompt.
 func (wrq *workRequest) inputTokens() wick.Tokens { return wrq.parts[0].Tokens + wrq.parts[1].Tokens }
 
-// workTrace generates the requests for a seed, at a mean rate.
-func workTrace(seed uint64, perSecond float64) []workRequest {
+// workTrace generates the requests for a seed, at a mean rate for some time.
+func workTrace(seed uint64, perSecond float64, length time.Duration) []workRequest {
 	rnd := rand.New(rand.NewPCG(seed, 17)) //nolint:gosec // the trace must be reproducible
 	var out []workRequest
 	for at := time.Duration(0); ; {
 		at += time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second))
-		if at >= workDuration {
+		if at >= length {
 			return out
 		}
-		out = append(out, newWorkRequest(rnd, at, len(out)))
+		out = append(out, newWorkRequest(rnd, at, at > length/2, len(out)))
 	}
 }
 
-func newWorkRequest(rnd *rand.Rand, at time.Duration, num int) workRequest {
+func newWorkRequest(rnd *rand.Rand, at time.Duration, changed bool, num int) workRequest {
 	customer, prompt := rnd.IntN(workCustomers), rnd.IntN(workPrompts)
 	// Half of a customer's prompts have mostly short answers and half mostly long ones, until
 	// they change places.
 	probability := 0.1
-	if (prompt%2 == 0) == (at > workDuration/2) {
+	if (prompt%2 == 0) == changed {
 		probability = 0.6
 	}
 	median := shortTokens
