relay: the endpoints of TestExplain state that they close their connections

Cause: the test's endpoints close a connection behind each reply. A request on the reused connection was reset and sent to a second endpoint, in 6 of 40 runs with the race detector; the log shows it (read: connection reset by peer). Change: the replies have Connection: close. The check is the same.

--- a/internal/relay/explain_test.go
+++ b/internal/relay/explain_test.go
@@ -14,7 +14,10 @@
 
 func newExplainedRelay(t *testing.T) *testRelay {
 	t.Helper()
-	rly := newTestRelay(t, 4, func(req *http.Request, con net.Conn, _ int) { reply(con, req, 200, "done") })
+	rly := newTestRelay(t, 4, func(req *http.Request, con net.Conn, _ int) {
+		// The endpoint closes the connection: a reuse would be a second attempt elsewhere.
+		fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndone", req.Header.Get("X-Id"))
+	})
 	rly.adopt(func(pln *wick.Plan) { pln.Customers[0].Rank, pln.Customers[0].HasRank = 2, true })
 	return rly
 }
