--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -57,7 +57,7 @@
 	srv.dumps[part] = dump
 }
 
-// AddQuery registers a query, which is asked by POST requests to a path. It must be called
+// AddQuery registers the handler of POST requests to a path. It must be called
 // before Start.
 func (srv *Server) AddQuery(path string, qry Query) {
 	if srv.queries == nil {
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -18,7 +18,7 @@
 	Adapt func(wkl *Workload)
 	// Rollout runs one move per seed and kind of candidate version.
 	Rollout bool
-	// Work is the rate of requests per second of a topic that compares what is known of their
+	// Work is the rate of requests per second of a topic that compares predictors of their
 	// output, on a load of its own.
 	Work float64
 }
@@ -63,9 +63,9 @@
 
 // workPolicies returns the columns of the work topic.
 func workPolicies() []Policy {
-	out := make([]Policy, 0, len(knowledges))
-	for _, know := range knowledges {
-		out = append(out, Policy{Name: string(know), know: know})
+	out := make([]Policy, 0, len(predictors))
+	for _, prd := range predictors {
+		out = append(out, Policy{Name: string(prd), predictor: prd})
 	}
 	return out
 }
@@ -128,7 +128,7 @@
 		grp.Go(func() error {
 			trc := workTrace(opt.First+uint64(num), tpc.Work, length) //nolint:gosec // a count
 			for idx, pol := range tpc.Policies {
-				runs[idx][num] = newWorkSimulation(pol.know).replay(trc, length)
+				runs[idx][num] = newWorkSimulation(pol.predictor).replay(trc, length)
 			}
 			return nil
 		})
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -43,7 +43,7 @@
 			for _, pol := range tpc.Policies {
 				var res *result
 				if tpc.Work > 0 {
-					res = newWorkSimulation(pol.know).replay(workTrace(9, tpc.Work, wkl.Duration), wkl.Duration)
+					res = newWorkSimulation(pol.predictor).replay(workTrace(9, tpc.Work, wkl.Duration), wkl.Duration)
 				} else {
 					res = newSimulation(&wkl, pol, good).replay(wkl.generate(9))
 				}
--- a/internal/bench/simulation.go
+++ b/internal/bench/simulation.go
@@ -42,8 +42,8 @@
 	Refuse bool
 	// Fixed replaces evidence-based rollouts by fixed time steps.
 	Fixed bool
-	// know is what is known of the output of requests, in the work topic.
-	know knowledge
+	// predictor is the source of the output lengths of requests in the work topic.
+	predictor predictor
 }
 
 // A place is the position of a request in an admission queue, fair or FIFO.
--- a/internal/bench/work.go
+++ b/internal/bench/work.go
@@ -35,19 +35,19 @@
 	DecodeLoad: 500 * time.Microsecond, CacheBlocks: 1024, Lag: 200 * time.Millisecond,
 }
 
-// A knowledge is what an entry knows of the output of a request that it sends.
-type knowledge string
+// A predictor is the source from which an entry predicts the output length of a request.
+type predictor string
 
 // The columns of the work topic.
 const (
-	knowNothing  knowledge = "counts only"
-	knowDeclared knowledge = "declared maximum"
-	knowHint     knowledge = "hint"
-	knowLearned  knowledge = "learned"
-	knowAll      knowledge = "perfect"
+	predictNothing  predictor = "counts only"
+	predictDeclared predictor = "declared maximum"
+	predictHint     predictor = "hint"
+	predictLearned  predictor = "learned"
+	predictExact    predictor = "perfect"
 )
 
-var knowledges = []knowledge{knowNothing, knowDeclared, knowHint, knowLearned, knowAll}
+var predictors = []predictor{predictNothing, predictDeclared, predictHint, predictLearned, predictExact}
 
 // A workEntry is an entry of the work topic. It runs the choice of the edge.
 type workEntry struct {
@@ -58,20 +58,20 @@
 // A workSimulation is one run of the work topic.
 type workSimulation struct {
 	timeline
-	know    knowledge
-	engines []*engine
-	byID    map[wick.VMID]*engine
-	factors map[wick.VMID]float64
-	entries []*workEntry
-	res     *result
+	predictor predictor
+	engines   []*engine
+	byID      map[wick.VMID]*engine
+	factors   map[wick.VMID]float64
+	entries   []*workEntry
+	res       *result
 	// whole holds the times of complete answers relative to their targets, a second for the
 	// target itself.
 	whole []time.Duration
 }
 
-func newWorkSimulation(know knowledge) *workSimulation {
+func newWorkSimulation(prd predictor) *workSimulation {
 	sim := &workSimulation{
-		timeline: timeline{now: time.Unix(0, 0)}, know: know, res: newResult(), byID: make(map[wick.VMID]*engine), factors: make(map[wick.VMID]float64),
+		timeline: timeline{now: time.Unix(0, 0)}, predictor: prd, res: newResult(), byID: make(map[wick.VMID]*engine), factors: make(map[wick.VMID]float64),
 	}
 	for range workEntries {
 		sim.entries = append(sim.entries, &workEntry{pool: pool.New("a")})
@@ -119,19 +119,19 @@
 	}
 }
 
-// predict returns what an entry knows of the output of a request.
+// predict returns an entry's estimate of the output of a request.
 func (sim *workSimulation) predict(wen *workEntry, wrq *workRequest) cost.Estimate {
 	known := func(output, high wick.Tokens) cost.Estimate {
 		return cost.Estimate{Output: float64(output), High: float64(high), Samples: 1, PerEvent: tokensPerEvent}
 	}
-	switch sim.know {
-	case knowNothing:
+	switch sim.predictor {
+	case predictNothing:
 		return cost.Estimate{}
-	case knowDeclared:
+	case predictDeclared:
 		return known(wrq.cost.Max, wrq.cost.Max)
-	case knowHint:
+	case predictHint:
 		return known(min(wrq.cost.Hint, wrq.cost.Max), wrq.cost.Max)
-	case knowAll:
+	case predictExact:
 		return known(wrq.answer, wrq.answer)
 	default:
 		return wen.learner.Predict(wrq.cost)
--- a/internal/bench/worktrace.go
+++ b/internal/bench/worktrace.go
@@ -11,7 +11,7 @@
 )
 
 // The load of the work topics: answers are short or long, with a probability that depends on the
-// prompt and changes in the middle of the run. One customer's hints say nothing.
+// prompt and changes in the middle of the run. The hints of one customer are random.
 const (
 	workCustomers = 5
 	workPrompts   = 4
--- a/internal/cmds/where.go
+++ b/internal/cmds/where.go
@@ -50,7 +50,7 @@
 	cmd.Flag("json", "Print the answer as JSON.").BoolVar(&flg.json)
 	cmd.Flag("limit", "Most endpoints to list for each service in the text.").Default("20").IntVar(&flg.limit)
 	return cmd.FullCommand(), func() error {
-		ask, err := flg.ask()
+		ask, err := flg.request()
 		if err != nil {
 			return err
 		}
@@ -74,8 +74,8 @@
 	}
 }
 
-// ask returns the request that the flags describe.
-func (flg *whereFlags) ask() (relay.Ask, error) {
+// request returns the request that the flags describe.
+func (flg *whereFlags) request() (relay.Ask, error) {
 	out := relay.Ask{
 		Host: flg.host, Path: flg.path, Key: wick.CallerKey(flg.key), Customer: wick.Customer(flg.customer),
 		InputTokens: wick.Tokens(flg.input), OutputTokens: wick.Tokens(flg.output), LengthHint: wick.Tokens(flg.hint),
--- a/internal/cost/cost.go
+++ b/internal/cost/cost.go
@@ -19,16 +19,16 @@
 	maxKeys = 2048
 	// minSamples is the number of samples of a service that an estimate needs.
 	minSamples = 8
-	// boundedRatio and boundedSpread tell whether answers reach their declared bounds: the 0.9
-	// quantile of events relative to the bound is almost the 0.95 quantile, and far above the
-	// median. Answers that are all equally long look the same but for the latter.
+	// Some answers reach their declared bound if, of the ratios of events to the bound, the 0.9
+	// quantile is above boundedRatio times the 0.95 quantile, and that is above boundedSpread
+	// times the median. The second condition excludes answers that are all equally long.
 	boundedRatio  = 0.95
 	boundedSpread = 2.0
 	// maxRatio bounds the ratio of actual to declared values, whatever callers declare.
 	maxRatio = 256.0
 )
 
-// A Request is what is known of a request before it is sent.
+// A Request has the properties of a request that are available before it is sent.
 type Request struct {
 	Service  wick.Service
 	Route    wick.RouteName
@@ -48,14 +48,15 @@
 	// Output is the mean, High the 0.9 quantile.
 	Output, High float64
 	// Samples is the number of recent samples, with old ones counted in part. If it is 0, the
-	// estimate is what the caller declared.
+	// estimate is the one that the caller declared.
 	Samples int
 	// PerEvent is the number of tokens in an event of a stream.
 	PerEvent float64
 }
 
-// Remaining returns the work that is probably left of a request after a part of it. The closer
-// a request comes to its mean, the more probably it is one of the long ones.
+// Remaining estimates the work that is left of a request of which a part is done. The closer
+// that part is to the mean, the more the estimate follows High, since the request is then more
+// probably a long one.
 func (est *Estimate) Remaining(done float64) float64 {
 	const leastShare = 0.25
 	if est.Output <= 0 {
@@ -175,7 +176,7 @@
 }
 
 // Predict returns the probable work of a request. Without enough samples of its service it is
-// what the caller declared.
+// the work that the caller declared.
 func (lrn *Learner) Predict(req Request) Estimate {
 	lrn.mu.Lock()
 	defer lrn.mu.Unlock()
@@ -218,9 +219,9 @@
 }
 
 // addHint combines an estimate in events with the calibrated hint of the caller, each weighted
-// by how little the actual values deviate from it. deviation is that of the estimate: its rare long
-// answers count in full, since hints tell them apart, while hints that are rarely far off are
-// trusted otherwise.
+// by how little the actual values deviate from it. deviation is that of the
+// estimate, in which rare long answers have full weight, since hints predict them. For hints, the
+// spread is used instead, in which rare errors have little weight.
 func (lrn *Learner) addHint(est *Estimate, req *Request, deviation float64) {
 	all := lrn.find(req.key(levelHint))
 	if all.weight < minSamples {
@@ -236,9 +237,9 @@
 	est.High += weight * (cal.high*hint - est.High)
 }
 
-// perEvent returns the number of tokens in an event: the median hint relative to the events, and
-// the declared bound relative to them if some answers reach it, the smaller one if both are
-// known. No event has less than one token. If neither is known, events are taken for tokens.
+// perEvent estimates the number of tokens in an event: the median ratio of hints to events, or
+// the ratio of declared bounds to events if some answers reach their bound. It is the smaller one
+// if both are available, 1 if none is, and at least 1.
 func (lrn *Learner) perEvent(req *Request) float64 {
 	out := math.Inf(1)
 	bound := lrn.find(req.key(levelMax))
--- a/internal/cost/window.go
+++ b/internal/cost/window.go
@@ -14,12 +14,12 @@
 	// which younger ones lose weight.
 	retention = time.Minute
 	decayTime = 20 * time.Second
-	// highQuantile is that of a high estimate, topQuantile that of the largest values but for
-	// outliers.
+	// highQuantile is the quantile of stats.high, topQuantile that of stats.top, which stands
+	// for the largest values without outliers.
 	highQuantile = 0.9
 	topQuantile  = 0.95
-	// minShrinkage and maxShrinkage are the numbers of samples that the estimate of a more
-	// general level counts as.
+	// minShrinkage and maxShrinkage bound the weight, in samples, of the estimate of a more
+	// general level.
 	minShrinkage = 1.0
 	maxShrinkage = 4.0
 )
@@ -35,13 +35,14 @@
 	updatedAt time.Duration
 }
 
-// The stats of a window are weighted by age. Its zero value is that of an empty window.
+// stats are the statistics of a window, weighted by the age of the samples. The zero value is
+// that of an empty window.
 type stats struct {
 	// weight is the sum of the weights of the samples, which is at most their number.
 	weight float64
-	// mean, median, high and top describe the values; spread is their mean deviation from the
-	// median as a logarithm of the ratio, deviation the root of the mean square of it, which
-	// rare values far off dominate.
+	// mean, median, high and top describe the values; spread is the mean absolute
+	// logarithm of the ratio of a value to the median, deviation the root mean square of these
+	// logarithms, which outliers dominate.
 	mean, median, high, top, spread, deviation float64
 }
 
@@ -92,7 +93,8 @@
 	return out
 }
 
-// quantile returns the value of sorted samples up to which their weights sum up to a weight.
+// quantile returns the first of the sorted samples at which the sum of the weights reaches a
+// weight.
 func quantile(smps []sample, weight float64) float64 {
 	for _, smp := range smps {
 		if weight -= smp.weight; weight <= 0 {
@@ -114,7 +116,7 @@
 }
 
 // refine returns the statistics of a more specific window, shrunk towards the more general
-// ones: the less, the less the specific values spread compared with the general ones.
+// ones. The shrinkage is smaller where the specific values have a smaller spread.
 func (sts stats) refine(spc stats) stats {
 	if spc.weight <= 0 {
 		return sts
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -159,7 +159,7 @@
 	config     *feed.Follower
 	members    *feed.Follower
 	pool       *pool.Pool
-	// costs learns the work of requests.
+	// costs estimates the work of requests from earlier ones.
 	costs         cost.Learner
 	roster        *roster.Roster
 	quotas        quotas
--- a/internal/edge/evacuate.go
+++ b/internal/edge/evacuate.go
@@ -32,7 +32,7 @@
 	// false for one that a restore of the store may have lost.
 	zones map[wick.Zone]bool
 	// heldUntil is the end of the time for which this entry keeps zones that another one
-	// has told it of, since a restore of the store may have lost them.
+	// has reported, since a restore of the store may have lost them.
 	heldUntil time.Time
 	// differsSince is when the zones of another entry first differed from these. Entries
 	// that agree are missing.
@@ -46,8 +46,8 @@
 	evc.recoveredAt = evc.fol.RecoveredAt
 	evc.enabled = edg.cfg.Bounds.Evacuation > 0
 	if evc.enabled {
-		// Callers may come before the readiness check has failed: the load balancer knows
-		// an entry that starts again at the same address as ready.
+		// Requests may arrive before a readiness check has failed, since the load balancer
+		// still regards an entry that restarts at the same address as ready.
 		edg.pool.AwaitEvacuated()
 	}
 	evc.fol.Store, evc.fol.Kind, evc.fol.Handler = edg.cfg.Store, edg.cfg.Kinds.Evacuation, evc
@@ -108,8 +108,8 @@
 	return out, evc.holdTime(now)
 }
 
-// adoptHeld keeps zones evacuated that another entry has read before a restore of the store.
-// An entry that has started since can't know of them.
+// adoptHeld keeps zones evacuated that another entry read before a restore of the store. An
+// entry that has started since the restore can't read them from the store.
 func (evc *evacuations) adoptHeld(zones []wick.Zone, length time.Duration, now time.Time) {
 	if !evc.enabled || len(zones) == 0 || length <= 0 {
 		return
@@ -153,7 +153,7 @@
 	}
 }
 
-// Settled applies the evacuations. Only then may callers come.
+// Settled applies the evacuations to the pool. The entry isn't ready before.
 func (evc *evacuations) Settled() {
 	zones := evc.list()
 	for _, zone := range evc.applied {
@@ -166,7 +166,7 @@
 	evc.edg.ready.setEvacuationsLoaded()
 }
 
-// logChange logs and counts the begin or the end of an evacuation.
+// logChange logs and counts the start or the end of an evacuation.
 func (evc *evacuations) logChange(zone wick.Zone, begun bool) {
 	msg, name := logs.MsgZoneEvacuated, "edge.evacuationsBegun"
 	if !begun {
@@ -197,8 +197,8 @@
 	evc.fol.Relist()
 }
 
-// differs reports whether another entry's zones have differed for evacuationLag, and starts
-// anew if so.
+// differs reports whether another entry's zones have differed for evacuationLag. If so, it
+// restarts the measurement for all entries.
 func (evc *evacuations) differs(from wick.EntryID, zones []wick.Zone, now time.Time) bool {
 	own := evc.list()
 	evc.mu.Lock()
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -36,7 +36,7 @@
 	for _, col := range cold {
 		rates, own := rnk.of(col.ID, col.Service, edg.cfg.ID)
 		if !published {
-			// The other entries don't leave a part to this one yet.
+			// The other entries don't reserve a share for this one yet.
 			own = -1
 		}
 		edg.pool.SetColdShare(col.ID, edg.pool.ColdPolicy(col.Service).ColdShare(rates, own), now)
@@ -92,7 +92,7 @@
 	return rates, slices.IndexFunc(order, func(mem wick.Member) bool { return mem.ID == own })
 }
 
-// setColdPolicies applies what a plan says of cold endpoints.
+// setColdPolicies applies the cold policies of a plan's services to the pool.
 func (edg *Edge) setColdPolicies(pln *wick.Plan) {
 	policies := make(map[wick.Service]pool.ColdPolicy)
 	for idx := range pln.Services {
--- a/internal/edge/loadpoll.go
+++ b/internal/edge/loadpoll.go
@@ -64,7 +64,7 @@
 
 	mu  sync.Mutex
 	ntc loadNotice
-	// failures counts the consecutive polls of each endpoint that reached none.
+	// failures counts the consecutive polls without an answer of each endpoint.
 	failures map[wick.VMID]int
 }
 
@@ -129,8 +129,8 @@
 	lpl.ntc.Loads = append(lpl.ntc.Loads, epl)
 }
 
-// reportedCold returns how much longer an endpoint is cold by its report. One that started
-// again, which the registry doesn't show yet, is cold for as long as after each start.
+// reportedCold returns how much longer an endpoint is cold by its load report. An endpoint whose
+// restart the registry doesn't list yet is cold for at least the policy's Start.
 func reportedCold(load *wick.BackendLoad, pol pool.ColdPolicy) time.Duration {
 	switch {
 	case pol.Rate <= 0:
@@ -146,9 +146,9 @@
 // an endpoint counts as unreachable. One may have been busy, or the poller suspended.
 const minExpiredPolls = 2
 
-// pollFailed records a failed poll of an endpoint, which has expired or was refused. One
-// whose start makes it cold is polled again soon, since it has to be known as unreachable
-// before it returns. One that answered with an error status has been reached.
+// pollFailed records a failed poll of an endpoint; expired is set if the poll timed out. An
+// endpoint of a service with a cold policy is polled again soon, so that it is marked as
+// unreachable before it returns from a restart. An error status counts as an answer.
 func (lpl *loadPoller) pollFailed(bke *wick.Backend, err error, expired bool, now time.Time) {
 	if errors.Is(err, wick.ErrInvalid) || lpl.edg.pool.ColdPolicy(bke.Service).Rate <= 0 {
 		delete(lpl.failures, bke.ID)
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -93,7 +93,7 @@
 func (edg *Edge) applyLoads(ntc loadNotice) {
 	now := time.Now()
 	for _, vid := range ntc.Unreachable {
-		// Until its next poll the endpoint may return at any moment.
+		// The endpoint may return at any time before its next poll.
 		edg.pool.MarkUnreachable(vid, now.Add(2*loadPollInterval), now)
 	}
 	for _, load := range ntc.Loads {
--- a/internal/edge/paces.go
+++ b/internal/edge/paces.go
@@ -11,8 +11,7 @@
 // maxPaces bounds the endpoints whose samples an entry holds for its next notice.
 const maxPaces = 4096
 
-// zonePaces collects what the entries of a zone have sampled of their streams, at the
-// poller of the zone. Its zero value is ready to use.
+// zonePaces collects, at the poller of a zone, the samples of the streams of the zone's entries. Its zero value is ready to use.
 type zonePaces struct {
 	mu      sync.Mutex
 	samples map[wick.VMID]pace.Sample
--- a/internal/edge/where.go
+++ b/internal/edge/where.go
@@ -15,17 +15,17 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// WherePath is the path of the admin server at which relay.Server.Explain is asked.
+// WherePath is the path of the admin server that calls relay.Server.Explain.
 const WherePath = "/where"
 
-// A WhereAnswer is the answer to the question where a request would be sent.
+// A WhereAnswer is the response of WherePath.
 type WhereAnswer struct {
 	Entry wick.EntryID `json:"entry"`
 	Zone  wick.Zone    `json:"zone"`
 	relay.Explanation
 }
 
-// where answers where the request that the body describes would be sent.
+// where handles a POST to WherePath. The body is a relay.Ask in JSON.
 func (edg *Edge) where(body []byte) (any, error) {
 	var ask relay.Ask
 	dec := json.NewDecoder(bytes.NewReader(body))
--- a/internal/httpio/headmemory.go
+++ b/internal/httpio/headmemory.go
@@ -41,9 +41,9 @@
 	end func()
 }
 
-// grow extends a reservation to that of a head or trailer of a size, and reports whether
-// there was memory below a limit, 0 for the default. If not, it ends the slow ones, whose
-// memory later requests can then use.
+// grow extends a reservation to that of a head or trailer of a size. It returns false if that
+// would exceed the limit of all reservations, 0 for defaultHeadMemory. It then ends the slow
+// reads, so that later requests can use their memory.
 func (hmm *headMemory) grow(rsv *headReservation, size int, limit int64, now time.Time) bool {
 	more := int64(size)*headCopies - rsv.held
 	if size <= freeHeadBytes || more <= 0 {
--- a/internal/httpio/input.go
+++ b/internal/httpio/input.go
@@ -34,7 +34,8 @@
 	mostHeadBytes  = 1 << 20
 	// firstInputBytes is the size of the buffer with which a connection waits for a request.
 	firstInputBytes = 2 << 10
-	// firstPeekBytes is what hertz asks for before it sets the time for a request.
+	// firstPeekBytes is the length of hertz's first Peek of a request, after which it sets the
+	// time for the request.
 	firstPeekBytes = 4
 	// inputLogsPerSecond bounds the log lines for inputs that are refused.
 	inputLogsPerSecond = 5
@@ -58,7 +59,7 @@
 
 type transporter struct{ network.Transporter }
 
-// Listener returns the listener once the server runs, as hertz asks for.
+// Listener returns the listener once the server runs. hertz requires the method.
 func (trn transporter) Listener() net.Listener {
 	if inner, ok := trn.Transporter.(interface{ Listener() net.Listener }); ok {
 		return inner.Listener()
@@ -79,8 +80,8 @@
 
 // An inputConn reads the requests of a connection into one buffer. hertz's own reader keeps
 // a copy of an incomplete head or trailer for each read, without bound for trailers: 60 KiB
-// in 4 KiB pieces take 700 KiB. It is told apart from a body by what hertz asks for: one byte
-// more than there is.
+// in 4 KiB pieces take 700 KiB. A Peek of one byte more than the buffer holds shows that hertz
+// reads a head or a trailer, not a body.
 type inputConn struct {
 	*standard.Conn
 	cal *CallerConn
@@ -183,9 +184,9 @@
 	return nil
 }
 
-// awaitsHeadEnd reports whether num bytes are wanted for a head whose end isn't in buf[from:].
-// hertz parses the whole head after each read, which for a head in pieces of a few bytes would
-// take time with the square of its size.
+// awaitsHeadEnd reports whether the num bytes belong to a head whose end isn't in buf[from:].
+// hertz parses the whole head after each read, which takes quadratic time for a head that
+// arrives in small pieces.
 func (icn *inputConn) awaitsHeadEnd(num, from int) bool {
 	return icn.inHead && num > firstPeekBytes &&
 		!bytes.Contains(icn.buf[from:], []byte("\n\r\n")) && !bytes.Contains(icn.buf[from:], []byte("\n\n"))
@@ -238,12 +239,12 @@
 	return append(make([]byte, 0, num), buf...), icn.Skip(num)
 }
 
-// A refusedInput is why a head or trailer is not read to its end.
+// A refusedInput is the reason for which a head or trailer is not read to its end.
 type refusedInput struct {
 	// suffix ends the name of the counter.
 	suffix string
 	status int
-	// trailer is the error if it happens to trailers, whose request the handler refuses.
+	// trailer is the error of reads of trailers; the handler refuses their request.
 	trailer error
 }
 
@@ -280,7 +281,7 @@
 func (icn *inputConn) writeRefusal(status int) {
 	retry := ""
 	if status == http.StatusServiceUnavailable {
-		// Spread over a second, so that the callers don't come back at the same time.
+		// The delays are spread over a second, so that the callers don't retry at the same time.
 		retry = fmt.Sprintf("Retry-After: %.2f\r\n", 0.5+rand.Float64()) //nolint:gosec // no secret
 	}
 	text := http.StatusText(status)
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -1,5 +1,5 @@
 // Package pace estimates how fast each endpoint of a service generates events, relative to
-// the others, and how often its streams stall, from what entries see of their streams. It
+// the others, and how often its streams stall, from the times of the events of streams. It
 // does no I/O and receives the time as an argument.
 package pace
 
@@ -12,9 +12,8 @@
 )
 
 const (
-	// period is the time for which streams are summed up. An estimate covers one to two
-	// periods, so that a moment in which all streams of an endpoint are slow is not taken
-	// for its pace.
+	// period is the time over which samples are accumulated. An estimate covers one to two
+	// periods, so that a short slow phase of an endpoint doesn't determine its pace.
 	period = 8 * time.Second
 	// minSamples is the number of streams that an estimate needs, and minEndpoints the
 	// number of estimates from which their median is meaningful.
@@ -22,11 +21,10 @@
 	minEndpoints = 4
 	// refreshInterval is the time between two estimates.
 	refreshInterval = time.Second
-	// minDifference is the least difference of the logarithm of a factor from 0, and
-	// spreadFactor the least one as a multiple of the median difference of all endpoints.
-	// Smaller differences are noise: prompts of other requests lengthen the intervals at
-	// random. An endpoint that differs does so until its difference is below keepShare of
-	// these.
+	// An endpoint's pace differs from that of the others if the absolute logarithm of its
+	// factor exceeds both minDifference and spreadFactor times the median of the endpoints'
+	// absolute logarithms. Smaller differences are noise, since the prefill of other requests
+	// lengthens the intervals at random. The difference ends below keepShare of that threshold.
 	minDifference = 0.45
 	spreadFactor  = 4.0
 	keepShare     = 0.6
@@ -40,7 +38,7 @@
 	// Factor is the time that the endpoint takes as a multiple of that of the median
 	// endpoint; 1 if it does not differ by more than noise.
 	Factor float64
-	// Stalls is the share of its streams with a longer gap than they should have, from 0
+	// Stalls is the share of its streams with a gap above the target of their route, from 0
 	// to 1.
 	Stalls float64
 }
@@ -48,10 +46,10 @@
 // A Sample sums up streams of one endpoint. Its zero value has none.
 type Sample struct {
 	Count int `cbor:"1,keyasint"`
-	// Least is the least mean time between two events of a stream, in ms. It is that of a
-	// stream which other prompts delayed little.
+	// Least is the least of the streams' mean times between two events, in ms. The prefill of
+	// other requests has delayed that stream the least.
 	Least float64 `cbor:"2,keyasint"`
-	// Stalled counts the streams with a longer gap than they should have.
+	// Stalled counts the streams with a gap above the target of their route.
 	Stalled int `cbor:"3,keyasint,omitempty"`
 }
 
@@ -111,7 +109,7 @@
 	end.current.Merge(smp)
 }
 
-// Forget forgets an endpoint, since it has ended or started again.
+// Forget removes the samples of an endpoint that has ended or restarted.
 func (trk *Tracker) Forget(vid wick.VMID) { delete(trk.ends, vid) }
 
 // rotate begins a new period if the current one is over.
--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -23,15 +23,16 @@
 	work  float64
 }
 
-// A job is the part of a request in the backlogs of its endpoint and group.
+// A job is the share of one request in the backlogs of its endpoint and group.
 type job struct {
+	// known is set if the work of the request has been learned, and left is what is left of it.
 	est   cost.Estimate
 	known bool
 	left  float64
 }
 
 // addWork adds a request to the backlogs if its work has been learned. The group's lock must
-// be held, as for all functions of this file.
+// be held.
 func (asg *Assignment) addWork(est cost.Estimate) {
 	if est.Samples == 0 {
 		return
@@ -42,7 +43,7 @@
 	asg.setLeft(est.Output)
 }
 
-// setLeft sets the work that is left of the request.
+// setLeft sets the work that is left of the request. The group's lock must be held.
 func (asg *Assignment) setLeft(left float64) {
 	diff := left - asg.job.left
 	asg.job.left = left
@@ -50,7 +51,7 @@
 	asg.grp.backlog.work += diff
 }
 
-// removeWork removes the request from the backlogs.
+// removeWork removes the request from the backlogs. The group's lock must be held.
 func (asg *Assignment) removeWork() {
 	if !asg.job.known {
 		return
@@ -61,7 +62,7 @@
 	asg.grp.backlog.known--
 }
 
-// Generated records that a number of tokens of the answer were generated.
+// Generated records the number of tokens of the answer that have been generated so far.
 func (asg *Assignment) Generated(tokens float64) {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
@@ -94,8 +95,8 @@
 	return missing / float64(slots) * grp.engine.DecodeMillis(left, float64(slots))
 }
 
-// countPick counts the choice of an endpoint without a free slot or without free memory: it was
-// the best one nevertheless.
+// countPick counts choices of an endpoint without a free slot or without free memory, which are
+// made if all others cost more.
 func (grp *group) countPick(end *endpoint, que *Query, preferred [2]*endpoint, zone wick.Zone) {
 	if !que.Model {
 		return
@@ -118,7 +119,8 @@
 	count, prefill, memory float64
 }
 
-// A sent is the part of a request in its endpoint's sends.
+// A sent is the share of one request in its endpoint's sends. Its report is the one that was
+// the latest when the request was sent; a later report includes the request.
 type sent struct {
 	report                 int
 	count, prefill, memory float64
@@ -133,7 +135,7 @@
 	snd.memory += asg.sent.memory
 }
 
-// endSentPrefill ends the part of the request in the prefill of the sends.
+// endSentPrefill removes the request's prefill from the sends.
 func (asg *Assignment) endSentPrefill() {
 	if snd := &asg.end.sends; asg.sent.report == snd.report {
 		snd.prefill -= asg.sent.prefill
@@ -151,11 +153,11 @@
 	asg.sent = sent{}
 }
 
-// herdFactor returns how many requests all entries have probably sent to an endpoint since a
-// report of some age for each one that this entry has sent there. The rate at which an endpoint is
-// chosen is not known, so it is taken as gamma distributed, with a shape of 1 and with the mean
-// of the service's endpoints: one request of this entry is evidence for more of the others, but
-// for fewer than in proportion to its share of the requests.
+// herdFactor returns the expected number of requests that all entries have sent to an endpoint
+// since its last report, for each one that this entry has sent. age is the age of the report and
+// perSecond the mean rate of requests to an endpoint. The rate of a single endpoint is unknown
+// and taken as gamma distributed with that mean and a shape of 1. The result is therefore lower
+// than the inverse of this entry's share of the requests.
 func (grp *group) herdFactor(age time.Duration, perSecond float64) float64 {
 	const shape = 1.0
 	mean := perSecond * age.Seconds()
--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -32,7 +32,7 @@
 
 // ColdShare returns the part of a cold endpoint's rate that an entry may use. rates holds
 // the request rates of all entries in an order on which they agree, and num is the entry's
-// position, negative if the others don't know it yet.
+// position, negative if the others have not read its record yet.
 func (cpl ColdPolicy) ColdShare(rates []float64, num int) float64 {
 	if num < 0 {
 		return 0
@@ -76,9 +76,9 @@
 
 // A coldState limits the requests to a cold endpoint.
 type coldState struct {
-	// until is the end of the cold time, as far as it is known.
+	// until is the latest end of the cold time that a record, report or failure implied.
 	until time.Time
-	// beganAt is when this entry learned that the endpoint is cold.
+	// beganAt is when this entry found the endpoint cold. It identifies the cold time.
 	beganAt time.Time
 	// bucket is this entry's part of the rate. It begins empty and without a share.
 	bucket limiter
@@ -89,9 +89,9 @@
 // isLimited reports whether the endpoint limits its requests or is cold.
 func (end *endpoint) isLimited(now time.Time) bool { return end.limit.Set || end.isCold(now) }
 
-// wait returns the time until the endpoint may be sent one more request. No request waits
-// for the end of the cold time: the requests of all entries would come at once then, and
-// the end may be put off meanwhile.
+// wait returns the time until the endpoint may be sent one more request. It is not limited to
+// the rest of the cold time: requests that wait for its end would arrive all at once, and it
+// may be extended meanwhile.
 func (end *endpoint) wait(now time.Time) time.Duration {
 	wait := end.limit.wait(now)
 	if end.isCold(now) {
@@ -100,8 +100,8 @@
 	return wait
 }
 
-// retryAfter returns the time after which a request may find the endpoint's turn: at the
-// latest the end of the cold time.
+// retryAfter returns the time after which a refused request may be tried again. It is limited to
+// the rest of the cold time, unlike wait.
 func (end *endpoint) retryAfter(now time.Time) time.Duration {
 	wait := end.limit.wait(now)
 	if end.isCold(now) {
@@ -110,9 +110,9 @@
 	return wait
 }
 
-// maxColdTime bounds the time for which one record or report makes an endpoint cold. Later
-// ones extend it. A faulty one would limit a sound endpoint for good. It is longer where
-// endpoints are cold for longer after a start.
+// maxColdTime bounds the cold time that one record or report sets, so that a faulty one can't
+// limit a sound endpoint for long. Later ones extend the time. The bound is 2*ColdPolicy.Start
+// where that is longer.
 const maxColdTime = time.Minute
 
 // setCold limits the requests to an endpoint until a time, if its service limits those of
@@ -137,7 +137,8 @@
 	end.cold.until = until
 }
 
-// endCold takes an endpoint that is warm again off the list of limited ones.
+// endCold resets the state of an endpoint whose cold time has ended, and removes it from the
+// list of limited ones. The group's lock must be held.
 func (grp *group) endCold(end *endpoint, now time.Time) {
 	if end.cold.until.IsZero() || end.isCold(now) {
 		return
@@ -148,8 +149,9 @@
 	}
 }
 
-// MarkUnreachable records that an endpoint did not answer its poll. It may be starting
-// again, and is cold then before the registry shows it.
+// MarkUnreachable records that an endpoint did not answer its poll, and backs off from it until
+// a time. The endpoint may be restarting, so it also counts as cold until ColdPolicy.Start after
+// that time. Services without a rate for cold endpoints are not affected.
 func (pl *Pool) MarkUnreachable(vid wick.VMID, until, now time.Time) {
 	pl.withEndpoint(vid, func(grp *group, end *endpoint) {
 		if pol := grp.cold.find(end.bke.Service); pol.Rate > 0 {
@@ -206,7 +208,7 @@
 		end.cold.bucket.refill(now)
 		end.cold.bucket.share = share
 		if share <= 0 {
-			// What was saved up belongs to the entries that have the parts now.
+			// The saved tokens belong to the entries that hold the share now.
 			end.cold.bucket.tokens = min(end.cold.bucket.tokens, 0)
 		}
 	})
--- a/internal/pool/coldturn.go
+++ b/internal/pool/coldturn.go
@@ -6,9 +6,9 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// maxTokenAge is how long after its turn a request may be sent to a cold endpoint. One that
-// is sent later, because its run was moved or the process was suspended, needs another
-// token: its part of the rate may have been given to other entries.
+// maxTokenAge is how long a request's token for a cold endpoint remains valid after its turn. A
+// request that is sent later, because its run was moved or the process was suspended, needs
+// another token, since this entry's share of the rate may belong to other entries by then.
 const maxTokenAge = 250 * time.Millisecond
 
 // take takes the tokens of a request to the assigned endpoint and sets the time at which
@@ -36,9 +36,9 @@
 	return !asg.coldSince.IsZero() && asg.coldSince.Equal(asg.end.cold.beganAt)
 }
 
-// Sendable reports whether a request may be sent to the endpoint, which was assigned some
-// time ago: not if the endpoint asks for no requests now, its availability zone is evacuated
-// or it is cold and the request has no token for it.
+// Sendable reports whether the request may still be sent to the endpoint that it was assigned
+// earlier. It returns false if the endpoint is paused, its availability zone is evacuated, or
+// it is cold and the request can't get a token for it.
 func (asg *Assignment) Sendable(now time.Time) bool {
 	asg.grp.mu.Lock()
 	defer asg.grp.mu.Unlock()
--- a/internal/pool/explain.go
+++ b/internal/pool/explain.go
@@ -14,7 +14,7 @@
 const (
 	ExcludedLeaving   Exclusion = "leaving"
 	ExcludedEvacuated Exclusion = "evacuated"
-	// ExcludedGone is that of an endpoint that is known to be removed.
+	// ExcludedGone is that of an endpoint that was reported as removed.
 	ExcludedGone   Exclusion = "gone"
 	ExcludedPaused Exclusion = "paused"
 	// ExcludedUnlisted is that of an endpoint that the registry has not listed again in
@@ -34,7 +34,8 @@
 // with them the time for which it holds the lock of a large service.
 const maxListed = 20
 
-// An Explanation tells which endpoint a query is assigned at a time, and why.
+// An Explanation describes the choice of an endpoint for a query at a time: the endpoints that
+// were compared, their costs and the reasons of exclusion.
 type Explanation struct {
 	// Choice is the endpoint that the query is assigned, "" if there is none.
 	Choice wick.VMID `json:"choice,omitempty"`
@@ -54,7 +55,7 @@
 	StepMillis  float64 `json:"stepMillis,omitempty"`
 }
 
-// A Candidate is an endpoint of the service that a query asks for.
+// A Candidate is an endpoint of a query's service.
 type Candidate struct {
 	Endpoint wick.VMID         `json:"endpoint"`
 	Zone     wick.Zone         `json:"zone"`
@@ -121,7 +122,7 @@
 	unavailable: "unavailable", availableInGrace: "grace", availableInBackoff: "backoff", available: "available",
 }
 
-// Explain tells which endpoint Pick would assign to a query. It changes nothing.
+// Explain returns the choice that Pick would make for a query, without changing any state.
 func (pl *Pool) Explain(que Query) Explanation {
 	grp := pl.groupOfService(que.Service)
 	if grp == nil {
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -98,8 +98,8 @@
 	Service wick.Service
 	// RetryAfter is the time until one of them may be sent a request.
 	RetryAfter time.Duration
-	// Cold is set if that one is cold. Many callers are told the same time then: that of
-	// its end.
+	// Cold is set if the endpoint whose turn is next is cold. Many callers receive the same
+	// RetryAfter then, the end of the cold time.
 	Cold bool
 }
 
--- a/internal/pool/memory.go
+++ b/internal/pool/memory.go
@@ -7,8 +7,8 @@
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 )
 
-// noRoomMillis is the cost of an endpoint without free memory for a request: the engine
-// preempts a run there, or lets the request wait until one has ended.
+// noRoomMillis is the cost of an endpoint without free memory for a request, whose engine has
+// to preempt a run or queue the request until one has ended.
 const noRoomMillis = 1000.0
 
 // memory returns the tokens of memory that a request needs.
@@ -16,8 +16,8 @@
 	return float64(que.InputTokens) + max(float64(que.OutputTokens), que.Expected.High)
 }
 
-// lacksRoom reports whether the free memory in the last report of an endpoint that is short of
-// it, without what the requests since then need, is too small for a request.
+// lacksRoom reports whether a request needs more memory than the endpoint has free: the free
+// memory of its last report less the needs of the requests that were sent since then.
 func (end *endpoint) lacksRoom(que *Query) bool {
 	return float64(end.report.FreeMemory)-end.sends.memory < que.memory()
 }
--- a/internal/pool/pick.go
+++ b/internal/pool/pick.go
@@ -26,8 +26,8 @@
 	fullSlotsMillis = 100.0
 	// failureMillis is the cost of an endpoint with a failure rate of 1.
 	failureMillis = 2000.0
-	// stallMillis is the cost of an endpoint whose streams stall all the time. At four times
-	// that, requests went where their prompts were not cached.
+	// stallMillis is the cost of an endpoint whose streams all stall. A much larger cost would
+	// outweigh the prefill time that cached prompts save.
 	stallMillis = 500.0
 	// uncachedWeight weighs prefill time more than queueing time, because the
 	// prefill of one request also delays the requests queued behind it.
@@ -37,7 +37,7 @@
 	maxReportAge = 1500 * time.Millisecond
 )
 
-// A Query asks for an endpoint.
+// A Query describes a request for which an endpoint is selected.
 type Query struct {
 	Service wick.Service
 	// Model is set for requests that generate tokens.
@@ -52,8 +52,8 @@
 	// TargetGap is the longest gap between events of a stream that is in time, 0 for other
 	// requests.
 	TargetGap time.Duration
-	// Resumed is set for a request that continues an earlier answer, whose times
-	// say nothing about the length of its prompt.
+	// Resumed is set for a request that continues an earlier answer. Its times don't
+	// depend on the length of its prompt.
 	Resumed bool
 	// OnlyVersion is the only allowed version unless it is "", and ExceptVersions are
 	// disallowed.
@@ -92,7 +92,7 @@
 	Backend wick.Backend
 	// Leaving is closed when the endpoint leaves.
 	Leaving <-chan struct{}
-	// PauseBegun is closed when the endpoint asks for no requests for a time.
+	// PauseBegun is closed when a pause of the endpoint begins.
 	PauseBegun <-chan struct{}
 	// Band is the load band of the endpoint when it was chosen.
 	Band wick.LoadBand
@@ -107,14 +107,14 @@
 	job     job
 	sent    sent
 	once    sync.Once
-	// coldSince is that of the cold time of which the request holds a token, zero if it
-	// holds none, and turnAt when it may be sent.
+	// coldSince is the coldState.beganAt of the cold time for which the request holds a
+	// token, zero if it holds none. turnAt is when the request may be sent.
 	coldSince, turnAt time.Time
 }
 
 // Pick assigns an endpoint to a request. The error is a *LimitedError when all endpoints
-// are at their limits, a *PausedError when all have asked for no requests, and wraps wick.ErrNotFound when no endpoint of the service is
-// available. The caller must call Done on the result.
+// are at their limits, a *PausedError when all are paused, and wraps wick.ErrNotFound when
+// no endpoint of the service is available. The caller must call Done on the result.
 func (pl *Pool) Pick(que Query) (*Assignment, error) {
 	grp := pl.groupOfService(que.Service)
 	if grp == nil {
@@ -205,7 +205,7 @@
 // milliseconds.
 type costTerms struct {
 	// failures, stalls, slots and memory are penalties, for failed answers, for streams that
-	// make no progress, for the slots in use of a plain service and for memory that lacks.
+	// stall, for the slots in use of a plain service and for insufficient memory.
 	failures, stalls, slots, memory float64
 	// running is the delay by running requests, waiting by queued ones, prefill by the
 	// request's own prompt.
@@ -221,7 +221,7 @@
 	return ctm.failures + ctm.stalls + ctm.slots + ctm.memory + ctm.running + ctm.waiting + ctm.prefill + ctm.turn + ctm.zone
 }
 
-// cost estimates the time until an endpoint answers.
+// cost estimates the time until an endpoint answers. The group's lock must be held.
 func (grp *group) cost(end *endpoint, que *Query, preferred [2]*endpoint, zone wick.Zone) costTerms {
 	ctm := costTerms{
 		failures: end.failureRate * failureMillis,
@@ -234,6 +234,17 @@
 		ctm.slots = fullSlotsMillis * grp.weigh(end, float64(end.inFlight)) / float64(max(end.bke.Slots, 1))
 		return ctm
 	}
+	grp.addLoadCost(&ctm, end, que)
+	ctm.prefill = uncachedWeight * grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
+	if que.TargetGap > 0 {
+		ctm.stalls = end.pace.Stalls * stallMillis
+	}
+	return ctm
+}
+
+// addLoadCost sets the terms of a model endpoint's cost that depend on its load: the larger one
+// of this entry's own requests and of the last report with the requests sent since.
+func (grp *group) addLoadCost(ctm *costTerms, end *endpoint, que *Query) {
 	// all counts the requests that run or wait.
 	slots := end.bke.Slots
 	running, all, wait := float64(end.inFlight), float64(end.inFlight), grp.engine.PrefillMillis(end.pendingPrefill)
@@ -259,11 +270,6 @@
 		wait, ctm.full = slot, true
 	}
 	ctm.waiting = factor * wait
-	ctm.prefill = uncachedWeight * grp.engine.PrefillMillis(grp.uncached(end, que, preferred))
-	if que.TargetGap > 0 {
-		ctm.stalls = end.pace.Stalls * stallMillis
-	}
-	return ctm
 }
 
 // uncached estimates the prompt tokens that an endpoint would have to prefill.
@@ -299,8 +305,7 @@
 		return [2]*endpoint{}
 	}
 	return grp.ring.preferred(string(que.Parts[len(que.Parts)-2].ID), func(end *endpoint) bool {
-		return !end.bke.Leaving && !end.evacuated && !slices.Contains(que.ExceptVersions, end.bke.Version) &&
-			allowsRegion(que.Regions, end.region) && allowsRegion(que.CustomerRegions, end.region)
+		return !end.bke.Leaving && !end.evacuated && !slices.Contains(que.ExceptVersions, end.bke.Version) && que.allowsRegionOf(end)
 	})
 }
 
@@ -364,7 +369,7 @@
 		}
 		asg.end.recordResult(res, now)
 		if res == ResultUnreachable {
-			// It may be starting again.
+			// The endpoint may be restarting, and is cold afterwards.
 			asg.grp.setCold(asg.end, asg.end.backoffUntil.Add(asg.grp.cold.find(asg.end.bke.Service).Start), now, "unreachable")
 		}
 	})
--- a/internal/pool/places.go
+++ b/internal/pool/places.go
@@ -7,13 +7,14 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// places holds what is known of the availability zones. Its zero value knows nothing, and
-// it is safe for concurrent use. No other lock is taken while its own is held.
+// places holds the regions of the availability zones and which zones are evacuated. Its zero
+// value has no zones, and it is safe for concurrent use. No other lock is taken while its own is held.
 type places struct {
 	mu        sync.RWMutex
 	regions   map[wick.Zone]wick.Region
 	evacuated map[wick.Zone]bool
-	// unread is set until the evacuated zones are known; all count as evacuated until then.
+	// unread is set until the evacuated zones have been read. All zones count as evacuated
+	// until then.
 	unread bool
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -207,7 +207,7 @@
 // Report records a load report of an endpoint.
 func (pl *Pool) Report(vid wick.VMID, rep Report) {
 	pl.withEndpoint(vid, func(grp *group, end *endpoint) {
-		// A negative load would make up for requests in flight.
+		// A negative load would offset requests in flight.
 		rep.Load.Running, rep.Load.Waiting = max(rep.Load.Running, 0), max(rep.Load.Waiting, 0)
 		rep.Load.NextTokens, rep.FreeMemory = max(rep.Load.NextTokens, 0), max(rep.FreeMemory, 0)
 		end.noteMemory(&rep)
@@ -328,8 +328,8 @@
 	return out
 }
 
-// set adds or updates an endpoint. A new one is paused until a time. started is set if one
-// that is not known has started during traffic.
+// set adds or updates an endpoint. A new one is paused until a time. started is set if an
+// endpoint that is not listed yet has started during traffic.
 func (grp *group) set(bke wick.Backend, pausedUntil time.Time, started bool, now time.Time) {
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
--- a/internal/pool/speed.go
+++ b/internal/pool/speed.go
@@ -23,7 +23,7 @@
 	log.WithFields(logrus.Fields{logs.FieldEndpoint: end.bke.ID, "factor": end.factor(), "stalls": est.Stalls}).Info(logs.MsgEndpointSpeed)
 }
 
-// SetPace sets the pace of an endpoint until it is next estimated.
+// SetPace sets the pace of an endpoint until its next estimate.
 func (pl *Pool) SetPace(vid wick.VMID, est pace.Estimate) {
 	pl.withEndpoint(vid, func(_ *group, end *endpoint) { end.setPace(est) })
 }
@@ -39,10 +39,10 @@
 
 // A Stream describes the events of a complete stream.
 type Stream struct {
-	// Events is their number, Took the time from the first to the last.
+	// Events is the number of events, Took the time from the first to the last.
 	Events int
 	Took   time.Duration
-	// Stalled is set if a gap between two events was longer than it should be.
+	// Stalled is set if a gap between two events exceeded the target of the route.
 	Stalled bool
 }
 
@@ -59,7 +59,7 @@
 	asg.end.sample.Add(stm.Took/time.Duration(stm.Events-1), stm.Stalled)
 }
 
-// TakePaces returns what was sampled of this entry's streams since the last call.
+// TakePaces returns the samples of this entry's streams since the last call, and removes them.
 func (pl *Pool) TakePaces() map[wick.VMID]pace.Sample {
 	pl.mu.RLock()
 	defer pl.mu.RUnlock()
@@ -77,7 +77,8 @@
 	return out
 }
 
-// AddPaces adds samples of endpoints to those that their pace is estimated from.
+// AddPaces records samples of endpoints, and updates the paces of all endpoints if new estimates
+// are due.
 func (pl *Pool) AddPaces(samples map[wick.VMID]pace.Sample, now time.Time) {
 	for vid, smp := range samples {
 		pl.withEndpoint(vid, func(grp *group, _ *endpoint) { grp.tracker.Observe(vid, smp, now) })
--- a/internal/relay/callerlimits.go
+++ b/internal/relay/callerlimits.go
@@ -14,7 +14,7 @@
 )
 
 // idleTimeout returns how long the plan lets callers leave a connection idle, 0 if it
-// doesn't say.
+// doesn't set it.
 func (srv *Server) idleTimeout() time.Duration {
 	if tbl := srv.cfg.Plans.Load(); tbl != nil {
 		return min(tbl.Plan.IdleTimeout, maxIdleTimeout)
@@ -22,7 +22,7 @@
 	return 0
 }
 
-// headLimit returns the plan's limit of the bytes of a request's head, 0 if it doesn't say.
+// headLimit returns the plan's limit of the bytes of a request's head, 0 if it doesn't set one.
 func (srv *Server) headLimit() int {
 	if tbl := srv.cfg.Plans.Load(); tbl != nil {
 		return tbl.Plan.MaxHeaderBytes
@@ -41,7 +41,7 @@
 }
 
 // headerTimeout returns how long the plan lets callers take for a header, 0 if it doesn't
-// say.
+// set it.
 func (srv *Server) headerTimeout() time.Duration {
 	if tbl := srv.cfg.Plans.Load(); tbl != nil {
 		return min(tbl.Plan.HeaderTimeout, maxHeaderTimeout)
--- a/internal/relay/cost.go
+++ b/internal/relay/cost.go
@@ -12,8 +12,8 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// generatedInterval is the number of events after which the pool is told the progress of a
-// stream: each call takes the lock of the service's endpoints.
+// generatedInterval is the number of events between two reports of a stream's progress to the
+// pool, each of which takes the lock of the service's endpoints.
 const generatedInterval = 16
 
 // costRequest describes the request for the estimates of its work.
@@ -50,8 +50,8 @@
 	return wick.Tokens(max(math.Round(req.expected.Output), 1))
 }
 
-// recordStream learns from a complete stream. The rest of a stream whose beginning the caller
-// already had says nothing about its length.
+// recordStream records the length of a complete stream for later estimates. Streams that resume
+// after an earlier event are excluded, since their full length is unknown.
 func (fwd *forwarder) recordStream() {
 	req := fwd.req
 	if crq := req.costRequest(); crq.Model && req.params.LastEventID == "" {
@@ -59,7 +59,8 @@
 	}
 }
 
-// recordTime learns from the complete answer of a plain endpoint.
+// recordTime records the service time of a complete answer of a plain endpoint for later
+// estimates.
 func (att *attempt) recordTime(otc outcome, now time.Time) {
 	if otc != outcomeReply || att.rep.Status >= http.StatusMultipleChoices {
 		return
@@ -77,7 +78,7 @@
 	}
 }
 
-// noteGenerated tells the pool how far the answer has got.
+// noteGenerated reports the estimated number of tokens generated so far to the pool.
 func (att *attempt) noteGenerated() {
 	att.tgt.Generated(float64(att.received) * att.req.expected.PerEvent)
 }
--- a/internal/relay/explain.go
+++ b/internal/relay/explain.go
@@ -14,7 +14,7 @@
 // changing it.
 type Views interface {
 	// QuotaLeft returns the units of a customer's quota that this entry may spend without
-	// asking another one, and false if that is unknown.
+	// requesting units from a reserve, and false if that is unknown.
 	QuotaLeft(cus *wick.CustomerPlan, now time.Time) (float64, bool)
 	// VersionOptions returns the choices that Versions.Choose may make. Their shares add up
 	// to 1, and their Done is nil.
@@ -29,7 +29,7 @@
 	Share  float64
 }
 
-// noViews is used where only the plan and the pool are known.
+// noViews is the default of Config.Views. It has no quotas, version orders or blocks.
 type noViews struct{}
 
 func (noViews) QuotaLeft(*wick.CustomerPlan, time.Time) (float64, bool) { return 0, false }
@@ -73,7 +73,7 @@
 	return met
 }
 
-// An Explanation tells where a request would be sent at a time, and why.
+// An Explanation describes where a request would be sent at a time, and the reasons.
 type Explanation struct {
 	// Refusal is the reason for which the entry would refuse the request whatever the
 	// endpoints are, "" if it wouldn't. An exhausted quota is none, since the reserve may
@@ -105,8 +105,8 @@
 	Burst float64 `json:"burst"`
 	// Cost is that of the request.
 	Cost float64 `json:"cost"`
-	// Left is what the entry may spend by itself. For the rest it asks the owners of the
-	// reserve.
+	// Left is the number of units that the entry may spend without requesting more from the
+	// owners of the reserve.
 	Left float64 `json:"left"`
 }
 
@@ -128,8 +128,7 @@
 	Samples int     `json:"samples"`
 }
 
-// A Placement is the choice of an endpoint for a share of the requests like the one asked
-// for.
+// A Placement is the choice of an endpoint for a share of the requests that an Ask describes.
 type Placement struct {
 	Service wick.Service `json:"service"`
 	Share   float64      `json:"share"`
@@ -142,8 +141,8 @@
 	pool.Explanation
 }
 
-// Explain tells where a request would be sent now and why. It sends nothing, and changes
-// no state that later requests depend on.
+// Explain returns where a request would be sent at a time, and the reasons. It sends nothing,
+// and changes no state that later requests depend on.
 func (srv *Server) Explain(ask Ask, now time.Time) Explanation {
 	mat, err := srv.findAsked(&ask)
 	if err != nil {
@@ -170,7 +169,7 @@
 		out.Refusal, out.RetryAfterMillis = refusalPromptBlocked.withRetryAfter(vdc.RetryAfter).explain()
 	}
 	out.Placements = req.placements(ask.Tried, now)
-	// That of the route's last service, if it has several.
+	// placements leaves the estimate of the route's last service in req.expected.
 	if est := &req.expected; est.Samples > 0 {
 		out.Expected.Learned = &LearnedCost{Mean: est.Output, High: est.High, Samples: est.Samples}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,8 +43,8 @@
 const (
 	// headShare is the part of Config.Memory that the heads and trailers of requests may
 	// hold, connShare that of connections with connBytes each: two stacks, the buffers for a
-	// head that needs no reservation, and the server's context of a request. Measured: 13 KiB
-	// with a part of a small head.
+	// head that needs no reservation, and the server's context of a request. A connection with
+	// a part of a small head takes 13 KiB.
 	headShare = 0.15
 	connShare = 0.25
 	connBytes = 16 << 10
@@ -114,7 +114,7 @@
 	Budget   *retry.Budget
 	Client   *wire.Client
 	Meter    Meter
-	// Costs learns the work of requests.
+	// Costs estimates the work of requests from earlier ones; nil is an empty Learner.
 	Costs *cost.Learner
 	// PlanConfirmed reports whether the current plan was recently confirmed to
 	// be the latest. If it wasn't, an unknown route or key may have been added
--- a/pkg/wick/dialect.go
+++ b/pkg/wick/dialect.go
@@ -94,7 +94,7 @@
 	// MemoryUsed is the memory in tokens that cached prompts can't free, MemoryTotal all
 	// memory; 0 if the endpoint doesn't report them.
 	MemoryUsed, MemoryTotal Tokens
-	// ColdFor is how much longer the endpoint is cold, 0 if it is not or doesn't say.
+	// ColdFor is how much longer the endpoint is cold, 0 if it is not cold or reports no time.
 	ColdFor time.Duration
 	// Restarted is set if the report is of another start than the one that the registry
 	// lists.
