cmds, bench, docs: split the where command and clarify the wording

cmds.whereCommand declares its flags in register and runs in run. The trace of the work topics states how one customer's hints are false, and the constant liar is named misleadingCustomer. The docs state actions of entries and callers in technical terms. No change of behaviour.

--- a/internal/bench/worktrace.go
+++ b/internal/bench/worktrace.go
@@ -11,13 +11,14 @@
 )
 
 // The load of the work topics: answers are short or long, with a probability that depends on the
-// prompt and changes in the middle of the run. The hints of one customer are random.
+// prompt and changes in the middle of the run. One customer's hints are
+// long for short answers and short for long ones.
 const (
 	workCustomers = 5
 	workPrompts   = 4
 	workEntries   = 6
-	// liar is the customer with false hints.
-	liar = 0
+	// misleadingCustomer is the customer with false hints.
+	misleadingCustomer = 0
 	// shortTokens and longTokens are the median lengths of answers, maxTokens the declared
 	// bound of all.
 	shortTokens, longTokens = 40.0, 600.0
@@ -70,7 +71,7 @@
 	if rnd.IntN(10) == 0 {
 		hint = length * math.Exp(2*rnd.NormFloat64())
 	}
-	if customer == liar {
+	if customer == misleadingCustomer {
 		hint = shortTokens + longTokens - min(length, longTokens)
 	}
 	id := strconv.Itoa(customer) + "-" + strconv.Itoa(prompt)
--- a/internal/cmds/where.go
+++ b/internal/cmds/where.go
@@ -35,6 +35,12 @@
 		"Example: wagtailwick where --admin 127.0.0.1:9101 --host api.example --path /v1/chat/ --customer acme "+
 		"--input 900 --output 200 --part system:800 --part own:100")
 	var flg whereFlags
+	flg.register(cmd)
+	return cmd.FullCommand(), func() error { return flg.run(ev.stdout) }
+}
+
+// register declares the flags.
+func (flg *whereFlags) register(cmd *kingpin.CmdClause) {
 	cmd.Flag("admin", "Admin address of the entry, host:port.").Required().StringVar(&flg.admin)
 	cmd.Flag("host", "Host of the request.").Required().StringVar(&flg.host)
 	cmd.Flag("path", "Path of the request.").Default("/").StringVar(&flg.path)
@@ -49,29 +55,31 @@
 	cmd.Flag("deadline", "Timeout of the caller, if it sets one.").DurationVar(&flg.deadline)
 	cmd.Flag("json", "Print the answer as JSON.").BoolVar(&flg.json)
 	cmd.Flag("limit", "Most endpoints to list for each service in the text.").Default("20").IntVar(&flg.limit)
-	return cmd.FullCommand(), func() error {
-		ask, err := flg.request()
-		if err != nil {
-			return err
-		}
-		body, err := json.Marshal(ask)
-		if err != nil {
-			return eris.Wrap(err, "encode question")
-		}
-		body, err = post("http://"+flg.admin+edge.WherePath, body)
-		if err != nil {
-			return err
-		}
-		if flg.json {
-			_, err := ev.stdout.Write(body)
-			return eris.Wrap(err, "print answer")
-		}
-		var ans edge.WhereAnswer
-		if err := json.Unmarshal(body, &ans); err != nil {
-			return eris.Wrap(err, "decode answer")
-		}
-		return printWhere(ev.stdout, &ans, flg.limit)
+}
+
+// run sends the request of the flags to the entry and prints the answer.
+func (flg *whereFlags) run(out io.Writer) error {
+	ask, err := flg.request()
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(ask)
+	if err != nil {
+		return eris.Wrap(err, "encode question")
+	}
+	body, err = post("http://"+flg.admin+edge.WherePath, body)
+	if err != nil {
+		return err
+	}
+	if flg.json {
+		_, err := out.Write(body)
+		return eris.Wrap(err, "print answer")
+	}
+	var ans edge.WhereAnswer
+	if err := json.Unmarshal(body, &ans); err != nil {
+		return eris.Wrap(err, "decode answer")
 	}
+	return printWhere(out, &ans, flg.limit)
 }
 
 // request returns the request that the flags describe.
--- a/internal/crash/block.go
+++ b/internal/crash/block.go
@@ -60,7 +60,7 @@
 	Lifted  bool
 }
 
-// A Verdict says whether a prompt may be sent to an endpoint.
+// A Verdict states whether a prompt may be sent to an endpoint.
 type Verdict struct {
 	Blocked bool
 	// RetryAfter is the time until a blocked prompt may be tried.
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -208,7 +208,7 @@
 	}
 }
 
-// TestPeek guards against a trial that is started, and thereby used up, by a question.
+// TestPeek guards against a Peek that starts a trial, and thereby uses it up.
 func TestPeek(t *testing.T) {
 	trk, now := blockedTracker(t)
 	for _, at := range []time.Time{now, now.Add(firstTrialDelay), now.Add(firstTrialDelay + time.Second)} {
--- a/internal/edge/where_test.go
+++ b/internal/edge/where_test.go
@@ -14,7 +14,7 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// ask asks an edge where a request would be sent.
+// ask returns the response of an edge's WherePath to a request.
 func (sit *site) ask(num int, body string) (int, []byte) {
 	sit.Helper()
 	res, err := http.Post("http://"+sit.edges[num].cfg.AdminAddr+WherePath, "application/json", strings.NewReader(body))
