--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -43,13 +43,13 @@
 	}
 }
 
-// minSharedBeat is the number of records that an entry has published when the others have
-// read an earlier one. It sends one a second to its zone's poller, which writes them each
-// 2 s, and the others read within maxMemberInterval of each write.
+// minSharedBeat is the number of an entry's record from which the other entries have certainly
+// read an earlier one. An entry sends a record each second to its zone's poller, which writes
+// them each 2 s, and the others read within maxMemberInterval of each write.
 const minSharedBeat = 5
 
-// isEstablished reports whether the other entries have read that this process serves, and
-// it doesn't drain: they divide its part among them then.
+// isEstablished reports whether the other entries have read a record of this process and it
+// doesn't drain. Otherwise they divide its share among themselves.
 func (edg *Edge) isEstablished() bool {
 	if edg.ready.draining.Load() {
 		return false
@@ -60,7 +60,7 @@
 
 // recordsLag reports whether the records of other entries may be old because the store
 // can't be read, or could not be until a moment ago, or because this process was suspended.
-// The other entries go on using their parts then.
+// The other entries continue to use their shares then.
 func (edg *Edge) recordsLag(now time.Time) bool {
 	return !edg.members.FailingSince().IsZero() || now.Sub(edg.members.RecoveredAt()) < memberTimeout ||
 		now.Sub(edg.members.LastSuccess()) > 2*watchTimeout
@@ -81,8 +81,8 @@
 	return rnk
 }
 
-// of returns the rates of the entries' requests to a service in the order for an endpoint,
-// and the position of an entry.
+// of returns the rates of the entries' requests to a service, in the rendezvous order of the
+// entries for an endpoint, and the position of the entry own, -1 if it isn't among them.
 func (rnk ranking) of(vid wick.VMID, svc wick.Service, own wick.EntryID) ([]float64, int) {
 	order := place.Rank(string(vid), rnk.mems)
 	rates := make([]float64, len(order))
@@ -106,8 +106,8 @@
 	edg.pool.SetColdPolicies(policies, time.Now())
 }
 
-// servingRecords returns the records of the entries that serve, this one included. Old
-// ones count only if they are frozen.
+// servingRecords returns the records of the entries that serve, this one included. Records
+// older than memberTimeout are included only if frozen is set.
 func (edg *Edge) servingRecords(now time.Time, frozen bool) []roster.Record {
 	recs := slices.DeleteFunc(edg.roster.Alive(now, memberTimeout, frozen), func(rec roster.Record) bool { return rec.Leaving || rec.ID == edg.cfg.ID })
 	own, ok := edg.roster.Find(edg.cfg.ID)
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -41,8 +41,8 @@
 	Orders wick.Revision `cbor:"5,keyasint,omitempty"`
 	// Evacuated lists the availability zones that are evacuated.
 	Evacuated []wick.Zone `cbor:"6,keyasint,omitempty"`
-	// Unreachable lists the endpoints that did not answer their polls, of services whose
-	// endpoints are cold after a start.
+	// Unreachable lists the endpoints that did not answer their polls, of services with a
+	// rate for cold endpoints.
 	Unreachable []wick.VMID `cbor:"7,keyasint,omitempty"`
 	// Paces sums up the streams of the entries in the poller's zone since its last notice.
 	Paces map[wick.VMID]pace.Sample `cbor:"8,keyasint,omitempty"`
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -121,7 +121,7 @@
 	// by a newer plan.
 	PlanConfirmed func() bool
 	// EndpointLeaves is called once when an answer has shown that an endpoint leaves. The
-	// pool is already told.
+	// pool has already recorded it.
 	EndpointLeaves func(bke wick.Backend)
 	// RegistryAge returns the time since the list of endpoints was last
 	// confirmed. It is only logged.
