--- a/internal/edge/evacuate_test.go
+++ b/internal/edge/evacuate_test.go
@@ -145,7 +145,7 @@
 }
 
 // TestEvacuationHeldAtStart guards against an entry that starts while a restored store lacks
-// an evacuation and sends requests to the zone, as the others still know not to.
+// an evacuation and sends requests to the zone, while the others still send none there.
 func TestEvacuationHeldAtStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		old, rdr := newEvacuationReader(t), newEvacuationReader(t)
--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -32,7 +32,7 @@
 }
 
 // addWork adds a request to the backlogs if its work has been learned. The group's lock must
-// be held.
+// be held, as for all functions of this file but Generated.
 func (asg *Assignment) addWork(est cost.Estimate) {
 	if est.Samples == 0 {
 		return
@@ -43,7 +43,7 @@
 	asg.setLeft(est.Output)
 }
 
-// setLeft sets the work that is left of the request. The group's lock must be held.
+// setLeft sets the work that is left of the request.
 func (asg *Assignment) setLeft(left float64) {
 	diff := left - asg.job.left
 	asg.job.left = left
@@ -51,7 +51,7 @@
 	asg.grp.backlog.work += diff
 }
 
-// removeWork removes the request from the backlogs. The group's lock must be held.
+// removeWork removes the request from the backlogs.
 func (asg *Assignment) removeWork() {
 	if !asg.job.known {
 		return
--- a/internal/pool/cold_test.go
+++ b/internal/pool/cold_test.go
@@ -188,7 +188,7 @@
 }
 
 // TestColdStart guards against endpoints that start during traffic and count as warm because
-// their records don't say that they are cold, and against sound ones that count as cold when
+// their records don't state that they are cold, and against sound ones that count as cold when
 // an entry starts or reads their records again.
 func TestColdStart(t *testing.T) {
 	restarted, stated := backend(0, "a"), backend(1, "a")
--- a/internal/relay/cost_test.go
+++ b/internal/relay/cost_test.go
@@ -9,7 +9,7 @@
 	"github.com/wagtailwick/wagtailwick/internal/cost"
 )
 
-// TestLearnsWork guards against estimates from answers that say nothing of the length: streams
+// TestLearnsWork guards against estimates from answers of unknown full length: streams
 // that are cut, whose caller has the beginning already, or events that only keep the connection
 // open; and against plain answers that are not learned.
 func TestLearnsWork(t *testing.T) {
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// TestColdRetryAfter guards against callers that are all told to come again at the moment at
+// TestColdRetryAfter guards against callers that all receive the Retry-After of the moment at
 // which an endpoint is warm.
 func TestColdRetryAfter(t *testing.T) {
 	const callers = 4
