pool: an explanation counts the requests of other entries as a choice does

Cause: Explain left out the estimate of the other entries' requests since a report, so that where could name another endpoint than the next request gets (found by a reader of the change). Change: it is set as in Pick. Result: the new subtest of TestExplainAgrees fails without it and passes with it.

--- a/internal/pool/explain.go
+++ b/internal/pool/explain.go
@@ -137,6 +137,7 @@
 func (grp *group) explain(que *Query, zone wick.Zone) Explanation {
 	grp.mu.Lock()
 	defer grp.mu.Unlock()
+	que.perEndpoint = grp.requestsPerEndpoint(que.Now)
 	preferred := grp.preferredFor(que)
 	var cnd candidates
 	best, compared := grp.compare(que, preferred, zone, &cnd)
--- a/internal/pool/explain_test.go
+++ b/internal/pool/explain_test.go
@@ -110,6 +110,32 @@
 			assertNextPick(t, newMixedPool(), que)
 		})
 	}
+	t.Run("one of many entries", func(t *testing.T) {
+		const endpoints = 4
+		pl := New("a")
+		pl.SetNewLimitShare(0.05)
+		for num := range endpoints {
+			pl.Set(backend(num, "a"), start)
+		}
+		var sent []*Assignment
+		for step := range 400 {
+			now := start.Add(time.Duration(step) * 50 * time.Millisecond)
+			if step%8 == 0 {
+				for _, asg := range sent {
+					asg.Done(ResultAnswered, now)
+				}
+				sent = nil
+				for num := range endpoints {
+					pl.Report(backend(num, "a").ID, Report{At: now, Load: wick.BackendLoad{Running: 2 + 5*num}})
+				}
+			}
+			que := Query{Service: service, Model: true, InputTokens: 30, OutputTokens: 100, Now: now}
+			want := pl.Explain(que).Choice
+			asg := pick(t, pl, que)
+			assertPicked(t, asg, want)
+			sent = append(sent, asg)
+		}
+	})
 	t.Run("no service", func(t *testing.T) { assertNextPick(t, New("a"), at(mixedQuery, start)) })
 	t.Run("sample", func(t *testing.T) {
 		pl := New("a")
