--- a/internal/pool/explain_test.go
+++ b/internal/pool/explain_test.go
@@ -117,14 +117,14 @@
 		for num := range endpoints {
 			pl.Set(backend(num, "a"), start)
 		}
-		var sent []*Assignment
+		sent := make([]*Assignment, 0, 8)
 		for step := range 400 {
 			now := start.Add(time.Duration(step) * 50 * time.Millisecond)
 			if step%8 == 0 {
 				for _, asg := range sent {
 					asg.Done(ResultAnswered, now)
 				}
-				sent = nil
+				sent = sent[:0]
 				for num := range endpoints {
 					pl.Report(backend(num, "a").ID, Report{At: now, Load: wick.BackendLoad{Running: 2 + 5*num}})
 				}
