fleet: look for the effect of an ablation in more seeds

Traced: the same seeds run differently each time. In six runs alone the first violation came at seeds 40, 24, 2, 2, 3 and 6, so one run in some 30 finds none in 40. Change: up to 400 seeds; a run still ends at the first violation, and a check that never detects the missing mechanism still fails. Result: see the trial above; not run with 400 seeds to their end.

--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -243,13 +243,17 @@
 	ablateZones:     invar.FleetZoneLoss,
 }
 
+// ablationSeeds is the number of seeds until which an ablation must show. The order of the
+// goroutines differs from run to run, and one seed in about 13 shows the rarest ablation.
+const ablationSeeds = 400
+
 // TestAblations guards against invariant checks that don't detect a missing
 // mechanism.
 func TestAblations(t *testing.T) {
 	for abl, want := range ablatedInvariants {
 		t.Run(string(abl), func(t *testing.T) {
 			t.Parallel()
-			for seed := uint64(1); seed <= 40; seed++ {
+			for seed := uint64(1); seed <= ablationSeeds; seed++ {
 				if vios, _ := runRandom(t, seed, *flagSteps, abl); vios[want] > 0 {
 					t.Logf("seed %d: %v", seed, vios)
 					return
