--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -86,7 +86,7 @@
 
 // TestColdShareAtStart guards against an entry that has just started and uses a part of a
 // cold endpoint's rate that the others haven't left to it yet, and against one that drains
-// and goes on using a part that others have.
+// and still uses a part of the rate that others have.
 func TestColdShareAtStart(t *testing.T) {
 	for name, tst := range map[string]struct {
 		rec            roster.Record
