--- a/review/_standin-2/endless.go
+++ b/review/_standin-2/endless.go
@@ -90,15 +90,20 @@
 			time.Sleep(time.Second)
 		}
 	}
+	return cas.verdict()
+}
+
+// verdict returns the exit code by the ends of the processes.
+func (cas *endlessCase) verdict() int {
 	cas.mu.Lock()
 	defer cas.mu.Unlock()
-	env.note("ends of processes: %v", cas.killed)
-	for _, ent := range env.entries {
+	cas.note("ends of processes: %v", cas.killed)
+	for _, ent := range cas.entries {
 		if cas.killed[ent.name] < ends {
 			return exitHeld
 		}
 	}
-	env.note("BROKEN: on two machines the process ended three times without a disruption there")
+	cas.note("BROKEN: on two machines the process ended three times without a disruption there")
 	return exitBroken
 }
 
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -19,6 +19,7 @@
 	"unframed": playUnframed,
 	"framing":  playFraming,
 	"endless":  playEndless,
+	"slowread": playSlowRead,
 }
 
 func main() {
