httpio, frame: refuse requests whose end is in doubt

Cause: hertz keeps the last of several lengths, and nothing looked at the head before hertz had parsed it. A survey of 80 framings showed more that parsers read differently and that were served: any Transfer-Encoding but identity as chunked, identity as no body, chunks next to a length or in HTTP/1.0, bare line feeds, fields without a name, CONNECT, other versions of HTTP. The admin and readiness listeners served them too.

Change: internal/frame reads a head strictly (RFC 9112). inputConn checks each head before hertz parses it, on all listeners, and refuses it with 400, not executed, in its turn, and closes the connection. A length repeated alike still counts once. internal/audit follows bodies by the same package, so that there is one reading of chunks.

On TestUncertainEnd (14 of its 18 malformed heads were served, by each of three kinds of servers), TestRefusalInOrder, relay.TestSmuggledRequest, front.TestSmuggledRequest, admin.TestSmuggledQuery and edge.TestMalformedReadinessCheck fail; now they pass.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -1,8 +1,12 @@
 package admin
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +51,34 @@
 	}
 }
 
+// TestSmuggledQuery guards against a query in the body of another one that is answered as one
+// of its own, because the length of the first is given twice.
+func TestSmuggledQuery(t *testing.T) {
+	addr, err := ports.Addr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var srv Server
+	var ran atomic.Int64
+	srv.AddQuery("/ask", func([]byte) (any, error) { return ran.Add(1), nil })
+	if err := srv.Start(addr); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = srv.Stop(t.Context()) }()
+	con, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer con.Close()
+	const inner = "POST /ask HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+	fmt.Fprintf(con, "POST /ask HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\nContent-Length: 0\r\n\r\n%s", len(inner), inner)
+	_ = con.SetReadDeadline(time.Now().Add(time.Second))
+	answer, err := io.ReadAll(con)
+	if ran.Load() != 0 || !strings.HasPrefix(string(answer), "HTTP/1.1 400 ") || err != nil {
+		t.Errorf("%d queries ran, answer %q, then %v", ran.Load(), answer, err)
+	}
+}
+
 // TestExposition guards against metric lines that scrapers can't parse.
 func TestExposition(t *testing.T) {
 	reg := metrics.NewRegistry()
--- a/internal/audit/conn.go
+++ b/internal/audit/conn.go
@@ -131,7 +131,7 @@
 // settleOpen accounts for a request that is open as the connection closes.
 func (con *Conn) settleOpen(exc *exchange, oldest bool) {
 	brokenOff := func(pty Party, why string) { con.trk.ended("brokenOff." + string(pty) + "." + why) }
-	untilClose := con.out.inBody && con.out.body.untilClose
+	untilClose := con.out.inBody && con.out.body.IsOpen()
 	switch {
 	case exc.why != "":
 		con.lastResponse = true
--- a/internal/audit/follow.go
+++ b/internal/audit/follow.go
@@ -4,19 +4,20 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"github.com/wagtailwick/wagtailwick/internal/frame"
 )
 
 // Errors of messages that can't be followed.
 var (
 	errHeadSize  = errors.New("head exceeds the size limit")
-	errChunk     = errors.New("malformed chunk")
 	errPipelined = errors.New("too many pipelined requests")
 )
 
 // A message follows the messages of one direction.
 type message struct {
 	head head
-	body body
+	body frame.Body
 	// inBody is set while the body of a message follows.
 	inBody bool
 	// status is that of the response in progress; unused for requests.
@@ -33,7 +34,7 @@
 		var whole bool
 		var err error
 		if con.in.inBody {
-			data, whole, err = con.in.body.skip(data)
+			data, whole, err = con.in.body.Follow(data)
 		} else {
 			data, whole, err = con.receivedHead(data)
 		}
@@ -62,8 +63,8 @@
 		return nil, false, errPipelined
 	}
 	con.open = append(con.open, exc)
-	con.in.body, con.in.inBody = bdy, !bdy.empty()
-	return rest, bdy.empty(), nil
+	con.in.body, con.in.inBody = bdy, !bdy.IsEmpty()
+	return rest, bdy.IsEmpty(), nil
 }
 
 // receivedWhole counts the last request as read. Its response may be complete already.
@@ -105,7 +106,7 @@
 		var complete bool
 		var err error
 		if con.out.inBody {
-			data, complete, err = con.out.body.skip(data)
+			data, complete, err = con.out.body.Follow(data)
 		} else {
 			data, complete, err = con.sentHead(data, exc.method)
 		}
@@ -134,8 +135,8 @@
 		return rest, false, nil
 	}
 	con.out.status, con.out.closes = hed.status, hed.closes
-	con.out.body, con.out.inBody = hed.body, !hed.body.empty()
-	return rest, hed.body.empty(), nil
+	con.out.body, con.out.inBody = hed.body, !hed.body.IsEmpty()
+	return rest, hed.body.IsEmpty(), nil
 }
 
 // sentComplete ends the response to the oldest request. A request that was not read whole
--- a/internal/audit/parse.go
+++ b/internal/audit/parse.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+
+	"github.com/wagtailwick/wagtailwick/internal/frame"
 )
 
 // maxTextBytes bounds the parts of a request that are kept for log lines.
@@ -38,9 +41,9 @@
 }
 
 // parseRequest parses the head of a request.
-func parseRequest(text []byte, idHeader string) (*exchange, body, error) {
+func parseRequest(text []byte, idHeader string) (*exchange, frame.Body, error) {
 	var exc *exchange
-	var bdy body
+	var bdy frame.Body
 	err := withHead(text, func(src *bufio.Reader) error {
 		req, err := http.ReadRequest(src)
 		if err != nil {
@@ -62,7 +65,7 @@
 	status int
 	// closes is set if the connection ends behind the response.
 	closes bool
-	body   body
+	body   frame.Body
 }
 
 // parseResponse parses the head of the response to a request.
@@ -76,13 +79,23 @@
 		out = responseHead{status: res.StatusCode, closes: res.Close}
 		if hasBody(method, res.StatusCode) {
 			out.body = newBody(res.ContentLength, res.TransferEncoding)
-			out.body.untilClose = res.ContentLength < 0 && !out.body.chunked
+			if res.ContentLength < 0 && !out.body.IsChunked() {
+				out.body = frame.OpenBody()
+			}
 		}
 		return nil
 	})
 	return out, err
 }
 
+// newBody returns a body with the length and encodings that net/http has found.
+func newBody(length int64, encodings []string) frame.Body {
+	if slices.Contains(encodings, "chunked") {
+		return frame.ChunkedBody()
+	}
+	return frame.LengthBody(max(length, 0))
+}
+
 // hasBody reports whether a response may have a body.
 func hasBody(method string, status int) bool {
 	return method != http.MethodHead && status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
--- a/internal/httpio/input.go
+++ b/internal/httpio/input.go
@@ -1,7 +1,6 @@
 package httpio
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/wagtailwick/wagtailwick/internal/frame"
 	"github.com/wagtailwick/wagtailwick/internal/logs"
 )
 
@@ -92,6 +92,8 @@
 	limit int
 	// inHead is set until the head of the current request is complete.
 	inHead bool
+	// checked is set once the head of the current request has been found well-formed.
+	checked bool
 	// err is returned by all further reads, unless it is nil.
 	err error
 	rsv headReservation
@@ -109,7 +111,7 @@
 
 // begin prepares for the next request.
 func (icn *inputConn) begin() {
-	icn.limit, icn.inHead = icn.cal.lim.lis.headLimit(), true
+	icn.limit, icn.inHead, icn.checked = icn.cal.lim.lis.headLimit(), true, false
 	icn.heads().release(&icn.rsv)
 	if icn.Len() == 0 && cap(icn.buf) > firstInputBytes {
 		icn.buf, icn.off = nil, 0
@@ -151,9 +153,30 @@
 			return nil, err
 		}
 	}
+	if err := icn.checkHead(); err != nil {
+		return nil, err
+	}
 	return icn.buf[icn.off : icn.off+num], nil
 }
 
+// checkHead checks the head of the current request once it is complete, before hertz parses
+// it: hertz accepts several lengths and encodings, of which other parsers choose another.
+func (icn *inputConn) checkHead() error {
+	if icn.checked || !icn.inHead {
+		return nil
+	}
+	text := icn.buf[icn.off:]
+	end := frame.HeadEnd(text, 0)
+	if end == 0 {
+		return nil
+	}
+	if _, err := frame.Request(text[:end]); err != nil {
+		return icn.refuse(malformed, err)
+	}
+	icn.checked = true
+	return nil
+}
+
 // fill reads until there are num bytes.
 func (icn *inputConn) fill(num int) error {
 	if icn.err != nil {
@@ -162,11 +185,11 @@
 	size := max(num, min(firstInputBytes, icn.limit))
 	if num == icn.Len()+1 {
 		if icn.Len() >= icn.limit {
-			return icn.refuse(tooLarge)
+			return icn.refuse(tooLarge, ErrTrailerSize)
 		}
 		size = max(size, min(2*icn.Len(), icn.limit))
 		if !icn.heads().grow(&icn.rsv, size, icn.cal.lim.lis.HeadMemory, time.Now()) {
-			return icn.refuse(noMemory)
+			return icn.refuse(noMemory, ErrTrailerMemory)
 		}
 	}
 	// What was returned by Peek remains valid until Release.
@@ -188,8 +211,7 @@
 // hertz parses the whole head after each read, which takes quadratic time for a head that
 // arrives in small pieces.
 func (icn *inputConn) awaitsHeadEnd(num, from int) bool {
-	return icn.inHead && num > firstPeekBytes &&
-		!bytes.Contains(icn.buf[from:], []byte("\n\r\n")) && !bytes.Contains(icn.buf[from:], []byte("\n\n"))
+	return icn.inHead && num > firstPeekBytes && frame.HeadEnd(icn.buf, from) == 0
 }
 
 // Skip consumes bytes that were read. The first ones of a request are its head.
@@ -239,38 +261,39 @@
 	return append(make([]byte, 0, num), buf...), icn.Skip(num)
 }
 
-// A refusedInput is the reason for which a head or trailer is not read to its end.
+// A refusedInput is the way in which a request that is not read to its end is refused.
 type refusedInput struct {
 	// suffix ends the name of the counter.
 	suffix string
 	status int
-	// trailer is the error of reads of trailers; the handler refuses their request.
-	trailer error
 }
 
 var (
-	tooLarge = refusedInput{"TooLarge", http.StatusRequestHeaderFieldsTooLarge, ErrTrailerSize}
-	noMemory = refusedInput{"NoMemory", http.StatusServiceUnavailable, ErrTrailerMemory}
+	tooLarge  = refusedInput{"TooLarge", http.StatusRequestHeaderFieldsTooLarge}
+	noMemory  = refusedInput{"NoMemory", http.StatusServiceUnavailable}
+	malformed = refusedInput{"Malformed", http.StatusBadRequest}
 )
 
-// refuse refuses the current request, which has not run: its head or trailers are not
-// complete. It returns the error of the read.
-func (icn *inputConn) refuse(why refusedInput) error {
-	part, num := "trailers", icn.Len()
+// refuse refuses the current request because of err. It has not run: its head or
+// trailers are not complete. It returns the error of the read: behind the head that is err,
+// and the handler refuses the request.
+func (icn *inputConn) refuse(why refusedInput, err error) error {
+	num := icn.Len()
 	// What was read must not be taken for the next request.
-	icn.err, icn.buf, icn.off = why.trailer, nil, 0
+	icn.err, icn.buf, icn.off = err, nil, 0
+	part := "trailers"
 	if icn.inHead {
 		part = "head"
-		icn.err = hertzerrors.ErrNothingRead // keeps hertz from sending its own response
 	}
 	metrics.GetOrRegisterCounter("front.inputs."+part+why.suffix, nil).Inc(1)
 	if ok, left := inputLogs.Allow(time.Now()); ok {
 		log.WithFields(logrus.Fields{
 			"part": part, "remote": icn.cal.RemoteAddr().String(), "bytes": num, "limit": icn.limit,
-			logs.FieldStatus: why.status, logs.FieldSuppressed: left,
+			logs.FieldStatus: why.status, logs.FieldError: err.Error(), logs.FieldSuppressed: left,
 		}).Warn(logs.MsgInputRefused)
 	}
 	if icn.inHead {
+		icn.err = hertzerrors.ErrNothingRead // keeps hertz from sending its own response
 		icn.writeRefusal(why.status)
 	}
 	return icn.err
