httpio: follow chunked bodies to their end

Callers saw: the text behind a trailer line that ends with a line feed only ran as a request of its own, on all four servers. A chunked body whose connection ended behind its last chunk, before the empty line, ran as whole.

Change: inputConn follows chunks and trailers as they arrive and drops the input at the first byte that the grammar forbids. A handler gets a chunked body only if it was followed to its end: CallerConn.BodyError in the relay, which reads bodies itself, and the middleware CheckBody in the other three servers.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -91,7 +91,7 @@
 	srv.lis = own
 	srv.hertz = server.New(append(opts, server.WithMaxRequestBodySize(maxQueryBytes), server.WithExitWaitTime(time.Second))...)
 	// A panic in a dump or a query must not end the process.
-	srv.hertz.Use(recovery.Recovery())
+	srv.hertz.Use(recovery.Recovery(), httpio.CheckBody)
 	srv.hertz.GET("/dump", srv.serveDump)
 	srv.hertz.GET("/metrics", srv.serveMetrics)
 	srv.hertz.GET("/healthz", func(_ context.Context, req *app.RequestContext) {
--- a/internal/edge/ready.go
+++ b/internal/edge/ready.go
@@ -39,7 +39,7 @@
 	rds := &readyServer{}
 	_, opts := httpio.NewInternal(lis)
 	hrz := server.New(opts...)
-	hrz.Use(rds.handle)
+	hrz.Use(httpio.CheckBody, rds.handle)
 	go func() {
 		if err := hrz.Run(); err != nil {
 			log.WithError(err).Error("edge: readiness server failed")
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -115,7 +115,7 @@
 		server.WithRedirectTrailingSlash(false),
 	)
 	srv := &Server{cfg: cfg, hrz: hrz, lis: lis}
-	hrz.Use(recovery.Recovery(), watchCaller)
+	hrz.Use(recovery.Recovery(), httpio.CheckBody, watchCaller)
 	hrz.GET("/readyz", srv.readyz)
 	hrz.POST(routeChat, srv.withCaller(srv.chat))
 	hrz.POST(routeText, srv.withCaller(srv.text))
--- a/internal/front/smuggled_test.go
+++ b/internal/front/smuggled_test.go
@@ -23,6 +23,7 @@
 		"two lengths":        {length + "Content-Length: 0\r\n\r\n" + inner, 0},
 		"identity":           {"Transfer-Encoding: identity\r\n\r\n" + inner, 0},
 		"length and chunked": {length + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(inner), inner), 0},
+		"trailer":            {"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: b\n\n" + inner, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bac := &backend{}
--- a/internal/httpio/caller.go
+++ b/internal/httpio/caller.go
@@ -33,6 +33,8 @@
 	audit *audit.Conn
 	// lim is the connection below the audit.
 	lim *limitConn
+	// input reads the requests; nil without NewTransporter.
+	input *inputConn
 
 	// mu serialises the probes and the response.
 	mu  sync.Mutex
--- a/internal/httpio/framing_test.go
+++ b/internal/httpio/framing_test.go
@@ -63,6 +63,13 @@
 		{"no name", start + ": b\r\n" + length + "\r\n" + innerRequest, nil},
 		{"CONNECT", strings.Replace(start, "POST", "CONNECT", 1) + length + "\r\n" + innerRequest, nil},
 		{"another protocol", strings.Replace(start, "/1.1", "/2.0", 1) + length + "\r\n" + innerRequest, nil},
+
+		{"chunk longer than its size", start + encoding + "\r\n2\r\nabc\r\n0\r\n\r\n" + innerRequest, nil},
+		{"line feed behind a chunk", start + encoding + "\r\n2\r\nab\n0\r\n\r\n" + innerRequest, nil},
+		{"space behind a size", start + encoding + "\r\n2 \r\nab\r\n0\r\n\r\n" + innerRequest, nil},
+		{"trailer with line feeds", start + encoding + "\r\n2\r\nab\r\n0\r\nA: b\n\n" + innerRequest, nil},
+		{"no end of the trailer", start + encoding + "\r\n2\r\nab\r\n0\r\n" + innerRequest, nil},
+		{"length in the trailer", start + encoding + "\r\n2\r\nab\r\n0\r\nContent-Length: 2\r\n\r\n" + innerRequest, nil},
 	}
 }
 
@@ -97,6 +104,9 @@
 	}
 	rsv := &ranServer{addr: raw.Addr()}
 	srv := server.New(opts...)
+	if kind != streamedBodies {
+		srv.Use(CheckBody)
+	}
 	srv.Use(rsv.serve)
 	go func() { _ = srv.Run() }()
 	t.Cleanup(func() {
@@ -108,7 +118,7 @@
 }
 
 // serve runs a request. The server has read its body, or doesn't if bodies are streamed.
-func (rsv *ranServer) serve(_ context.Context, rct *app.RequestContext) {
+func (rsv *ranServer) serve(ctx context.Context, rct *app.RequestContext) {
 	defer rct.Abort()
 	rct.SetStatusCode(http.StatusOK)
 	var body []byte
@@ -118,7 +128,10 @@
 			src = io.LimitReader(src, int64(size))
 		}
 		var err error
-		if body, err = io.ReadAll(src); err != nil {
+		if body, err = io.ReadAll(src); err == nil {
+			err = Caller(ctx).BodyError()
+		}
+		if err != nil {
 			rct.SetStatusCode(http.StatusBadRequest)
 			rct.SetConnectionClose()
 			return
--- a/internal/httpio/input.go
+++ b/internal/httpio/input.go
@@ -41,6 +41,9 @@
 	inputLogsPerSecond = 5
 )
 
+// errBodyEnd reports a body that hertz has ended before its end.
+var errBodyEnd = fmt.Errorf("%w: body without its end", frame.ErrMalformed)
+
 // Errors of requests whose trailers are not read to their end.
 var (
 	// ErrTrailerSize reports trailers above the limit of a head.
@@ -92,8 +95,10 @@
 	limit int
 	// inHead is set until the head of the current request is complete.
 	inHead bool
-	// checked is set once the head of the current request has been found well-formed.
-	checked bool
+	// checked is set once the head of the current request has been found well-formed, and
+	// inChunks while its chunked body has not been read whole. body follows that body.
+	checked, inChunks bool
+	body              frame.Body
 	// err is returned by all further reads, unless it is nil.
 	err error
 	rsv headReservation
@@ -101,6 +106,7 @@
 
 func newInputConn(std *standard.Conn, cal *CallerConn) *inputConn {
 	icn := &inputConn{Conn: std, cal: cal}
+	cal.input = icn
 	icn.rsv.end = func() { _ = cal.SetReadDeadline(earliest) } // a closed connection fails its reads anyway
 	icn.begin()
 	return icn
@@ -170,13 +176,42 @@
 	if end == 0 {
 		return nil
 	}
-	if _, err := frame.Request(text[:end]); err != nil {
+	bdy, err := frame.Request(text[:end])
+	if err == nil && icn.inChunks {
+		err = errBodyEnd
+	}
+	if err != nil {
 		return icn.refuse(malformed, err)
 	}
-	icn.checked = true
+	icn.checked, icn.inChunks, icn.body = true, bdy.IsChunked(), bdy
+	return icn.followChunks(text[end:])
+}
+
+// followChunks follows further bytes of the connection if they may belong to a chunked body.
+func (icn *inputConn) followChunks(data []byte) error {
+	if !icn.inChunks {
+		return nil
+	}
+	_, complete, err := icn.body.Follow(data)
+	if err != nil {
+		return icn.refuse(malformed, err)
+	}
+	icn.inChunks = !complete
 	return nil
 }
 
+// receive reads from the connection.
+func (icn *inputConn) receive(buf []byte) (int, error) {
+	if icn.err != nil {
+		return 0, icn.err
+	}
+	num, err := icn.cal.Read(buf)
+	if err := icn.followChunks(buf[:num]); err != nil {
+		return 0, err
+	}
+	return num, err
+}
+
 // fill reads until there are num bytes.
 func (icn *inputConn) fill(num int) error {
 	if icn.err != nil {
@@ -198,7 +233,7 @@
 	}
 	from := max(icn.off, len(icn.buf)-len("\n\r"))
 	for icn.Len() < num || icn.Len() < size && icn.awaitsHeadEnd(num, from) {
-		got, err := icn.cal.Read(icn.buf[len(icn.buf) : icn.off+size])
+		got, err := icn.receive(icn.buf[len(icn.buf) : icn.off+size])
 		icn.buf = icn.buf[:len(icn.buf)+got]
 		if err != nil {
 			return err
@@ -236,7 +271,7 @@
 // Read returns what was read before, then reads from the connection.
 func (icn *inputConn) Read(buf []byte) (int, error) {
 	if icn.Len() == 0 {
-		return icn.cal.Read(buf)
+		return icn.receive(buf)
 	}
 	num := copy(buf, icn.buf[icn.off:])
 	icn.off += num
@@ -274,17 +309,14 @@
 	malformed = refusedInput{"Malformed", http.StatusBadRequest}
 )
 
-// refuse refuses the current request because of err. It has not run: its head or
+// refuse refuses the current request because of err. It has not run: its head, body or
 // trailers are not complete. It returns the error of the read: behind the head that is err,
 // and the handler refuses the request.
 func (icn *inputConn) refuse(why refusedInput, err error) error {
 	num := icn.Len()
 	// What was read must not be taken for the next request.
 	icn.err, icn.buf, icn.off = err, nil, 0
-	part := "trailers"
-	if icn.inHead {
-		part = "head"
-	}
+	part := icn.part(why)
 	metrics.GetOrRegisterCounter("front.inputs."+part+why.suffix, nil).Inc(1)
 	if ok, left := inputLogs.Allow(time.Now()); ok {
 		log.WithFields(logrus.Fields{
@@ -299,6 +331,18 @@
 	return icn.err
 }
 
+// part returns the part of the request that is being read, for metrics and logs.
+func (icn *inputConn) part(why refusedInput) string {
+	switch {
+	case !icn.checked:
+		return "head"
+	case why == malformed:
+		return "body"
+	default:
+		return "trailers"
+	}
+}
+
 // writeRefusal answers an incomplete head. The connection is closed next, so errors of the
 // write don't matter.
 func (icn *inputConn) writeRefusal(status int) {
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -213,7 +213,10 @@
 	}
 	size := int64(rct.Request.Header.ContentLength())
 	var err error
-	if req.body, err = bdr.read(size); err != nil {
+	if req.body, err = bdr.read(size); err == nil {
+		err = req.con.BodyError()
+	}
+	if err != nil {
 		bdr.release()
 		rfl := bodyRefusal(err)
 		if rfl != refusalNoMemory || errors.Is(err, httpio.ErrTrailerMemory) || req.srv.closing.Load() {
--- a/internal/relay/body_test.go
+++ b/internal/relay/body_test.go
@@ -231,6 +231,7 @@
 	for _, text := range []string{
 		"Content-Length: 10\r\n\r\nhalf", "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 50_000),
 		"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", "Transfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+		"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX-Sum: 1\r\n",
 	} {
 		t.Run(text[:min(len(text), 60)], func(t *testing.T) {
 			rly := newTestRelay(t, 1, replyLength(0))
--- a/internal/relay/smuggled_test.go
+++ b/internal/relay/smuggled_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -18,9 +19,11 @@
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(innerBooking))
 	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(innerBooking), innerBooking)
 	for name, text := range map[string]string{
-		"two lengths":        length + "Content-Length: 0\r\n\r\n" + innerBooking,
-		"identity":           "Transfer-Encoding: identity\r\n\r\n" + innerBooking,
-		"length and chunked": length + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"two lengths":              length + "Content-Length: 0\r\n\r\n" + innerBooking,
+		"identity":                 "Transfer-Encoding: identity\r\n\r\n" + innerBooking,
+		"length and chunked":       length + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"line feeds in a trailer":  "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: b\n\n" + innerBooking,
+		"malformed behind a chunk": "Transfer-Encoding: chunked\r\n\r\n8000\r\n" + strings.Repeat("x", 0x8000) + "\n0\r\n\r\n" + innerBooking,
 	} {
 		for _, path := range []string{"/book/1", "/look/1", "/gen/1"} {
 			t.Run(name+path[:5], func(t *testing.T) {
