httpio: keep a panic of the HTTP library on its connection

Callers saw: nothing yet. A head with "Trailer: ,X", from any caller and without a key, ends the process of the entry and with it all of its requests; the admin and readiness listeners do the same.

Cause: hertz (v0.10.4) looks at the first byte of each name in that field, also of an empty one, and panics in the goroutine of the connection, before any handler, where nothing recovers. The 25,500th random request of TestParsersAgree showed it.

Change: checkHead refuses a head that announces a trailer without a name with 400, before hertz parses it. The serving of each connection recovers from panics: the connection is closed, front.panics counts it and a line is logged with the stack.

With it TestPanicInHead and TestPanicOnConnection pass on three kinds of servers, and 400,000 random requests cause no panic.

--- a/internal/httpio/framing_test.go
+++ b/internal/httpio/framing_test.go
@@ -120,6 +120,9 @@
 // serve runs a request. The server has read its body, or doesn't if bodies are streamed.
 func (rsv *ranServer) serve(ctx context.Context, rct *app.RequestContext) {
 	defer rct.Abort()
+	if string(rct.Path()) == "/panic" {
+		panic("fault")
+	}
 	rct.SetStatusCode(http.StatusOK)
 	var body []byte
 	if rct.Request.IsBodyStream() {
--- a/internal/httpio/input.go
+++ b/internal/httpio/input.go
@@ -74,10 +74,11 @@
 func (trn transporter) ListenAndServe(serve network.OnData) error {
 	return trn.Transporter.ListenAndServe(func(ctx context.Context, con any) error { //nolint:wrapcheck // hertz's own
 		std, ok := con.(*standard.Conn)
-		if cal := Caller(ctx); ok && cal != nil {
-			con = newInputConn(std, cal)
+		cal := Caller(ctx)
+		if !ok || cal == nil {
+			return serve(ctx, con)
 		}
-		return serve(ctx, con)
+		return newInputConn(std, cal).serve(ctx, serve)
 	})
 }
 
@@ -177,6 +178,9 @@
 		return nil
 	}
 	bdy, err := frame.Request(text[:end])
+	if err == nil {
+		err = checkTrailerNames(text[:end])
+	}
 	if err == nil && icn.inChunks {
 		err = errBodyEnd
 	}
