wire, frame: refuse replies whose end is in doubt

Callers saw: answers of endpoints in trouble that state their end twice or in a way that parsers read differently. A length next to chunks, a length in the trailer, line feeds only, a body behind 204 and HTTP/2.0 were passed on as answers; chunks in HTTP/1.0 with their sizes as a part of the body.

Change: wire.conn follows the replies on each connection (frame.Replies) below net/http's client. A read fails at the first malformed byte, so that no parser sees a whole reply; malformed bytes behind a complete reply don't harm it. The call has an unknown outcome, as after any broken reply. This holds for endpoints of both data paths, the store and the cloud API. Bytes that were received before the first call of a connection end that call. Reasons are in the log lines of attempts; wire.malformedReplies counts.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -105,6 +105,8 @@
 		{"connection lost in a chunk", stream(whole[0]) + "ff\r\ndata: {", wick.ErrTruncated, "x"},
 		{"connection lost within the end marker", stream(whole[0], whole[1], whole[2], "data: [DONE]\n"), wick.ErrTruncated, "xy"},
 		{"connection lost after the end marker", stream(whole...), nil, "xy"},
+		{"length and chunks", strings.Replace(stream(whole...)+lastChunk, "\r\n", "\r\nContent-Length: 9\r\n", 1), wick.ErrUnknownOutcome, ""},
+		{"bytes that are no chunk", stream(whole[0], whole[1]) + "x\n" + whole[2], wick.ErrTruncated, "xy"},
 		{"engine error", stream(whole[0], `data: {"attempt":"a","error":{"message":"oom"}}`+"\n\n") + lastChunk, wick.ErrTruncated, "x"},
 		{"not JSON", stream("data: {\n\n") + lastChunk, wick.ErrTruncated, ""},
 		{"event too long", stream("data: "+strings.Repeat("x", 300<<10)) + lastChunk, wick.ErrTruncated, ""},
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -95,10 +96,42 @@
 			if bdy, err := Request([]byte(requestHead(tst.field))); !errors.Is(err, ErrMalformed) || !errors.Is(err, tst.want) {
 				t.Errorf("request: %+v, error %v, want %v", bdy, err, tst.want)
 			}
+			text := "HTTP/1.1 200 OK\r\n" + tst.field + "\r\nX-After: b\r\n\r\nhello"
+			assertMalformedReply(t, text, http.MethodPost, tst.want)
 		})
 	}
 }
 
+// assertMalformedReply asserts that a reply is malformed and that no parser that reads the
+// bytes before the malformed one takes it for complete, however it is split.
+func assertMalformedReply(t *testing.T, text, method string, want error) {
+	t.Helper()
+	for _, size := range []int{1, 2, 7, len(text)} {
+		var rps Replies
+		passed := 0
+		for rest := text; len(rest) > 0 && rps.err == nil; {
+			part := rest[:min(size, len(rest))]
+			rest = rest[len(part):]
+			num, err := rps.Follow([]byte(part), method)
+			passed += num
+			if err == nil && num != len(part) {
+				t.Fatalf("%d of %d bytes without an error", num, len(part))
+			}
+		}
+		if !errors.Is(rps.err, ErrMalformed) || !errors.Is(rps.err, want) {
+			t.Errorf("pieces of %d: error %v, want %v", size, rps.err, want)
+		}
+		res, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text[:passed])), &http.Request{Method: method})
+		if err != nil {
+			continue
+		}
+		if _, err := io.ReadAll(res.Body); err == nil && res.ContentLength != -1 {
+			t.Errorf("pieces of %d: the bytes %q are a whole reply", size, text[:passed])
+		}
+		res.Body.Close()
+	}
+}
+
 // TestMalformedRequestLine guards against requests that parsers may cut at other places, and
 // against methods whose responses have no length.
 func TestMalformedRequestLine(t *testing.T) {
@@ -187,6 +220,7 @@
 					t.Errorf("pieces of %d: error %v", size, err)
 				}
 			}
+			assertMalformedReply(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+text, http.MethodGet, ErrMalformed)
 		})
 	}
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -8,11 +8,15 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/wagtailwick/wagtailwick/internal/frame"
 )
 
 // A sendGuard tracks whether a call was written to a connection, and rejects
 // writes that would send it late or twice.
 type sendGuard struct {
+	// method is that of the request, which tells whether its reply has a body.
+	method string
 	once   bool
 	cancel context.CancelCauseFunc
 	// deadline is the end of the call's context, zero if it has none. The first
@@ -36,6 +40,24 @@
 	// abandoned is set when the call ended before its first byte was written.
 	// Later writes are rejected, so that its error "not sent" remains true.
 	abandoned bool
+	// replyErr is set if the reply is malformed. net/http returns other errors.
+	replyErr error
+}
+
+func (grd *sendGuard) setReplyError(err error) {
+	grd.mu.Lock()
+	defer grd.mu.Unlock()
+	grd.replyErr = err
+}
+
+// readError returns the error of a reply whose reading has failed with err.
+func (grd *sendGuard) readError(err error) error {
+	grd.mu.Lock()
+	defer grd.mu.Unlock()
+	if grd.replyErr != nil {
+		return grd.replyErr
+	}
+	return err
 }
 
 // bind assigns the call to con. It is called when net/http has chosen con and
@@ -43,8 +65,13 @@
 func (grd *sendGuard) bind(con net.Conn) {
 	own, ok := con.(*conn)
 	if ok {
+		// Bytes that are received before the guard is stored are not followed.
+		first := own.guard.Swap(grd) == nil
 		grd.own, grd.received = own, own.received.Load()
-		own.guard.Store(grd)
+		if first && grd.received > 0 {
+			grd.cancel(errUnasked)
+			return
+		}
 	} else if err := grd.beginWrite(con); err != nil {
 		// Connections of other types (TLS) don't report their writes, so the
 		// call counts as written from here on.
@@ -102,14 +129,16 @@
 	return true
 }
 
-// A conn checks each write against the guard of its current call. An HTTP/1.1
-// connection carries one call at a time.
+// A conn checks each write against the guard of its current call, and that each reply states
+// its end beyond doubt. An HTTP/1.1 connection carries one call at a time.
 type conn struct {
 	net.Conn
 	counters traffic
 	guard    atomic.Pointer[sendGuard]
 	// received is the number of bytes received.
 	received atomic.Int64
+	// replies follows the replies. Reads don't overlap.
+	replies frame.Replies
 }
 
 // A traffic counts the calls of a client and the bytes on its connections,
@@ -133,11 +162,23 @@
 	}
 }
 
-// Read counts the bytes read.
+// Read counts the bytes read. It fails at the first byte by which a reply is malformed.
 func (con *conn) Read(buf []byte) (int, error) {
+	if err := con.replies.Err(); err != nil {
+		return 0, err
+	}
 	num, err := con.Conn.Read(buf)
 	con.received.Add(int64(num))
 	addCount(con.counters.received, num)
+	grd := con.guard.Load()
+	if grd == nil {
+		return num, err
+	}
+	if valid, err := con.replies.Follow(buf[:num], grd.method); err != nil {
+		metrics.GetOrRegisterCounter("wire.malformedReplies", nil).Inc(1)
+		grd.setReplyError(err)
+		return valid, err
+	}
 	return num, err
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -44,6 +44,7 @@
 	errAbandoned      = errors.New("call ended before it was sent")
 	errExpired        = errors.New("call's deadline passed before it was sent")
 	errUndelimited    = errors.New("reply has neither a Content-Length nor chunked encoding")
+	errUnasked        = errors.New("endpoint sent bytes before the first call on a connection")
 	errFraming        = errors.New("reply consists mostly of the sizes of its chunks")
 	errTarget         = errors.New("a request target that begins with two slashes has characters that can't be sent as they are")
 	errProtocolSwitch = errors.New("unexpected protocol switch")
@@ -179,7 +180,7 @@
 func (cli *Client) Do(ctx context.Context, call Call) (*Reply, error) {
 	callerCtx := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
-	grd := &sendGuard{once: call.NoRetry, cancel: cancel}
+	grd := &sendGuard{method: call.Method, once: call.NoRetry, cancel: cancel}
 	grd.deadline, _ = ctx.Deadline()
 	if grd.suspended = cli.Suspended; grd.suspended != nil {
 		grd.suspendedAt = grd.suspended()
@@ -225,6 +226,7 @@
 		if cause := context.Cause(ctx); cause != nil && callerCtx.Err() == nil {
 			err = cause
 		}
+		err = grd.readError(err)
 		rep.Close()
 		return nil, NewError(kind, call.Method, err)
 	}
@@ -266,8 +268,11 @@
 	defer rep.timer.Stop()
 	num, err := rep.body.Read(buf)
 	rep.bodyBytes += int64(num)
-	if err == nil && rep.framing() > maxFraming+rep.bodyBytes/2 {
+	switch {
+	case err == nil && rep.framing() > maxFraming+rep.bodyBytes/2:
 		err = errFraming
+	case err != nil && !errors.Is(err, io.EOF):
+		err = rep.grd.readError(err)
 	}
 	return num, err
 }
