wire: take a reply for cut off after a failed write of its request

Cause: the kernel reports a reset once, to the first system call. If that is the write of the request, the next read returns the end of the connection as if it had been closed in order, which ends a reply without a length. net/http closes the connection after the failed write, but its reader may be quicker.

Change: where the end of the connection ends a reply, wire.conn ends a write that is in progress by a deadline, waits for its result and fails the read if the other side has made a write fail. A write that was only ended shows nothing: an endpoint may answer, close its side and leave the rest of the request unread.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,6 +132,9 @@
 	return true
 }
 
+// pastDeadline is a deadline that makes a blocked write return.
+var pastDeadline = time.Unix(1, 0)
+
 // A conn checks each write against the guard of its current call, and that each reply states
 // its end beyond doubt. An HTTP/1.1 connection carries one call at a time.
 type conn struct {
@@ -139,6 +145,11 @@
 	received atomic.Int64
 	// replies follows the replies. Reads don't overlap.
 	replies frame.Replies
+
+	// writing is held during a write.
+	writing sync.Mutex
+	// writeErr is the error of the first write that the other side has made fail.
+	writeErr error
 }
 
 // A traffic counts the calls of a client and the bytes on its connections,
@@ -179,9 +190,25 @@
 		grd.setReplyError(err)
 		return valid, err
 	}
+	if errors.Is(err, io.EOF) && con.replies.IsOpen() {
+		err = con.endOfReply()
+	}
 	return num, err
 }
 
+// endOfReply returns the error of the end of the connection, where a reply without a length
+// or chunks ends: io.EOF if the endpoint has ended it in order. The kernel reports a reset to
+// one call only. If that was a write of the request, a read returns io.EOF.
+func (con *conn) endOfReply() error {
+	_ = con.SetWriteDeadline(pastDeadline) // a closed connection fails its writes anyway
+	con.writing.Lock()
+	defer con.writing.Unlock()
+	if con.writeErr != nil {
+		return con.writeErr
+	}
+	return io.EOF
+}
+
 // Write counts the bytes written. It fails if the current call has ended or was
 // already written to another connection.
 func (con *conn) Write(buf []byte) (int, error) {
@@ -190,7 +217,12 @@
 			return 0, err
 		}
 	}
+	con.writing.Lock()
+	defer con.writing.Unlock()
 	num, err := con.Conn.Write(buf)
 	addCount(con.counters.sent, num)
+	if err != nil && con.writeErr == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		con.writeErr = err
+	}
 	return num, err
 }
