frame: refuse replies with a status outside of 100 to 599

Cause: net/http's client accepts any three characters that parse as a number, and hertz takes the status 0 for "not set".

Change: frame.Replies takes three digits from 100 to 599 only. Any other status makes the reply malformed: the call has an unknown outcome, and an idempotent request goes to another endpoint.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -107,6 +107,7 @@
 		{"connection lost after the end marker", stream(whole...), nil, "xy"},
 		{"length and chunks", strings.Replace(stream(whole...)+lastChunk, "\r\n", "\r\nContent-Length: 9\r\n", 1), wick.ErrUnknownOutcome, ""},
 		{"bytes that are no chunk", stream(whole[0], whole[1]) + "x\n" + whole[2], wick.ErrTruncated, "xy"},
+		{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", wick.ErrUnknownOutcome, ""},
 		{"engine error", stream(whole[0], `data: {"attempt":"a","error":{"message":"oom"}}`+"\n\n") + lastChunk, wick.ErrTruncated, "x"},
 		{"not JSON", stream("data: {\n\n") + lastChunk, wick.ErrTruncated, ""},
 		{"event too long", stream("data: "+strings.Repeat("x", 300<<10)) + lastChunk, wick.ErrTruncated, ""},
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -19,6 +19,7 @@
 	errRequestLine = malformed("request line")
 	errConnect     = malformed("method CONNECT, whose response has no length")
 	errStatusLine  = malformed("status line")
+	errStatus      = malformed("status outside of 100 to 599")
 	errLine        = malformed("field line, or line without CRLF")
 	errLength      = malformed("Content-Length is invalid, or was given with different values")
 	errEncoding    = malformed("Transfer-Encoding other than one chunked in HTTP/1.1")
--- a/internal/frame/reply.go
+++ b/internal/frame/reply.go
@@ -9,6 +9,12 @@
 // status.
 const statusLineBytes = len(versionPrefix) + len("1 200 ")
 
+// Statuses of which a reply may have any.
+const (
+	leastStatus = 100
+	mostStatus  = 599
+)
+
 // A replyState is a place in a reply.
 type replyState uint8
 
@@ -105,6 +111,9 @@
 		}
 		rps.status = rps.status*10 + int(char-'0')
 	}
+	if rps.status < leastStatus || rps.status > mostStatus {
+		return errStatus
+	}
 	return nil
 }
 
--- a/internal/frame/reply_test.go
+++ b/internal/frame/reply_test.go
@@ -66,6 +66,7 @@
 		"HTTP/1.1 200 OK\n\n": errStatusLine, "HTTP/1.1 200 O\nK\r\n\r\n": errStatusLine, "HTTP/1.1 200 OK\rA: b\r\n\r\n": errStatusLine,
 		"HTTP/1.1  200 OK\r\n\r\n": errStatusLine, "HTTP/1.1 2000 OK\r\n\r\n": errStatusLine, "HTTP/1.1 20 OK\r\n\r\n": errStatusLine,
 		"HTTP/1.1 +20 OK\r\n\r\n": errStatusLine, "HTTP/1.1 OK\r\n\r\n": errStatusLine, "HTTP/1.1 200\x00\r\n\r\n": errStatusLine,
+		"HTTP/1.1 000 OK\r\n\r\n": errStatus, "HTTP/1.1 099 OK\r\n\r\n": errStatus, "HTTP/1.1 600 OK\r\n\r\n": errStatus, "HTTP/1.1 999 OK\r\n\r\n": errStatus,
 		"HTTP/1.1 204 X\r\nContent-Length: 2\r\n\r\nok":                                  errNoContent,
 		"HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":                  errNoContent,
 		"HTTP/1.1 103 X\r\nContent-Length: 2\r\n\r\nok":                                  errNoContent,
--- a/internal/plain/plain_test.go
+++ b/internal/plain/plain_test.go
@@ -78,6 +78,7 @@
 		{"length and chunked", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", wick.ErrUnknownOutcome},
 		{"line feeds only", "HTTP/1.1 200 OK\nContent-Length: 2\n\nok", wick.ErrUnknownOutcome},
 		{"length in the trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nContent-Length: 9\r\n\r\n", wick.ErrTruncated},
+		{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", wick.ErrUnknownOutcome},
 		{"other attempt", "HTTP/1.1 200 OK\r\nX-Attempt-Id: att-0\r\nContent-Length: 2\r\n\r\nok", wick.ErrUnknownOutcome},
 		{"refused", problem + "17\r\n\r\n" + `{"executed":"no"}`, wick.ErrNotExecuted},
 		{"truncated refusal", problem + "18\r\n\r\n" + `{"executed":"no"}`, wick.ErrTruncated},
