stream, ledger, vmlist: refuse messages with wrong or doubled counts

Callers saw: nothing; no entry sends such messages. In tests, an acknowledgement of -1 events by the replica of a request ended the process of its holder, a handover behind -1 events left the request locked for good, and a copy behind -2 events put its third event at the first place of the replica. Of a number that a message gives twice, one was used.

Cause: lengths in messages between entries. Numbers of events are signed and were used as indexes without a check. stream, ledger and vmlist decoded the bodies of requests by the CBOR library's defaults, not by the strict decoder of the transport, which refuses values given twice and lengths left open.

Change: all three use peer.Decode. Negative numbers of events are refused as invalid, and an acknowledgement outside of the events of a request is ignored.

--- a/internal/ledger/routing.go
+++ b/internal/ledger/routing.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -250,8 +250,8 @@
 	apply func(ctx context.Context, msg *claimMessage) (wick.ClaimResult, error),
 ) (any, error) {
 	var msg claimMessage
-	if err := cbor.Unmarshal(body, &msg); err != nil {
-		return nil, eris.Wrapf(wick.ErrInvalid, "ledger: decode message: %v", err)
+	if err := peer.Decode(body, &msg); err != nil {
+		return nil, err
 	}
 	wait := min(max(msg.WaitMillis.Duration(), 0), claimTimeout)
 	ctx, cancel := context.WithTimeout(ctx, wait)
--- a/internal/stream/copy.go
+++ b/internal/stream/copy.go
@@ -253,7 +253,7 @@
 	if req.rep.hasHead {
 		req.markReplicated()
 	}
-	if res.Have <= len(req.texts) {
+	if res.Have >= 0 && res.Have <= len(req.texts) {
 		req.rep.acked = res.Have
 	}
 	req.rep.hasFinal = res.Final
--- a/internal/stream/peer.go
+++ b/internal/stream/peer.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -23,18 +23,24 @@
 	}
 }
 
-func decode(body []byte, into any) error {
-	if err := cbor.Unmarshal(body, into); err != nil {
-		return eris.Wrapf(wick.ErrInvalid, "stream: message body: %v", err)
+// checkCount returns an error for a number of events that no entry sends.
+func checkCount(num int) error {
+	if num < 0 {
+		return eris.Wrapf(wick.ErrInvalid, "stream: %d events", num)
 	}
 	return nil
 }
 
 func (tab *Table) handleCopy(_ context.Context, from wick.EntryID, body []byte) (any, error) {
 	var cop copyBody
-	if err := decode(body, &cop); err != nil {
+	if err := peer.Decode(body, &cop); err != nil {
 		return nil, err
 	}
+	for idx := range cop.Items {
+		if err := checkCount(cop.Items[idx].After); err != nil {
+			return nil, err
+		}
+	}
 	rep := copyReply{Results: make([]copyResult, len(cop.Items))}
 	for idx := range cop.Items {
 		rep.Results[idx] = tab.applyCopy(from, cop.Incarnation, &cop.Items[idx])
@@ -113,7 +119,10 @@
 
 func (tab *Table) handleHandover(_ context.Context, _ wick.EntryID, body []byte) (any, error) {
 	var hov handoverBody
-	if err := decode(body, &hov); err != nil {
+	if err := peer.Decode(body, &hov); err != nil {
+		return nil, err
+	}
+	if err := checkCount(hov.Events); err != nil {
 		return nil, err
 	}
 	req := tab.find(hov.ID)
@@ -143,7 +152,10 @@
 
 func (tab *Table) handleFetch(ctx context.Context, _ wick.EntryID, body []byte) (any, error) {
 	var fet fetchBody
-	if err := decode(body, &fet); err != nil {
+	if err := peer.Decode(body, &fet); err != nil {
+		return nil, err
+	}
+	if err := checkCount(fet.Events); err != nil {
 		return nil, err
 	}
 	req := tab.find(fet.ID)
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -10,9 +10,9 @@
 	"slices"
 	"sync"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/wagtailwick/wagtailwick/internal/peer"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -184,8 +184,8 @@
 // returns wick.ErrNotFound, so that the caller tries another one.
 func (lst *List) Handle(_ context.Context, _ wick.EntryID, body []byte) (any, error) {
 	var pull Pull
-	if err := cbor.Unmarshal(body, &pull); err != nil {
-		return nil, eris.Wrap(wick.ErrInvalid, "vmlist: decode pull")
+	if err := peer.Decode(body, &pull); err != nil {
+		return nil, err
 	}
 	lst.mu.Lock()
 	defer lst.mu.Unlock()
