--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -258,10 +258,16 @@
 
 // request sends a request with further headers, names and values in turn.
 func (rly *testRelay) request(path string, hdr ...string) *http.Response {
+	rly.Helper()
+	return rly.send(http.MethodPost, path, strings.NewReader("order"), hdr...)
+}
+
+// send sends a request of a method with a body and further headers.
+func (rly *testRelay) send(method, path string, body io.Reader, hdr ...string) *http.Response {
 	rly.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	rly.Cleanup(cancel)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+rly.addr+path, strings.NewReader("order"))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+rly.addr+path, body)
 	if err != nil {
 		rly.Fatal(err)
 	}
--- a/internal/relay/resetreply_test.go
+++ b/internal/relay/resetreply_test.go
@@ -34,16 +34,7 @@
 // upload sends a request with a body of uploadBytes and returns the answer.
 func (rly *testRelay) upload(path string) (status int, body string, err error) {
 	rly.Helper()
-	req, err := http.NewRequestWithContext(rly.Context(), http.MethodPost, "http://"+rly.addr+path, bytes.NewReader(make([]byte, uploadBytes)))
-	if err != nil {
-		rly.Fatal(err)
-	}
-	req.Host = "h"
-	req.Header = http.Header{"X-Id": {"r1"}, "X-Key": {"k"}}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		rly.Fatal(err)
-	}
+	res := rly.send(http.MethodPost, path, bytes.NewReader(make([]byte, uploadBytes)))
 	defer res.Body.Close()
 	text, err := io.ReadAll(res.Body)
 	return res.StatusCode, string(text), err
--- a/internal/wire/framing_test.go
+++ b/internal/wire/framing_test.go
@@ -12,6 +12,29 @@
 
 const chunkedHead = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+// serveConns serves all connections to the returned URL.
+func serveConns(t *testing.T, serve func(con net.Conn)) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { lis.Close() })
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer con.Close()
+				serve(con)
+			}()
+		}
+	}()
+	return "http://" + lis.Addr().String()
+}
+
 // serveRaw answers the first request on a new connection by a function.
 func serveRaw(t *testing.T, answer func(con net.Conn)) string {
 	t.Helper()
--- a/internal/wire/resetreply_test.go
+++ b/internal/wire/resetreply_test.go
@@ -21,25 +21,12 @@
 // connection.
 func TestResetDuringUpload(t *testing.T) {
 	const calls = 300
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	go func() {
-		for {
-			con, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go replyAndReset(con)
-		}
-	}()
+	url := serveConns(t, replyAndReset)
 	cli := &Client{}
 	defer cli.Close()
 	body := make([]byte, 1<<20)
 	for range calls {
-		rep, err := cli.Do(t.Context(), Call{Method: http.MethodPost, URL: "http://" + lis.Addr().String(), NoRetry: true, Body: body})
+		rep, err := cli.Do(t.Context(), Call{Method: http.MethodPost, URL: url, NoRetry: true, Body: body})
 		if err != nil {
 			continue
 		}
@@ -52,7 +39,6 @@
 
 // replyAndReset replies to a request whose body it doesn't read.
 func replyAndReset(con net.Conn) {
-	defer con.Close()
 	if _, err := http.ReadRequest(bufio.NewReader(con)); err != nil {
 		return
 	}
--- a/internal/wire/undelimited_test.go
+++ b/internal/wire/undelimited_test.go
@@ -17,36 +17,22 @@
 // of the connection with it. It counts the requests, and those that follow on a connection.
 func undelimitedServer(t *testing.T, text string) (url string, first, further *atomic.Int64) {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { lis.Close() })
 	first, further = &atomic.Int64{}, &atomic.Int64{}
-	go func() {
-		for {
-			con, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer con.Close()
-				rdr := bufio.NewReader(con)
-				if _, err := http.ReadRequest(rdr); err != nil {
-					return
-				}
-				first.Add(1)
-				fmt.Fprint(con, text)
-				if tcp, ok := con.(*net.TCPConn); ok {
-					_ = tcp.CloseWrite()
-				}
-				if _, err := http.ReadRequest(rdr); err == nil {
-					further.Add(1)
-				}
-			}()
+	url = serveConns(t, func(con net.Conn) {
+		rdr := bufio.NewReader(con)
+		if _, err := http.ReadRequest(rdr); err != nil {
+			return
+		}
+		first.Add(1)
+		fmt.Fprint(con, text)
+		if tcp, ok := con.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+		if _, err := http.ReadRequest(rdr); err == nil {
+			further.Add(1)
 		}
-	}()
-	return "http://" + lis.Addr().String(), first, further
+	})
+	return url, first, further
 }
 
 // TestUndelimitedReply guards against a connection that is used again after a reply that
