--- a/internal/frame/fields.go
+++ b/internal/frame/fields.go
@@ -25,7 +25,7 @@
 	atEnd
 )
 
-// A fieldKind tells the fields that frame a message from others.
+// A fieldKind distinguishes the fields that frame a message from others.
 type fieldKind uint8
 
 const (
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -18,7 +18,7 @@
 // A sendGuard tracks whether a call was written to a connection, and rejects
 // writes that would send it late or twice.
 type sendGuard struct {
-	// method is that of the request, which tells whether its reply has a body.
+	// method is that of the request. The reply to a HEAD request has no body.
 	method string
 	once   bool
 	cancel context.CancelCauseFunc
