httpio: keep the reading of a request behind its first bytes

A sound request that came with a part of its chunked body in its first packet, on a connection in use, was refused.

Change: begin resets the state only once the head of a request was consumed. Each head is also checked once, not twice.

Measured: TestSplitRequests, which sends sound requests three times on one connection in two parts, fails for both chunked forms on three kinds of servers before and passes now. The earlier tests sent such requests whole or byte by byte.

--- a/internal/httpio/framing_test.go
+++ b/internal/httpio/framing_test.go
@@ -1,6 +1,7 @@
 package httpio
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -219,3 +220,52 @@
 		}
 	}
 }
+
+// TestSplitRequests guards against a sound request that is refused because a part of it was
+// read with its head, also behind an earlier request of the connection.
+func TestSplitRequests(t *testing.T) {
+	for _, kind := range []string{streamedBodies, wholeBodies, internalServer} {
+		for _, frq := range framedRequests() {
+			if len(frq.want) != 1 || strings.Contains(frq.text, "HTTP/1.0") {
+				continue
+			}
+			t.Run(kind+", "+frq.name, func(t *testing.T) {
+				t.Parallel()
+				for pos := 1; pos < len(frq.text); pos += 9 {
+					rsv := newRanServer(t, kind)
+					rsv.sendSplit(t, frq.text, pos)
+					rsv.mu.Lock()
+					if want := []string{frq.want[0], frq.want[0], frq.want[0]}; !slices.Equal(rsv.ran, want) {
+						t.Errorf("split at %q: %q ran, want %q", frq.text[pos:], rsv.ran, want)
+					}
+					rsv.mu.Unlock()
+				}
+			})
+		}
+	}
+}
+
+// sendSplit sends a request three times on one connection, in two parts with a pause between
+// them, and awaits each response.
+func (rsv *ranServer) sendSplit(t *testing.T, text string, pos int) {
+	t.Helper()
+	con, err := net.Dial("tcp", rsv.addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer con.Close()
+	_ = con.SetDeadline(time.Now().Add(stopTimeout))
+	src := bufio.NewReader(con)
+	for range 3 {
+		_, _ = io.WriteString(con, text[:pos])
+		time.Sleep(3 * time.Millisecond)
+		_, _ = io.WriteString(con, text[pos:])
+		res, err := http.ReadResponse(src, nil)
+		if err != nil {
+			t.Errorf("split at %q: %v", text[pos:], err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+	}
+}
--- a/internal/httpio/input.go
+++ b/internal/httpio/input.go
@@ -116,9 +116,13 @@
 // heads returns the memory that the connection shares with others.
 func (icn *inputConn) heads() *headMemory { return &icn.cal.lim.lis.heads }
 
-// begin prepares for the next request.
+// begin prepares for the next request. hertz has it called once more behind the first bytes of
+// that request.
 func (icn *inputConn) begin() {
-	icn.limit, icn.inHead, icn.checked = icn.cal.lim.lis.headLimit(), true, false
+	icn.limit = icn.cal.lim.lis.headLimit()
+	if !icn.inHead {
+		icn.inHead, icn.checked = true, false
+	}
 	icn.heads().release(&icn.rsv)
 	if icn.Len() == 0 && cap(icn.buf) > firstInputBytes {
 		icn.buf, icn.off = nil, 0
@@ -137,7 +141,8 @@
 	return min(max(num, leastHeadBytes), mostHeadBytes)
 }
 
-// SetReadTimeout sets the time for reads. hertz calls it between two requests only.
+// SetReadTimeout sets the time for reads. hertz calls it between two requests and behind the
+// first bytes of a request only.
 func (icn *inputConn) SetReadTimeout(timeout time.Duration) error {
 	icn.begin()
 	return icn.Conn.SetReadTimeout(timeout) //nolint:wrapcheck // net.Conn returns net errors
