--- a/internal/stream/malformed_test.go
+++ b/internal/stream/malformed_test.go
@@ -85,8 +85,12 @@
 		req, ent := acceptReplicated(t, wld)
 		for _, num := range []int{-1, 1 << 40} {
 			req.applyCopyResult(ent.mem, copyResult{Have: num})
-			if itm := req.nextItem(maxBatchBytes); itm.After < 0 || itm.After > len(req.texts) {
-				t.Errorf("the replica has %d events, the request %d", itm.After, len(req.texts))
+			itm := req.nextItem(maxBatchBytes)
+			req.mu.Lock()
+			events := len(req.texts)
+			req.mu.Unlock()
+			if itm.After < 0 || itm.After > events {
+				t.Errorf("the replica has %d events, the request %d", itm.After, events)
 			}
 		}
 		time.Sleep(time.Second)
