review: case 11, streams cut by a completed roll-out look complete

Claim: a stream without a length or chunks, of a runner that stops because the system has just recorded its roll-out as completed, gets the last chunk from the entry and looks complete (ORDER). It takes the place of the case on memory, which review/10 already shows: many answers that are being sent exceed the memory of a machine.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/wagtailwick ] && [ -x target/review-3/standin ] || exit 2
-exec target/review-3/standin memory target/wagtailwick review/11/record.txt
+exec target/review-3/standin rollout target/wagtailwick review/11/record.txt
--- a/review/_standin-3/entry.go
+++ b/review/_standin-3/entry.go
@@ -1,25 +1,20 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
 
 // An entry is a machine of the system with its one process. The platform's part is played
-// here: it writes the settings, starts the process, ends it when it exceeds the memory of
-// its machine, and starts it again.
+// here: it writes the settings, starts the process, and starts it again if it ends.
 type entry struct {
 	name, front, ready string
-	memoryMB           int
 	settings, binary   string
 	out                *os.File
 	log                *journal
@@ -27,9 +22,6 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	closing bool
-	peakMB  int
-	// ends counts the ends of the process by its memory, exits all that nobody asked for.
-	ends, exits int
 }
 
 // freePorts returns consecutive free ports on the loopback address.
@@ -72,7 +64,7 @@
 	}
 	ent := &entry{
 		name: name, front: fmt.Sprint("127.0.0.1:", first), ready: fmt.Sprint("127.0.0.1:", first+1),
-		memoryMB: memoryMB, binary: binary, log: log, settings: filepath.Join(dir, name+".json"),
+		binary: binary, log: log, settings: filepath.Join(dir, name+".json"),
 	}
 	region := "ro-vest"
 	data, err := json.Marshal(map[string]any{
@@ -115,16 +107,10 @@
 	ent.cmd = cmd
 	ent.mu.Unlock()
 	ent.log.note("entry %s: process %d started", ent.name, cmd.Process.Pid)
-	done := make(chan struct{})
-	go ent.watchMemory(cmd, done)
 	go func() {
 		err := cmd.Wait()
-		close(done)
 		ent.mu.Lock()
 		closing := ent.closing
-		if !closing {
-			ent.exits++
-		}
 		ent.mu.Unlock()
 		ent.log.note("entry %s: process %d has ended: %v", ent.name, cmd.Process.Pid, err)
 		if closing {
@@ -138,50 +124,6 @@
 	return nil
 }
 
-// watchMemory ends the process once it exceeds the memory of its machine. Only anonymous
-// memory counts, not that of the program file, nor what waits in the kernel.
-func (ent *entry) watchMemory(cmd *exec.Cmd, done <-chan struct{}) {
-	tick := time.NewTicker(2 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		select {
-		case <-done:
-			return
-		case <-tick.C:
-		}
-		size := anonymousMB(cmd.Process.Pid)
-		ent.mu.Lock()
-		ent.peakMB = max(ent.peakMB, size)
-		exceeded := size > ent.memoryMB && !ent.closing
-		if exceeded {
-			ent.ends++
-		}
-		ent.mu.Unlock()
-		if exceeded {
-			ent.log.note("entry %s: process %d uses %d MB, its machine has %d: ended by the platform", ent.name, cmd.Process.Pid, size, ent.memoryMB)
-			_ = cmd.Process.Kill()
-			return
-		}
-	}
-}
-
-// anonymousMB returns the resident anonymous memory of a process in MB, 0 if it has ended.
-func anonymousMB(pid int) int {
-	src, err := os.Open(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	defer src.Close()
-	lines := bufio.NewScanner(src)
-	for lines.Scan() {
-		if text, ok := strings.CutPrefix(lines.Text(), "RssAnon:"); ok {
-			size, _ := strconv.Atoi(strings.Fields(text)[0])
-			return size >> 10
-		}
-	}
-	return 0
-}
-
 // stop ends the process for good.
 func (ent *entry) stop() {
 	ent.mu.Lock()
--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // Exit codes.
@@ -22,12 +23,20 @@
 	failed = 2
 )
 
+const (
+	// memoryMB is the memory of the smallest machine on the sheet.
+	memoryMB = 284
+	// startTime is how long the entries may take until they are ready.
+	startTime = 10 * time.Second
+)
+
 // A site is the platform of a case: its store, its API and where its files lie.
 type site struct {
 	sto          *store
 	log          *journal
 	dir, binary  string
 	store, cloud string
+	listener     *mutable
 	trouble      bool
 
 	mu      sync.Mutex
@@ -36,7 +45,7 @@
 
 // cases maps the names of cases to their functions, which return whether the rule was
 // broken and a summary.
-var cases = map[string]func(sit *site) (bool, string, error){"memory": playMemory, "deadly": playDeadly, "long": playLongDeadly}
+var cases = map[string]func(sit *site) (bool, string, error){"deadly": playDeadly, "long": playLongDeadly, "rollout": playRollout, "silent": playSilent}
 
 func main() {
 	if len(os.Args) != 4 {
@@ -94,7 +103,8 @@
 		return err
 	}
 	sit.store = lis.Addr().String()
-	go func() { _ = http.Serve(lis, sit.sto) }()
+	sit.listener = &mutable{Listener: lis}
+	go func() { _ = http.Serve(sit.listener, sit.sto) }()
 	api, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -139,3 +149,24 @@
 	sit.mu.Unlock()
 	return ent, ent.start()
 }
+
+// awaitReady waits until all entries say that they are ready.
+func (sit *site) awaitReady() error {
+	end := time.Now().Add(startTime)
+	for _, ent := range sit.entries {
+		for {
+			res, err := http.Get("http://" + ent.ready + "/-/ready")
+			if err == nil {
+				_ = res.Body.Close()
+				if res.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(end) {
+				return fmt.Errorf("%s is not ready after %v", ent.name, startTime)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
--- a/review/_standin-3/store.go
+++ b/review/_standin-3/store.go
@@ -39,6 +39,8 @@
 	objects map[string]map[string]object
 	history []change
 	changed chan struct{}
+	// watched is called when a watch of a kind begins, unless it is nil.
+	watched func(kind string)
 }
 
 func newStore() *store {
@@ -127,6 +129,11 @@
 	wait, _ := strconv.Atoi(req.URL.Query().Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	sto.mu.Lock()
+	if sto.watched != nil {
+		sto.watched(kind)
+	}
+	sto.mu.Unlock()
 	for {
 		sto.mu.Lock()
 		events := []change{}
