relay: judge the end of a reply by what stops its endpoint

Callers saw streams without a length or chunks that ended as complete with 11 to 110 of their 120 events: the system had recorded a rollout as completed, and the platform stopped the endpoints of the old version.

Cause: the end of the connection between two events, or behind a buffered body, counted as the end of the answer unless the deadline or a move of the run spoke against it. What stops the endpoint as a whole was not asked.

A reply without a length or chunks is lost if a completed rollout has retired its version, known at its end or 50 ms later, or if its endpoint refuses two connections from 50 ms on. The second needs no knowledge, so it holds for each act that stops an endpoint and at an entry without the store. A silent endpoint still accepts connections, so its whole answers stay whole.

--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -262,3 +262,34 @@
 	rdr.change("v4", 2, "")
 	rdr.assertExcept("v2", true)
 }
+
+// TestRetiredVersions guards against endpoints that a completed rollout stops and that count
+// as running: an answer that their stop cuts off looked complete.
+func TestRetiredVersions(t *testing.T) {
+	rdr := newOrderReader(t)
+	assertRetired := func(step string, want ...wick.ModelVersion) {
+		t.Helper()
+		for _, ver := range []wick.ModelVersion{"v1", "v2", "v3"} {
+			if got := rdr.rls.IsRetired("s", ver); got != slices.Contains(want, ver) {
+				t.Errorf("%s: %s is retired: %t", step, ver, got)
+			}
+		}
+		if rdr.rls.IsRetired("other", "v1") {
+			t.Errorf("%s: a version of another service is retired", step)
+		}
+	}
+	assertRetired("no order")
+	rdr.change("v2", 1, wick.OrderRunning)
+	rdr.record(move.StateWatching, 1)
+	assertRetired("all traffic moved")
+	rdr.record(move.StateDone, 1)
+	assertRetired("the move's record is done", "v1", "v3")
+	rdr.change("v2", 1, wick.OrderDone)
+	assertRetired("completed", "v1", "v3")
+	rdr.change("v3", 2, wick.OrderRunning)
+	assertRetired("the next order", "v1")
+	rdr.change("v3", 2, wick.OrderRolledBack)
+	assertRetired("rolled back", "v1")
+	rdr.change("v1", 3, wick.OrderRunning)
+	assertRetired("back to the first version", "v3")
+}
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -87,6 +87,12 @@
 		att.recordIncomplete(logs.MsgResponseAborted, outcomeTimeout, errEndsWithDeadline)
 		return nil, outcomeTimeout
 	}
+	if otc == outcomeReply {
+		otc = att.confirmEnd(ctx)
+	}
+	if otc != outcomeReply && otc != outcomeServerError {
+		return nil, otc
+	}
 	return &bufferedReply{rep: att.rep, body: body, retryAfter: att.note.RetryAfter}, otc
 }
 
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -118,6 +118,8 @@
 
 func (anyVersion) Choose(wick.Service, wick.RouteName, time.Time) Choice { return Choice{} }
 
+func (anyVersion) IsRetired(wick.Service, wick.ModelVersion) bool { return false }
+
 type unlimitedQuotas struct{}
 
 func (unlimitedQuotas) Take(context.Context, *wick.CustomerPlan, float64, time.Time) (bool, time.Duration) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -92,6 +92,9 @@
 // Versions choose the model version of each attempt.
 type Versions interface {
 	Choose(svc wick.Service, route wick.RouteName, now time.Time) Choice
+	// IsRetired reports whether a completed rollout has replaced a version, so that its
+	// endpoints are stopped.
+	IsRetired(svc wick.Service, ver wick.ModelVersion) bool
 }
 
 // A Config holds the dependencies of a Server. All fields but Prober,
--- a/internal/relay/secure_test.go
+++ b/internal/relay/secure_test.go
@@ -52,7 +52,10 @@
 }
 
 // A countingVersions counts the choices.
-type countingVersions struct{ chosen atomic.Int64 }
+type countingVersions struct {
+	anyVersion
+	chosen atomic.Int64
+}
 
 func (cnt *countingVersions) Choose(wick.Service, wick.RouteName, time.Time) Choice {
 	cnt.chosen.Add(1)
--- a/internal/relay/stopped_test.go
+++ b/internal/relay/stopped_test.go
@@ -263,6 +263,7 @@
 // An evidenceLog records what attempts say of versions and prompts.
 type evidenceLog struct {
 	noCrashes
+	anyVersion
 	mu      sync.Mutex
 	samples []wick.VersionSample
 	lost    int
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -83,7 +83,7 @@
 		attCtx, wdg := fwd.req.startWatchdog(ctx, tgt)
 		att, otc := fwd.req.dispatch(attCtx, tgt, fwd.lastEventID, cpy)
 		att.wdg = wdg
-		otc, hof := fwd.receive(attCtx, att, otc)
+		otc, hof := fwd.receive(ctx, attCtx, att, otc)
 		wdg.stop()
 		att.close(otc)
 		if cpy != "" && !otc.mayHaveRun() {
@@ -105,8 +105,9 @@
 }
 
 // receive reads the body of a reply with the preliminary outcome otc: it forwards the
-// events of a stream, and buffers another reply.
-func (fwd *forwarder) receive(ctx context.Context, att *attempt, otc outcome) (outcome, *handoff) {
+// events of a stream, and buffers another reply. reqCtx is the context of the request, ctx
+// that of the attempt.
+func (fwd *forwarder) receive(reqCtx, ctx context.Context, att *attempt, otc outcome) (outcome, *handoff) {
 	switch {
 	case otc != outcomeReply && otc != outcomeServerError:
 		return otc, nil
@@ -116,6 +117,10 @@
 		return outcomeServerError, nil
 	case otc == outcomeReply && att.rep.Status < http.StatusMultipleChoices:
 		otc, hof := fwd.forwardWithHandoff(ctx, att)
+		att.wdg.stop()
+		if otc == outcomeReply {
+			otc = att.confirmEnd(reqCtx)
+		}
 		att.noteGenerated()
 		fwd.complete = otc == outcomeReply
 		if fwd.complete {
@@ -178,13 +183,6 @@
 	return otc, hof
 }
 
-// errRunStopped is the cause of a loss: without a length or chunks, the stream of a run
-// that this entry has stopped ends like a complete one.
-var errRunStopped = errors.New("the run was stopped for its move, so that the end of its stream is unknown")
-
-// errEndsWithDeadline is the cause of a timeout: the reply may have been cut off.
-var errEndsWithDeadline = errors.New("the reply ended at the deadline, without a length or chunks")
-
 // forwardEvents forwards the events of one reply.
 func (fwd *forwarder) forwardEvents(ctx context.Context, att *attempt) outcome {
 	var spl eventSplitter
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -171,6 +171,18 @@
 	return cli.pooled
 }
 
+// CheckListening opens a connection to an address and closes it. The error wraps
+// wick.ErrUnavailable if the connection was not accepted within DialTimeout.
+func (cli *Client) CheckListening(ctx context.Context, address string) error {
+	dialer := &net.Dialer{Timeout: orDefault(cli.DialTimeout, defaultDialTimeout)}
+	con, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return NewError(wick.ErrUnavailable, "connect", err)
+	}
+	_ = con.Close()
+	return nil
+}
+
 // Close closes the idle connections of the pool.
 func (cli *Client) Close() { cli.transport(false).CloseIdleConnections() }
 
