crash: consider all parts of a prompt

Callers saw accepted streams end with their endpoints, one endpoint after the other: requests with a part that ends endpoints were never blocked if the part stood behind the 32nd of its prompt.

Cause: NewPrompt kept 32 parts and dropped the others without a trace, to bound the work of comparing sets, the memory of evidence and the size of messages.

Change: prompts keep all parts. What is compared is condensed without a change of the result, other entries are told a sample and a digest of long prompts, and each bound that remains has a counted fallback. The same cause in routing: the parts that endpoints cache were all forgotten at the bound, now those used last remain.

--- a/internal/crash/block.go
+++ b/internal/crash/block.go
@@ -43,7 +43,7 @@
 
 // matches reports whether the block concerns a prompt.
 func (blk *block) matches(pro Prompt) bool {
-	return (blk.own == "" || blk.own == pro.Own) && pro.Shared.includes(blk.parts)
+	return (blk.own == "" || blk.own == pro.Own) && pro.hasAll(blk.parts)
 }
 
 // matchesAny reports whether the block concerns one of the prompts.
@@ -154,18 +154,30 @@
 
 // purgeBlocks forgets old blocks. trk.mu must be held.
 func (trk *Tracker) purgeBlocks(now time.Time) {
-	var oldest string
+	var least string
 	for key, blk := range trk.blocks {
 		age := now.Sub(blk.base)
 		if age > maxBlockAge || blk.lifted && age > retention {
 			delete(trk.blocks, key)
 			continue
 		}
-		if oldest == "" || blk.base.Before(trk.blocks[oldest].base) {
-			oldest = key
+		if least == "" || blk.precedes(trk.blocks[least]) {
+			least = key
 		}
 	}
 	if len(trk.blocks) > maxBlocks {
-		delete(trk.blocks, oldest)
+		if !trk.blocks[least].lifted {
+			trk.fallbacks.ForgottenBlocks++
+		}
+		delete(trk.blocks, least)
+	}
+}
+
+// precedes reports whether the block is to be forgotten before another one: lifted ones first,
+// then the one of the oldest crash.
+func (blk *block) precedes(other *block) bool {
+	if blk.lifted != other.lifted {
+		return blk.lifted
 	}
+	return blk.base.Before(other.base)
 }
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -60,11 +60,15 @@
 func (trk *Tracker) evaluate(now time.Time) {
 	trk.evaluatedAt = now
 	trk.purge(now)
-	for trk.blockNext(now) {
-		continue
+	evi := trk.evidence(now)
+	occs := occurrences(evi)
+	for trk.blockNext(evi, occs, now) {
+		evi = trk.evidence(now)
+		occs = occurrences(evi)
 	}
 	trk.suspects = nil
-	for part, num := range countCrashes(trk.evidence(now)) {
+	for part, occ := range occs {
+		num := occ.separate
 		if num >= minCrashes-1 || num >= minFurtherCrashes-1 && trk.inBlock(Parts{part}) {
 			trk.suspect(part)
 		}
@@ -98,15 +102,15 @@
 
 // blockNext blocks a prompt that ends endpoints by itself, or else the set of parts with
 // the most evidence. It returns false if there is not enough for any. trk.mu must be held.
-func (trk *Tracker) blockNext(now time.Time) bool {
+func (trk *Tracker) blockNext(evi []suspicion, occs map[wick.PartID]*occurrence, now time.Time) bool {
 	if fnd, ok := trk.findRepeated(now); ok {
 		trk.block(fnd, now)
 		return true
 	}
-	evi := trk.evidence(now)
+	evi = trk.condense(evi, occs)
 	var best finding
 	disputed := false
-	for _, part := range mostPresent(countCrashes(evi)) {
+	for _, part := range mostPresent(evi) {
 		fnd, ok := trk.find(evi, part, now)
 		switch {
 		case !ok:
@@ -133,16 +137,19 @@
 	var out []suspicion
 	for _, edn := range trk.unexplained(now) {
 		sus := suspicion{at: edn.at}
-		for _, pro := range edn.prompts {
-			if left := trk.withoutSurvivors(pro.Shared, edn.at); len(left) > 0 {
-				sus.prompts = append(sus.prompts, Prompt{Shared: left, Own: pro.Own})
+		known := edn.known()
+		for idx := range known {
+			pro := &known[idx]
+			if left := trk.withoutSurvivors(pro.Shared, edn.at); len(left) > 0 || len(pro.Digest) > 0 {
+				sus.prompts = append(sus.prompts, Prompt{Shared: left, Own: pro.Own, Digest: pro.Digest})
 			}
 		}
 		if len(sus.prompts) > 0 {
 			out = append(out, sus)
 		}
 	}
-	return out[max(len(out)-maxEvidence, 0):]
+	trk.addNamed(out)
+	return out
 }
 
 // unexplained returns the settled endings that no blocked set explains, in order of time.
@@ -159,16 +166,23 @@
 }
 
 // mostPresent returns the parts that were present at the most crashes, and at enough to be
-// a cause.
-func mostPresent(counts map[wick.PartID]int) []wick.PartID {
+// a cause. Of several parts of the same prompts it returns one.
+func mostPresent(evi []suspicion) []wick.PartID {
+	occs := occurrences(evi)
 	var out []wick.PartID
-	for part, num := range counts {
-		if num >= minFurtherCrashes {
+	for part, occ := range occs {
+		if occ.separate >= minFurtherCrashes {
 			out = append(out, part)
 		}
 	}
 	slices.SortFunc(out, func(one, two wick.PartID) int {
-		return cmp.Or(cmp.Compare(counts[two], counts[one]), cmp.Compare(one, two))
+		return cmp.Or(cmp.Compare(occs[two].separate, occs[one].separate), cmp.Compare(one, two))
+	})
+	seen := make(map[uint64]bool)
+	out = slices.DeleteFunc(out, func(part wick.PartID) bool {
+		repeated := seen[occs[part].prompts]
+		seen[occs[part].prompts] = true
+		return repeated
 	})
 	return out[:min(len(out), maxExamined)]
 }
@@ -176,9 +190,10 @@
 // isExplained reports whether a prompt of a blocked set was present at an ending. Sets
 // that were lifted explain the endings before. trk.mu must be held.
 func (trk *Tracker) isExplained(edn *ending) bool {
+	known := edn.known()
 	for _, blk := range trk.blocks {
 		inForce := !blk.lifted || !edn.at.After(blk.base)
-		if inForce && blk.matchesAny(edn.prompts) {
+		if inForce && blk.matchesAny(known) {
 			return true
 		}
 	}
@@ -190,13 +205,20 @@
 func (trk *Tracker) withoutSurvivors(prt Parts, at time.Time) Parts {
 	var out Parts
 	for _, part := range prt {
-		if seen, ok := trk.survived[part]; !ok || seen.Before(at.Add(-survivalMargin)) {
+		if !trk.hasSurvived(part, at) {
 			out = append(out, part)
 		}
 	}
 	return out
 }
 
+// hasSurvived reports whether an endpoint has survived a part since shortly before a crash.
+// trk.mu must be held.
+func (trk *Tracker) hasSurvived(part wick.PartID, at time.Time) bool {
+	seen, ok := trk.survived.At(part)
+	return ok && !seen.Before(at.Add(-survivalMargin))
+}
+
 // inBlock reports whether a set is blocked together with further parts, or in one prompt.
 // trk.mu must be held.
 func (trk *Tracker) inBlock(prt Parts) bool {
@@ -218,29 +240,12 @@
 	return slices.ContainsFunc(set, func(part wick.PartID) bool { return trk.inBlock(Parts{part}) })
 }
 
-// countCrashes counts the separate crashes that each part was present at.
-func countCrashes(evi []suspicion) map[wick.PartID]int {
-	counts := make(map[wick.PartID]int)
-	last := make(map[wick.PartID]time.Time)
-	for idx := range evi {
-		for _, pro := range evi[idx].prompts {
-			for _, part := range pro.Shared {
-				if at, ok := last[part]; !ok || evi[idx].at.Sub(at) >= crashSpacing {
-					counts[part]++
-					last[part] = evi[idx].at
-				}
-			}
-		}
-	}
-	return counts
-}
-
 // voidEnding discards an ending whose endpoint has proved to run, and lifts the blocks
 // that it was needed for. trk.mu must be held.
 func (trk *Tracker) voidEnding(edn *ending, now time.Time) {
 	edn.void = true
 	for _, blk := range trk.blocks {
-		if !blk.lifted && blk.matchesAny(edn.prompts) && trk.support(blk) < minCrashes {
+		if !blk.lifted && blk.matchesAny(edn.known()) && trk.support(blk) < minCrashes {
 			trk.lift(blk, now)
 		}
 	}
@@ -251,7 +256,7 @@
 func (trk *Tracker) support(blk *block) int {
 	num := 0
 	for _, edn := range trk.endings {
-		if !edn.void && blk.matchesAny(edn.prompts) {
+		if !edn.void && blk.matchesAny(edn.known()) {
 			num++
 		}
 	}
--- a/internal/crash/finding.go
+++ b/internal/crash/finding.go
@@ -49,6 +49,10 @@
 func (trk *Tracker) find(evi []suspicion, part wick.PartID, now time.Time) (finding, bool) {
 	var best finding
 	for _, set := range candidateSets(evi, part) {
+		if len(set) > maxListed {
+			trk.fallbacks.SampledSets++
+			set = set.sample()
+		}
 		fnd := examine(evi, set)
 		if (best.crashes == 0 || len(set) > len(best.parts)) && trk.suffices(&fnd, now) {
 			best = fnd
@@ -92,7 +96,7 @@
 		if edn.void || now.Sub(edn.at) > hazardWindow || trk.isExplained(edn) {
 			continue
 		}
-		if !blk.matchesAny(edn.prompts) {
+		if !blk.matchesAny(edn.known()) {
 			others++
 		}
 	}
--- a/internal/crash/mass_test.go
+++ b/internal/crash/mass_test.go
@@ -23,7 +23,7 @@
 			}
 		}
 		trk.mu.Lock()
-		trk.addPrompts(Ending{Endpoint: wick.VMID(fmt.Sprint("e", num))}, prompts, now, now)
+		trk.addPrompts(Ending{Endpoint: wick.VMID(fmt.Sprint("e", num))}, prompts, maxPrompts, now, now)
 		trk.mu.Unlock()
 	}
 	return trk, now.Add(SettleTime)
--- a/internal/crash/news.go
+++ b/internal/crash/news.go
@@ -1,6 +1,8 @@
 package crash
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
@@ -11,6 +13,10 @@
 	recordAge = 20 * time.Second
 	// maxRecorded bounds the crashes in a record.
 	maxRecorded = 16
+	// maxSightingNews and maxSurvivalNews bound the crashes and the survivals in one message,
+	// which is then shorter than wick.MaxMessageBytes. Further crashes wait for the next one.
+	maxSightingNews = 6
+	maxSurvivalNews = 128
 )
 
 // News is what an entry tells the others. Times are given as ages, since the entries'
@@ -79,14 +85,92 @@
 	trk.evaluateIfDue(now)
 	nws, changes := trk.outbox, trk.changes
 	trk.outbox, trk.changes = News{}, nil
+	if len(nws.Sightings) > maxSightingNews {
+		trk.outbox.Sightings = nws.Sightings[maxSightingNews:]
+		nws.Sightings = nws.Sightings[:maxSightingNews]
+	}
 	return nws, changes
 }
 
-// HasUnsettled reports whether there is evidence that can't be evaluated yet.
-func (trk *Tracker) HasUnsettled() bool {
+// HasPending reports whether there is evidence that can't be evaluated yet, or news.
+func (trk *Tracker) HasPending() bool {
 	trk.mu.Lock()
 	defer trk.mu.Unlock()
-	return trk.dirty
+	return trk.dirty || !trk.outbox.IsEmpty()
+}
+
+// briefs returns prompts in the form in which other entries are told: maxDigests long ones and
+// maxPrompts in all, and one digest of the others.
+func briefs(prompts []Prompt) []Prompt {
+	var out []Prompt
+	var merged Digest
+	digests := 0
+	for idx := range prompts {
+		pro := &prompts[idx]
+		isLong := len(pro.Shared) > maxListed
+		if len(out) >= maxPrompts || isLong && digests >= maxDigests {
+			if merged == nil {
+				merged = make(Digest, mergedBytes)
+			}
+			merged.add(pro.Shared)
+			continue
+		}
+		if isLong {
+			digests++
+		}
+		out = append(out, pro.brief())
+	}
+	if merged != nil {
+		out = append(out, Prompt{Digest: merged})
+	}
+	return out
+}
+
+// Samples returns prompts without digests, with a sample of the parts of long ones.
+func Samples(prompts []Prompt) []Prompt {
+	out := make([]Prompt, len(prompts))
+	for idx, pro := range prompts {
+		out[idx] = Prompt{Shared: pro.listed(), Own: pro.Own}
+	}
+	return out
+}
+
+// tellSurvival adds a survival to the news. Of a long prompt the parts are told that are
+// suspected or blocked. trk.mu must be held.
+func (trk *Tracker) tellSurvival(end Ending, pro Prompt, began, now time.Time) {
+	if len(trk.outbox.Survivals) >= maxSurvivalNews {
+		trk.fallbacks.UntoldSurvivals++
+		return
+	}
+	if len(pro.Shared) > maxListed {
+		pro.Shared = trk.questioned(pro.Shared)
+	}
+	if num := len(pro.Shared); num > maxListed {
+		trk.fallbacks.UntoldSurvivals += uint64(num - maxListed)
+		pro.Shared = pro.Shared.sample()
+	}
+	trk.outbox.Survivals = append(trk.outbox.Survivals, Survival{Ending: end, Prompt: pro, AgeMillis: now.Sub(began).Milliseconds()})
+}
+
+// questioned returns the parts that are suspected or blocked. trk.mu must be held.
+func (trk *Tracker) questioned(prt Parts) Parts {
+	var out Parts
+	for _, part := range prt {
+		if trk.suspects[part] || trk.isBlockedWith(part) {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+// isBlockedWith reports whether a block has a part. trk.mu must be held.
+func (trk *Tracker) isBlockedWith(part wick.PartID) bool {
+	for _, blk := range trk.blocks {
+		if !blk.lifted && blk.parts.has(part) {
+			return true
+		}
+	}
+	return false
 }
 
 // Record returns what the entry publishes about itself: the blocks, for entries that
@@ -97,10 +181,12 @@
 	trk.purge(now)
 	var out News
 	for end, edn := range trk.endings {
-		if len(edn.own) > 0 && !edn.void && now.Sub(edn.at) < recordAge && len(out.Sightings) < maxRecorded {
-			out.Sightings = append(out.Sightings, edn.export(end, edn.own, now))
+		if len(edn.own) > 0 && !edn.void && now.Sub(edn.at) < recordAge {
+			out.Sightings = append(out.Sightings, edn.export(end, Samples(edn.own), now))
 		}
 	}
+	slices.SortFunc(out.Sightings, func(one, two Sighting) int { return cmp.Compare(one.AgeMillis, two.AgeMillis) })
+	out.Sightings = out.Sightings[:min(len(out.Sightings), maxRecorded)]
 	for _, blk := range trk.blocks {
 		out.Blocks = append(out.Blocks, blk.export(now))
 	}
@@ -113,7 +199,7 @@
 	defer trk.mu.Unlock()
 	for idx := range nws.Sightings {
 		sig := &nws.Sightings[idx]
-		trk.addPrompts(sig.Ending, sig.Prompts, ago(sig.AgeMillis, now), now)
+		trk.addPrompts(sig.Ending, sig.Prompts, maxPrompts, ago(sig.AgeMillis, now), now)
 	}
 	for idx := range nws.Survivals {
 		sur := &nws.Survivals[idx]
@@ -128,7 +214,7 @@
 // mergeBlock applies another entry's state of a block, if that is newer. trk.mu must be
 // held.
 func (trk *Tracker) mergeBlock(msg *Block, now time.Time) {
-	if len(msg.Parts) == 0 || len(msg.Parts) > maxParts {
+	if len(msg.Parts) == 0 || len(msg.Parts) > maxListed {
 		return
 	}
 	if trk.blocks == nil {
--- a/internal/crash/prompt.go
+++ b/internal/crash/prompt.go
@@ -2,65 +2,34 @@
 
 import (
 	"slices"
-	"strings"
+	"strconv"
 
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// maxParts bounds the parts of a prompt that are considered.
-const maxParts = 32
-
-// Parts is a set of parts of prompts.
-type Parts []wick.PartID
-
-// includes reports whether the set has all parts of another one.
-func (prt Parts) includes(other Parts) bool {
-	for _, part := range other {
-		if !slices.Contains(prt, part) {
-			return false
-		}
-	}
-	return true
-}
-
-// intersect returns the parts that both sets have.
-func (prt Parts) intersect(other Parts) Parts {
-	var out Parts
-	for _, part := range prt {
-		if slices.Contains(other, part) {
-			out = append(out, part)
-		}
-	}
-	return out
-}
-
-// without returns the parts that another set does not have.
-func (prt Parts) without(other Parts) Parts {
-	var out Parts
-	for _, part := range prt {
-		if !slices.Contains(other, part) {
-			out = append(out, part)
-		}
-	}
-	return out
-}
-
-// key returns a string that is equal for equal sets.
-func (prt Parts) key() string {
-	names := make([]string, len(prt))
-	for idx, part := range prt {
-		names[idx] = string(part)
-	}
-	slices.Sort(names)
-	return strings.Join(names, ",")
-}
-
 // A Prompt is a prompt as far as it matters here.
 type Prompt struct {
-	// Shared holds all parts but the last one. Prompts share them.
+	// Shared holds all parts but the last one. Prompts share them. If Digest is set, it is a
+	// sample of them.
 	Shared Parts `cbor:"1,keyasint" json:"shared"`
-	// Own is the last part, which belongs to the request or its session.
+	// Own is the last part, which belongs to the request or its session. It is "" if the
+	// prompt stands for several ones.
 	Own wick.PartID `cbor:"2,keyasint" json:"own"`
+	// Digest has all shared parts of a prompt that another entry has told and that has more
+	// than maxListed of them, or of several prompts.
+	Digest Digest `cbor:"3,keyasint,omitempty" json:"-"`
+
+	// sampled is the sample of Shared once the prompt is kept as evidence.
+	sampled Parts
+}
+
+// listed returns at most maxListed of the shared parts, which are the same for each copy of
+// the prompt.
+func (pro *Prompt) listed() Parts {
+	if pro.sampled != nil {
+		return pro.sampled
+	}
+	return pro.Shared.sample()
 }
 
 // NewPrompt returns the prompt with the given parts.
@@ -69,16 +38,56 @@
 		return Prompt{}
 	}
 	last := len(parts) - 1
-	out := Prompt{Own: parts[last].ID}
+	out := Prompt{Own: shortID(parts[last].ID)}
+	if last > maxListed {
+		out.Shared = make(Parts, last)
+		for idx := range out.Shared {
+			out.Shared[idx] = shortID(parts[idx].ID)
+		}
+		slices.Sort(out.Shared)
+		out.Shared = slices.Compact(out.Shared)
+		return out
+	}
 	for idx := range parts[:last] {
-		if len(out.Shared) < maxParts && !slices.Contains(out.Shared, parts[idx].ID) {
-			out.Shared = append(out.Shared, parts[idx].ID)
+		if part := shortID(parts[idx].ID); !slices.Contains(out.Shared, part) {
+			out.Shared = append(out.Shared, part)
 		}
 	}
 	return out
 }
 
+// maxIDBytes is the length of an id up to which it is kept as it is.
+const maxIDBytes = 32
+
+// shortID returns the id of a part, or the same hash at all entries if it is long.
+func shortID(part wick.PartID) wick.PartID {
+	if len(part) <= maxIDBytes {
+		return part
+	}
+	return wick.PartID("#" + strconv.FormatUint(uint64(hashPart(part)), 16))
+}
+
 // equal reports whether two prompts have the same parts in the same order.
-func (pro Prompt) equal(other Prompt) bool {
+func (pro *Prompt) equal(other *Prompt) bool {
 	return pro.Own == other.Own && slices.Equal(pro.Shared, other.Shared)
 }
+
+// isEmpty reports whether the prompt has no shared parts.
+func (pro *Prompt) isEmpty() bool { return len(pro.Shared) == 0 && len(pro.Digest) == 0 }
+
+// has reports whether the prompt has a shared part.
+func (pro *Prompt) has(part wick.PartID) bool { return pro.Shared.has(part) || pro.Digest.has(part) }
+
+// hasAll reports whether the prompt has all of some shared parts.
+func (pro *Prompt) hasAll(set Parts) bool {
+	return !slices.ContainsFunc(set, func(part wick.PartID) bool { return !pro.has(part) })
+}
+
+// brief returns the prompt in a form of a bounded size. A long one is given by a sample of its
+// parts and a digest of all.
+func (pro *Prompt) brief() Prompt {
+	if len(pro.Shared) <= maxListed {
+		return *pro
+	}
+	return Prompt{Shared: pro.listed(), Own: pro.Own, Digest: newDigest(pro.Shared)}
+}
--- a/internal/crash/repeat.go
+++ b/internal/crash/repeat.go
@@ -6,6 +6,10 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
+// maxWatchedOwn is the number of last parts from which on those are forgotten that no kept
+// ending has. The kept endings have at most half as many.
+const maxWatchedOwn = 2 * maxEndings * maxPrompts
+
 // findRepeated returns the prompt with the most crashes that there is enough evidence
 // against: one request that is sent again and again ends endpoints although others survive
 // all of its shared parts. trk.mu must be held.
@@ -25,17 +29,18 @@
 // repeated returns the prompts that were present at the last crashes and have not survived
 // since. trk.mu must be held.
 func (trk *Tracker) repeated(now time.Time) map[string]*finding {
-	edns := trk.unexplained(now)
 	out := make(map[string]*finding)
-	for _, edn := range edns[max(len(edns)-maxEvidence, 0):] {
-		for _, pro := range edn.prompts {
+	for _, edn := range trk.unexplained(now) {
+		for idx := range edn.prompts {
+			pro := &edn.prompts[idx]
 			if !trk.survivedOwn[pro.Own].Before(edn.at.Add(-survivalMargin)) {
 				continue
 			}
-			key := blockKey(pro.Shared, pro.Own)
+			parts := pro.listed()
+			key := blockKey(parts, pro.Own)
 			fnd := out[key]
 			if fnd == nil {
-				fnd = &finding{parts: pro.Shared, own: pro.Own}
+				fnd = &finding{parts: parts, own: pro.Own}
 				out[key] = fnd
 			}
 			if fnd.crashes == 0 || edn.at.Sub(fnd.at) >= crashSpacing {
@@ -49,7 +54,10 @@
 
 // watchOwn has the survivals of a lost prompt's last part recorded. trk.mu must be held.
 func (trk *Tracker) watchOwn(own wick.PartID) {
-	if trk.survivedOwn == nil || len(trk.survivedOwn) > maxSurvivals {
+	if len(trk.survivedOwn) > maxWatchedOwn {
+		trk.purgeWatchedOwn()
+	}
+	if trk.survivedOwn == nil {
 		trk.survivedOwn = make(map[wick.PartID]time.Time)
 	}
 	if _, ok := trk.survivedOwn[own]; !ok {
@@ -57,6 +65,18 @@
 	}
 }
 
+// purgeWatchedOwn forgets the last parts that no kept ending has. trk.mu must be held.
+func (trk *Tracker) purgeWatchedOwn() {
+	kept := make(map[wick.PartID]time.Time)
+	for _, edn := range trk.endings {
+		for idx := range edn.prompts {
+			own := edn.prompts[idx].Own
+			kept[own] = trk.survivedOwn[own]
+		}
+	}
+	trk.survivedOwn = kept
+}
+
 // refutes reports whether the known survivals refute a block. trk.mu must be held.
 func (trk *Tracker) refutes(blk *block) bool {
 	if blk.own != "" {
--- a/internal/crash/sim_test.go
+++ b/internal/crash/sim_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,7 +65,9 @@
 	perSecond, deadlyPerSecond, crashesPerSecond float64
 	// deadlyPrompt returns a prompt with a deadly part.
 	deadlyPrompt func(num int) Prompt
-	requests     int
+	// sound returns the prompt of a sound request; soundPrompt does if it is nil.
+	sound    func(num int) Prompt
+	requests int
 	// silent entries neither send nor get news.
 	silent map[int]bool
 
@@ -105,6 +108,9 @@
 // soundPrompt returns a prompt of one of three kinds of requests: with a part that few
 // share, with one that many share, and with both.
 func (smt *sim) soundPrompt() Prompt {
+	if smt.sound != nil {
+		return smt.sound(smt.requests)
+	}
 	own := wick.PartID(fmt.Sprint("own", smt.requests))
 	rare := wick.PartID(fmt.Sprint("rare", smt.rnd.IntN(89)))
 	popular := wick.PartID(fmt.Sprint("popular", smt.rnd.IntN(4)))
@@ -118,11 +124,13 @@
 	}
 }
 
-// deadlyPart returns the deadly part of a prompt, "" if it has none.
+// deadlyPart returns the deadly part of a prompt, "" if it has none. A last part can name
+// another one before a slash.
 func deadlyPart(pro Prompt) wick.PartID {
-	for _, part := range slices.Concat(pro.Shared, Parts{pro.Own}) {
+	for _, part := range slices.Concat(Parts{pro.Own}, pro.Shared) {
 		if part[0] == '!' {
-			return part
+			name, _, _ := strings.Cut(string(part), "/")
+			return wick.PartID(name)
 		}
 	}
 	return ""
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -31,6 +31,8 @@
 	// evaluationMargin is the time after the evidence has settled by which it has been
 	// evaluated.
 	evaluationMargin = 50 * time.Millisecond
+	// maxLoggedPrompts bounds the prompts in the log line of an endpoint that ended.
+	maxLoggedPrompts = 16
 )
 
 // errNoProbeAnswer is the error of a probe that the endpoint did not answer in time.
@@ -130,7 +132,7 @@
 		return
 	}
 	metrics.GetOrRegisterCounter("edge.endpointsEnded", nil).Inc(1)
-	log.WithFields(logrus.Fields{logs.FieldEndpoint: bke.ID, "prompts": prompts}).Info(logs.MsgEndpointEnded)
+	log.WithFields(logrus.Fields{logs.FieldEndpoint: bke.ID, "lost": len(prompts), "prompts": crash.Samples(prompts[:min(len(prompts), maxLoggedPrompts)])}).Info(logs.MsgEndpointEnded)
 	crs.tracker.AddEnding(endingOf(&bke), prompts, time.Now())
 	crs.signal()
 	time.Sleep(crash.SettleTime + evaluationMargin)
@@ -197,12 +199,24 @@
 		if !retry.Sleep(ctx, crashNewsInterval) {
 			return
 		}
-		if crs.tracker.HasUnsettled() {
+		if crs.tracker.HasPending() {
 			crs.signal()
 		}
 	}
 }
 
+// updateGauges sets the gauges of the bounds that were reached.
+func (crs *crashes) updateGauges() {
+	fbk := crs.tracker.Fallbacks()
+	for name, num := range map[string]uint64{
+		"mergedPrompts": fbk.MergedPrompts, "sampledSets": fbk.SampledSets, "uncomparedDigests": fbk.UncomparedDigests,
+		"fullDigests": fbk.FullDigests, "untoldSurvivals": fbk.UntoldSurvivals, "forgottenSurvivals": fbk.ForgottenSurvivals,
+		"forgottenEndings": fbk.ForgottenEndings, "forgottenBlocks": fbk.ForgottenBlocks,
+	} {
+		setGauge("crash."+name, int64(num)) //nolint:gosec // counts are small
+	}
+}
+
 // logChange logs a set of parts that was blocked or is allowed again.
 func logChange(chg *crash.Change) {
 	lin := log.WithFields(logrus.Fields{"parts": chg.Parts, "own": chg.Own, "crashes": chg.Crashes})
--- a/internal/edge/gauges.go
+++ b/internal/edge/gauges.go
@@ -34,6 +34,7 @@
 	setGauge("retry.left", int64(edg.budget.Available()))
 	setGauge("edge.evacuatedZones", int64(len(edg.evacuations.list())))
 	edg.updatePoolGauges(now)
+	edg.crashes.updateGauges()
 	smp := []metrics.Sample{{Name: memoryBytes}}
 	metrics.Read(smp)
 	if smp[0].Value.Kind() == metrics.KindUint64 {
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wagtailwick/wagtailwick/internal/pace"
+	"github.com/wagtailwick/wagtailwick/internal/recent"
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
@@ -77,15 +78,15 @@
 	// has no policy yet.
 	coldListed time.Time
 	pause      pause
-	// cachedParts maps a prompt part that is probably cached to its last use.
-	cachedParts map[wick.PartID]time.Time
+	// cachedParts holds the prompt parts that are probably cached.
+	cachedParts recent.Parts
 	// leaving is closed when the endpoint leaves, is removed or is replaced.
 	leaving  chan struct{}
 	notified bool
 }
 
 func newEndpoint(bke wick.Backend) *endpoint {
-	return &endpoint{bke: bke, hash: xxhash.Sum64String(string(bke.ID)), cachedParts: make(map[wick.PartID]time.Time), leaving: make(chan struct{}), pause: newPause(time.Time{})}
+	return &endpoint{bke: bke, hash: xxhash.Sum64String(string(bke.ID)), cachedParts: recent.Parts{Limit: maxCachedParts}, leaving: make(chan struct{}), pause: newPause(time.Time{})}
 }
 
 func (end *endpoint) notifyLeaving() {
@@ -126,7 +127,7 @@
 func (end *endpoint) cachedTokens(parts []wick.PromptPart) wick.Tokens {
 	var sum wick.Tokens
 	for _, part := range parts {
-		if _, ok := end.cachedParts[part.ID]; !ok {
+		if _, ok := end.cachedParts.At(part.ID); !ok {
 			break
 		}
 		sum += part.Tokens
@@ -136,11 +137,8 @@
 
 // recordPrompt marks the shared parts of a prompt as cached at the endpoint.
 func (end *endpoint) recordPrompt(parts []wick.PromptPart, now time.Time) {
-	if len(end.cachedParts) > maxCachedParts {
-		end.cachedParts = make(map[wick.PartID]time.Time)
-	}
 	for idx := 0; idx+1 < len(parts); idx++ {
-		end.cachedParts[parts[idx].ID] = now
+		end.cachedParts.Put(parts[idx].ID, now)
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,8 +53,9 @@
 	all    []*endpoint
 	byZone map[wick.Zone][]*endpoint
 	ring   ring
-	// holders lists endpoints that have probably cached a prompt part.
-	holders map[wick.PartID][]*endpoint
+	// holders lists endpoints that have probably cached a prompt part, oldHolders those of
+	// parts that were last used before holders was begun.
+	holders, oldHolders map[wick.PartID][]*endpoint
 	// requestRate measures the number of this entry's requests, modelRate that of
 	// its model requests, prefillRate their prompt tokens to process and
 	// outputRate their tokens to generate.
--- a/internal/pool/sample.go
+++ b/internal/pool/sample.go
@@ -90,17 +90,24 @@
 		if ends := grp.holders[parts[idx].ID]; len(ends) > 0 {
 			return ends
 		}
+		if ends := grp.oldHolders[parts[idx].ID]; len(ends) > 0 {
+			return ends
+		}
 	}
 	return nil
 }
 
 // addHolder remembers that an endpoint caches the shared parts of a prompt.
 func (grp *group) addHolder(end *endpoint, parts []wick.PromptPart) {
-	if grp.holders == nil || len(grp.holders) > maxHeldParts {
-		grp.holders = make(map[wick.PartID][]*endpoint)
+	if grp.holders == nil || len(grp.holders) > maxHeldParts/2 {
+		grp.oldHolders, grp.holders = grp.holders, make(map[wick.PartID][]*endpoint)
 	}
 	for idx := 0; idx+1 < len(parts); idx++ {
-		ends := grp.holders[parts[idx].ID]
+		ends, ok := grp.holders[parts[idx].ID]
+		if !ok {
+			ends = grp.oldHolders[parts[idx].ID]
+			grp.holders[parts[idx].ID] = ends
+		}
 		if contains(ends, end) {
 			continue
 		}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -67,8 +67,13 @@
 	att.req.logEvent(msg, fld)
 }
 
-// partIDs returns the ids of a prompt's parts in order.
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 32
+
+// partIDs returns the ids of a prompt's parts in order, those of the last ones if there are
+// more than maxLoggedParts.
 func partIDs(parts []wick.PromptPart) []wick.PartID {
+	parts = parts[max(len(parts)-maxLoggedParts, 0):]
 	out := make([]wick.PartID, len(parts))
 	for idx := range parts {
 		out[idx] = parts[idx].ID
