edge: notice silent connections within one bound for all kinds

Callers of a bad version got more failures than agreed: all open connections to the store had fallen silent, an order written 3.2 s later was read 5.7 s after it was written, and until then the unproved version got half of all requests.

Cause: the bound on a silent watch was left to each kind of objects. That of the orders, moves and evacuations was the longest, 9 s by the store's constants, and notices of other entries don't help where nobody has read the order.

A timed-out call to the store closes all idle connections to it, and idle connections to endpoints are kept no longer than the bound. A version that has just appeared and that no order names is avoided for the stable window unless no other can serve.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -46,14 +46,6 @@
 	// at different times and notify each other of leaving endpoints.
 	minBackendInterval = 600 * time.Millisecond
 	maxBackendInterval = 1600 * time.Millisecond
-	// watchTimeout is the time without changes after which a watch of a kind
-	// that changes with every heartbeat is considered dead.
-	watchTimeout = 3 * time.Second
-	// shortPlanWatch bounds how long a dead connection may hide a new plan: an entry
-	// must have it 3 s after a network partition has healed. longPlanWatch applies
-	// while other entries tell the version in force.
-	shortPlanWatch = 3200 * time.Millisecond
-	longPlanWatch  = 9 * time.Second
 	// minMemberInterval is the least time between two reads and two writes of
 	// the entries' records.
 	minMemberInterval = time.Second
@@ -67,8 +59,7 @@
 	// endpointDialTimeout is the connect timeout for endpoints, which are in the
 	// entry's region.
 	endpointDialTimeout = 400 * time.Millisecond
-	// endpointIdleTimeout is how long an idle connection to an endpoint stays
-	// pooled.
+	// endpointIdleTimeout is how long an idle connection to an endpoint stays pooled at most.
 	endpointIdleTimeout = 4 * time.Second
 )
 
@@ -106,6 +97,9 @@
 	HandoverDelay time.Duration
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
+	// StableWindow is the time after a disturbance of an entry or its connections for which the
+	// bounds don't hold for it; zero is 3 s.
+	StableWindow time.Duration
 	// Evacuation is the time after which no request may reach an endpoint in an evacuated
 	// availability zone. It is 0 where operators evacuate none.
 	Evacuation time.Duration
@@ -196,14 +190,14 @@
 	edg.quotas = quotas{edg: edg, book: quota.Allocation{Tolerance: trm}, reserve: quota.Reserve{Tolerance: trm}}
 	edg.tally.Window = cfg.Bounds.UsageWindow
 	edg.client = wire.Client{
-		DialTimeout: endpointDialTimeout, ConnTimeout: endpointDialTimeout, IdleTimeout: endpointIdleTimeout, Meter: "endpoints",
+		DialTimeout: endpointDialTimeout, ConnTimeout: endpointDialTimeout, IdleTimeout: min(endpointIdleTimeout, edg.silenceBound()), Meter: "endpoints",
 	}
-	edg.config = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.Plan, Handler: &planHandler{edg}, WatchTimeout: edg.planWatchTimeout}
+	edg.config = &feed.Follower{Store: cfg.Store, Kind: cfg.Kinds.Plan, Handler: &planHandler{edg}}
 	edg.backends = &feed.Follower{
-		Store: cfg.Store, Kind: cfg.Kinds.Backend, Handler: &backendHandler{edg: edg}, WatchTimeout: busyWatchTimeout,
+		Store: cfg.Store, Kind: cfg.Kinds.Backend, Handler: &backendHandler{edg: edg}, WatchTimeout: edg.silenceBound,
 		Pause: edg.backendInterval, Lagging: cfg.StaleReads, MayLag: edg.informed, CurrentLists: true,
 	}
-	edg.members = &feed.Follower{Store: cfg.Store, Kind: wick.KindMember, Handler: &memberHandler{edg.roster, edg}, Pause: edg.memberInterval, WatchTimeout: busyWatchTimeout, CurrentLists: true}
+	edg.members = &feed.Follower{Store: cfg.Store, Kind: wick.KindMember, Handler: &memberHandler{edg.roster, edg}, Pause: edg.memberInterval, WatchTimeout: edg.silenceBound, CurrentLists: true}
 	edg.members.Lagging, edg.members.MayLag = cfg.StaleReads, edg.allowStale
 	edg.rollouts = newRollouts(edg)
 	edg.crashes = crashes{edg: edg, wake: make(chan struct{}, 1)}
@@ -211,8 +205,14 @@
 	edg.moves = &feed.Follower{Store: cfg.Store, Kind: wick.KindMove, Handler: feed.Each(edg.rollouts.handleRecord), Active: edg.rollouts.anyInProgress}
 	edg.pool.SetRegions(cfg.Regions)
 	edg.evacuations.init(edg)
-	for _, fol := range []*feed.Follower{edg.config, edg.backends, edg.members, edg.orders, &edg.evacuations.fol} {
-		fol.Outage = &edg.outage
+	for _, fol := range edg.followers() {
+		if fol.Active == nil {
+			// One that is inactive while it fails would never end its outage.
+			fol.Outage = &edg.outage
+		}
+		if fol.WatchTimeout == nil {
+			fol.WatchTimeout = edg.watchTimeout
+		}
 	}
 	edg.leases = lease.NewKeeper(cfg.Store, cfg.ID, cfg.Incarnation,
 		func() []wick.Member { return edg.roster.Members(time.Now(), memberTimeout) },
@@ -221,6 +221,11 @@
 	return edg
 }
 
+// followers returns all that watch the store.
+func (edg *Edge) followers() []*feed.Follower {
+	return []*feed.Follower{edg.config, edg.backends, edg.members, edg.orders, edg.moves, &edg.evacuations.fol}
+}
+
 // dutyCandidates is the number of entries that compete for a duty. Further
 // candidates would only add reads of the lease.
 const dutyCandidates = 3
@@ -262,18 +267,6 @@
 	return edg.scaledInterval(minBackendInterval, maxBackendInterval)
 }
 
-// busyWatchTimeout returns the timeout of a watch of a kind that changes with every
-// heartbeat.
-func busyWatchTimeout() time.Duration { return watchTimeout }
-
-// planWatchTimeout returns the timeout of the next watch of the plan.
-func (edg *Edge) planWatchTimeout() time.Duration {
-	if edg.informed() {
-		return longPlanWatch
-	}
-	return shortPlanWatch
-}
-
 // memberInterval returns the interval of reads and writes of the entries' records.
 func (edg *Edge) memberInterval() time.Duration {
 	return edg.scaledInterval(minMemberInterval, maxMemberInterval)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -140,6 +140,7 @@
 		}
 	}
 	hdl.edg.pool.Replace(bkes, hdl.afterOutage(now), now)
+	hdl.edg.rollouts.versions.list(bkes, now)
 	if hdl.listed && era > hdl.era {
 		hdl.markRestored(bkes, now)
 		hdl.edg.noteRestored()
@@ -176,6 +177,7 @@
 		delete(hdl.gone, pool.Incarnation{ID: bke.ID, Born: bke.Born})
 	}
 	hdl.edg.pool.Set(bke, now)
+	hdl.edg.rollouts.versions.add(&bke, now)
 }
 
 // Settled notifies the other entries of the endpoints that a batch of changes
--- a/internal/edge/informants.go
+++ b/internal/edge/informants.go
@@ -20,11 +20,43 @@
 	// relistInterval is the least time between two reads of a plan for the same
 	// version.
 	relistInterval = 500 * time.Millisecond
-	// ordersPatience is how long a watch of the version orders may lag behind another
-	// entry's before its connection counts as dead.
-	ordersPatience = time.Second
+	// watchLag is how long a watch may lag behind another entry's before its connection counts
+	// as silent, and relistPause the least time until it does so again: a store that answers
+	// late delays all watches.
+	watchLag    = 400 * time.Millisecond
+	relistPause = time.Second
 )
 
+// A watchProgress compares what this entry has read of a kind with what others have. Its zero
+// value is ready to use.
+type watchProgress struct {
+	// behindSince is when another entry first had read a higher revision, or the last relist;
+	// the zero time if none has.
+	behindSince time.Time
+	relisted    bool
+}
+
+// mayRelist reports whether the kind may be reread because another entry has read revision rev,
+// and this one only own.
+func (prg *watchProgress) mayRelist(rev, own wick.Revision, now time.Time) bool {
+	if rev <= own {
+		*prg = watchProgress{}
+		return false
+	}
+	if prg.behindSince.IsZero() {
+		prg.behindSince = now
+	}
+	wait := watchLag
+	if prg.relisted {
+		wait = relistPause
+	}
+	if now.Sub(prg.behindSince) < wait {
+		return false
+	}
+	prg.behindSince, prg.relisted = now, true
+	return true
+}
+
 // informants tracks what the pollers of the zones tell an entry. While they do, the
 // entry may read the registry less currently than they: the store's calls then grow
 // with the number of zones and not with that of entries. Its zero value is ready to
@@ -38,9 +70,8 @@
 	// relistedFor is the version for which the plan was last reread, at relistedAt.
 	relistedFor wick.PlanVersion
 	relistedAt  time.Time
-	// ordersBehindSince is when a notice first had a higher revision of the version orders
-	// than this entry has read, the zero time if none has.
-	ordersBehindSince time.Time
+	// orders and moves compare the revisions of the version orders and of the moves' records.
+	orders, moves watchProgress
 }
 
 // heard records a notice of a poller with a current registry.
@@ -115,24 +146,19 @@
 	return true
 }
 
-// mayRelistOrders reports whether the version orders may be reread because another entry
-// has read revision rev, and this one only own: the watch of a sound connection shows a
-// change within ordersPatience.
+// mayRelistOrders reports whether the version orders may be reread because another entry has
+// read revision rev, and this one only own.
 func (inf *informants) mayRelistOrders(rev, own wick.Revision, now time.Time) bool {
 	inf.mu.Lock()
 	defer inf.mu.Unlock()
-	if rev <= own {
-		inf.ordersBehindSince = time.Time{}
-		return false
-	}
-	if inf.ordersBehindSince.IsZero() {
-		inf.ordersBehindSince = now
-	}
-	if now.Sub(inf.ordersBehindSince) < ordersPatience {
-		return false
-	}
-	inf.ordersBehindSince = now
-	return true
+	return inf.orders.mayRelist(rev, own, now)
+}
+
+// mayRelistMoves is mayRelistOrders for the records of moves.
+func (inf *informants) mayRelistMoves(rev, own wick.Revision, now time.Time) bool {
+	inf.mu.Lock()
+	defer inf.mu.Unlock()
+	return inf.moves.mayRelist(rev, own, now)
 }
 
 // informed reports whether other entries tell this one what they read in the registry.
--- a/internal/edge/informants_test.go
+++ b/internal/edge/informants_test.go
@@ -118,7 +118,7 @@
 			t.Fatal(err)
 		}
 	}
-	time.Sleep(ordersPatience / 2)
+	time.Sleep(watchLag / 2)
 	if edg.rollouts.inProgress("s") {
 		t.Fatal("the watch is not dead")
 	}
@@ -127,13 +127,13 @@
 		notify(rev)
 		return edg.rollouts.inProgress("s")
 	})
-	if took := time.Since(start); took < ordersPatience || took > 4*ordersPatience {
-		t.Errorf("read again after %v, want it soon after %v", took, ordersPatience)
+	if took := time.Since(start); took < watchLag || took > 4*watchLag {
+		t.Errorf("read again after %v, want it soon after %v", took, watchLag)
 	}
 	reads := sit.sto.Calls().Reads
 	for range 3 {
 		notify(rev)
-		time.Sleep(ordersPatience / 2)
+		time.Sleep(watchLag / 2)
 	}
 	if more := sit.sto.Calls().Reads - reads; more > 0 {
 		t.Errorf("%d more reads although no entry is ahead", more)
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -58,12 +58,15 @@
 	return ok && rec.Incarnation == edg.cfg.Incarnation && rec.Beat >= minSharedBeat
 }
 
+// recordsMaxAge is the time since the records were read from which on they may be old.
+const recordsMaxAge = 6 * time.Second
+
 // recordsLag reports whether the records of other entries may be old because the store
 // can't be read, or could not be until a moment ago, or because this process was suspended.
 // The other entries continue to use their shares then.
 func (edg *Edge) recordsLag(now time.Time) bool {
 	return !edg.members.FailingSince().IsZero() || now.Sub(edg.members.RecoveredAt()) < memberTimeout ||
-		now.Sub(edg.members.LastSuccess()) > 2*watchTimeout
+		now.Sub(edg.members.LastSuccess()) > recordsMaxAge
 }
 
 // A ranking orders entries for endpoints.
--- a/internal/edge/loadpoll.go
+++ b/internal/edge/loadpoll.go
@@ -32,7 +32,7 @@
 		if tbl := edg.plans.Load(); tbl != nil {
 			ntc.Plan = tbl.Plan.Version
 		}
-		ntc.Orders = edg.rollouts.newestRevision()
+		ntc.Orders, ntc.Moves = edg.rollouts.newestRevision(), edg.rollouts.newestMoveRevision()
 		ntc.Evacuated = edg.evacuations.list()
 		edg.notify(ctx, wick.MsgLoad, ntc, edg.reachablePeers())
 	}
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -46,6 +46,8 @@
 	Unreachable []wick.VMID `cbor:"7,keyasint,omitempty"`
 	// Paces sums up the streams of the entries in the poller's zone since its last notice.
 	Paces map[wick.VMID]pace.Sample `cbor:"8,keyasint,omitempty"`
+	// Moves is the highest revision of a move's record that was read.
+	Moves wick.Revision `cbor:"9,keyasint,omitempty"`
 }
 
 // An endpointLoad is the load of one endpoint.
@@ -117,6 +119,7 @@
 	edg.markLeft(from, ntc.Left)
 	edg.notePlan(from, ntc.Plan)
 	edg.noteOrders(from, ntc.Orders)
+	edg.noteMoves(ntc.Moves)
 	edg.pool.AddPaces(ntc.Paces, time.Now())
 	edg.evacuations.compare(from, ntc.Evacuated, time.Now())
 	if ntc.Current {
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -148,6 +148,14 @@
 	edg.orders.Relist()
 }
 
+// noteMoves rereads the records of moves if another entry has read a newer one, while a version
+// is being moved.
+func (edg *Edge) noteMoves(rev wick.Revision) {
+	if edg.rollouts.anyInProgress() && edg.informants.mayRelistMoves(rev, edg.rollouts.newestMoveRevision(), time.Now()) {
+		edg.moves.Relist()
+	}
+}
+
 // notePlan rereads the plan if another entry has a newer one, and asks that entry for it: a
 // store that was restored may not have it.
 func (edg *Edge) notePlan(from wick.EntryID, ver wick.PlanVersion) {
--- a/internal/edge/orders.go
+++ b/internal/edge/orders.go
@@ -68,6 +68,13 @@
 	return rls.newest
 }
 
+// newestMoveRevision returns the highest revision of a move's record that was read.
+func (rls *rollouts) newestMoveRevision() wick.Revision {
+	rls.mu.Lock()
+	defer rls.mu.Unlock()
+	return rls.newestMove
+}
+
 // An orderHandler handles changes of version orders.
 type orderHandler struct {
 	feed.Each
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -58,8 +58,11 @@
 	known map[wick.MoveID]*rollout
 	// reads holds what was last read of the order of each service.
 	reads map[wick.Service]orderRead
-	// newest is the highest revision of an order that was read.
-	newest wick.Revision
+	// newest is the highest revision of an order that was read, newestMove that of a move's
+	// record.
+	newest, newestMove wick.Revision
+	// versions holds when the versions of each service were first listed.
+	versions versionAges
 }
 
 // A rollout is this entry's view of a version order.
@@ -125,6 +128,7 @@
 	}
 	rls.mu.Lock()
 	defer rls.mu.Unlock()
+	rls.newestMove = max(rls.newestMove, obj.Revision)
 	if rol := rls.orders[rec.Service]; rol != nil && rol.id() == rec.Move {
 		rol.setRecord(rec, obj.Revision.Era())
 		rls.updateJudge(rol)
@@ -137,7 +141,7 @@
 	ord, ok := rls.order(svc)
 	if choice, settled := settledChoice(&ord, ok); settled {
 		choice.Done = func(smp wick.VersionSample) { rls.jdg.Observe(svc, string(route), smp) }
-		return choice
+		return rls.withoutNew(svc, choice, now)
 	}
 	vch := rls.jdg.Choose(wick.RouteQuery{Service: svc, Route: string(route), Now: now})
 	choice := oldVersions(&ord)
@@ -145,7 +149,7 @@
 		choice = newVersion(&ord)
 	}
 	choice.Done = vch.Done
-	return choice
+	return rls.withoutNew(svc, choice, now)
 }
 
 // IsRetired reports whether the last completed rollout of a service has replaced a version,
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -122,12 +122,19 @@
 	return err
 }
 
+// watchMargin is how long before the deadline of its context a watch ends, so that its answer
+// arrives in time.
+const watchMargin = 100 * time.Millisecond
+
 // Watch waits for changes of a kind.
 func (sto *Store) Watch(ctx context.Context, kind wick.Kind, after wick.Revision) ([]wick.Object, wick.Revision, error) {
 	wait := sto.WatchWait
 	if wait == 0 {
 		wait = defaultWatchWait
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline)-watchMargin)
+	}
 	return sto.WatchFor(ctx, kind, after, wait)
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -69,8 +69,9 @@
 	// batches the changes of a frequently changing kind. Nil is no minimum.
 	Pause func() time.Duration
 
-	// WatchTimeout returns the timeout of the next watch, for kinds of which a longer
-	// silence indicates a lost connection. Nil leaves it to the store.
+	// WatchTimeout returns the timeout of a watch, within which a connection that has fallen
+	// silent is noticed. A watch that has lasted for longer, since the timeout has become
+	// shorter, is begun anew. Nil leaves it to the store.
 	WatchTimeout func() time.Duration
 	// Lagging reads the same objects at a lower cost but may return data that is
 	// seconds old. It is used while MayLag returns true. Both are nil if stale
@@ -154,6 +155,9 @@
 		if err != nil && ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errWatchShortened) {
+			continue
+		}
 		fol.recordResult(err)
 		if err == nil {
 			failures = 0
@@ -241,11 +245,14 @@
 func (fol *Follower) watch(ctx context.Context, rev wick.Revision) (wick.Revision, error) {
 	if fol.WatchTimeout != nil {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, fol.WatchTimeout())
+		ctx, cancel = fol.boundWatch(ctx)
 		defer cancel()
 	}
 	objs, next, err := fol.store().Watch(ctx, fol.Kind, rev)
-	if err != nil {
+	switch {
+	case err != nil && errors.Is(context.Cause(ctx), errWatchShortened):
+		return rev, errWatchShortened
+	case err != nil:
 		return rev, err //nolint:wrapcheck // wick.Store returns errors of this module
 	}
 	for idx := range objs {
@@ -256,6 +263,31 @@
 	return max(rev, next), nil
 }
 
+// errWatchShortened ends a watch that has lasted for longer than its timeout is by now.
+var errWatchShortened = errors.New("feed: the timeout of the watch has become shorter")
+
+// recheckInterval is the time between two checks of a watch's timeout.
+const recheckInterval = 500 * time.Millisecond
+
+// boundWatch returns the context of a watch that begins now.
+func (fol *Follower) boundWatch(ctx context.Context) (context.Context, context.CancelFunc) {
+	began, timeout := time.Now(), fol.WatchTimeout()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, shorten := context.WithCancelCause(ctx)
+	var recheck func()
+	recheck = func() {
+		switch {
+		case ctx.Err() != nil:
+		case time.Since(began) > fol.WatchTimeout():
+			shorten(errWatchShortened)
+		default:
+			time.AfterFunc(recheckInterval, recheck)
+		}
+	}
+	time.AfterFunc(recheckInterval, recheck)
+	return ctx, func() { shorten(nil); cancel() }
+}
+
 // errPanic is the error of a handler that panicked.
 var errPanic = errors.New("feed: panic in a handler")
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -207,3 +207,29 @@
 		}
 	})
 }
+
+// TestWatchShortened guards against a long watch that goes on although the entry has to notice a
+// silent connection by itself meanwhile, and against counting its end as a failure.
+func TestWatchShortened(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sst := &scriptStore{}
+		var short atomic.Bool
+		fol := &Follower{Store: sst, Kind: "kind", Handler: &recorder{}, WatchTimeout: func() time.Duration {
+			if short.Load() {
+				return 3 * time.Second
+			}
+			return time.Minute
+		}}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go fol.Run(ctx)
+		time.Sleep(5 * time.Second)
+		short.Store(true)
+		time.Sleep(recheckInterval + time.Millisecond)
+		synctest.Wait()
+		assertText(t, "calls", strings.Join(sst.calls, ","), "list,watch,watch")
+		if !fol.FailingSince().IsZero() || fol.LastSuccess().After(time.Now().Add(-5*time.Second)) {
+			t.Errorf("failing since %v, last success %v", fol.FailingSince(), fol.LastSuccess())
+		}
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -81,6 +81,8 @@
 	Only wick.ModelVersion
 	// Except are versions excluded.
 	Except []wick.ModelVersion
+	// Avoid are versions that are excluded unless no endpoint of another one is available.
+	Avoid []wick.ModelVersion
 	// Fallback lifts the restriction to Only, but not that of Except, when no
 	// endpoint of that version is available.
 	Fallback bool
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -87,6 +88,10 @@
 		que.OnlyVersion = ""
 		asg, err = req.srv.cfg.Pool.Pick(que)
 	}
+	if err != nil && len(choice.Avoid) > 0 {
+		que.ExceptVersions = choice.Except
+		asg, err = req.srv.cfg.Pool.Pick(que)
+	}
 	if err != nil {
 		if choice.Done != nil {
 			choice.Done(wick.VersionSample{Excluded: true, At: now})
@@ -100,7 +105,7 @@
 func (req *request) query(choice Choice, tried []wick.VMID, resumed bool, maxWait time.Duration, now time.Time) pool.Query {
 	que := pool.Query{
 		Service: req.service, Model: len(req.params.Parts) > 0, Parts: req.params.Parts, InputTokens: req.params.InputTokens,
-		OutputTokens: req.expectedOutput(), Expected: req.expected, OnlyVersion: choice.Only, ExceptVersions: choice.Except, Exclude: tried, Resumed: resumed,
+		OutputTokens: req.expectedOutput(), Expected: req.expected, OnlyVersion: choice.Only, ExceptVersions: slices.Concat(choice.Except, choice.Avoid), Exclude: tried, Resumed: resumed,
 		MaxWait: maxWait, TargetGap: req.match.Route.TargetGap, Now: now,
 	}
 	que.Regions, que.CustomerRegions = req.regions()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -70,6 +70,10 @@
 	// TCP RST (SO_LINGER 0). A cancelled call that a network partition delays
 	// is then not delivered when the partition heals.
 	ResetOnClose bool
+	// OneAddress is set if all calls go to one address. A call on a reused connection that has
+	// got no answer in time then closes all idle connections: they may have fallen silent
+	// together, and each would cost another call.
+	OneAddress bool
 	// Suspended returns how long the machine has been suspended in all. If it is set, that
 	// time counts for the deadlines of calls: they depend on a permission that runs out.
 	Suspended func() time.Duration
@@ -231,16 +235,7 @@
 		err = errProtocolSwitch
 	}
 	if err != nil {
-		kind := wick.ErrUnknownOutcome
-		if grd.abandon() {
-			kind = wick.ErrNotSent
-		}
-		if cause := context.Cause(ctx); cause != nil && callerCtx.Err() == nil {
-			err = cause
-		}
-		err = grd.readError(err)
-		rep.Close()
-		return nil, NewError(kind, call.Method, err)
+		return nil, cli.fail(callerCtx, ctx, rep, call.Method, err)
 	}
 	rep.Status, rep.Header, rep.body = res.StatusCode, res.Header, res.Body
 	rep.delimited = res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Body == http.NoBody
@@ -248,6 +243,29 @@
 	return rep, nil
 }
 
+// fail ends a call without a reply and returns its error. ctx is the call's own context.
+func (cli *Client) fail(callerCtx, ctx context.Context, rep *Reply, method string, err error) error {
+	kind := wick.ErrUnknownOutcome
+	if rep.grd.abandon() {
+		kind = wick.ErrNotSent
+	}
+	if cause := context.Cause(ctx); cause != nil && callerCtx.Err() == nil {
+		err = cause
+	}
+	err = rep.grd.readError(err)
+	if cli.OneAddress && rep.Reused && isTimeout(ctx) {
+		cli.Close()
+	}
+	rep.Close()
+	return NewError(kind, method, err)
+}
+
+// isTimeout reports whether the context of a call has ended because the call took too long.
+func isTimeout(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, errStallTimeout)
+}
+
 // applyOverrides applies the call's Host and Target to req, or returns errTarget.
 func (call *Call) applyOverrides(req *http.Request) error {
 	if call.Host != "" {
