--- a/internal/crash/condense.go
+++ b/internal/crash/condense.go
@@ -8,8 +8,8 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// The number of parts of a prompt is not bounded, but what is compared is: parts that can't be
-// told apart by the evidence, or that were present at a single crash, are left out.
+// The number of parts of a prompt is not bounded, but what is compared is: parts that the
+// evidence can't distinguish, or that were present at a single crash, are left out.
 
 // maxComparedDigests digests of the newest crashes are compared with the parts that are known by name.
 const maxComparedDigests = 64
@@ -162,7 +162,7 @@
 	return out, common
 }
 
-// surplusParts returns parts that the evidence can't tell from maxListed others. trk.mu must be
+// surplusParts returns parts that the evidence can't distinguish from maxListed others. trk.mu must be
 // held.
 func (trk *Tracker) surplusParts(occs map[wick.PartID]*occurrence) map[wick.PartID]bool {
 	classes := make(map[uint64]Parts)
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -8,7 +8,7 @@
 	"github.com/wagtailwick/wagtailwick/pkg/wick"
 )
 
-// SettleTime is the time in which all entries tell what they had in flight at an endpoint
+// SettleTime is the time in which all entries report what they had in flight at an endpoint
 // that ended. Before, parts may seem to be the cause that were only lost with it.
 const SettleTime = 300 * time.Millisecond
 
@@ -128,7 +128,7 @@
 	return true
 }
 
-// settled reports whether all entries have told what they had in flight.
+// settled reports whether all entries have reported what they had in flight.
 func (edn *ending) settled(now time.Time) bool { return now.Sub(edn.seenAt) >= SettleTime }
 
 // evidence returns the crashes that no blocked set explains, in order of time. trk.mu
--- a/internal/crash/news.go
+++ b/internal/crash/news.go
@@ -99,8 +99,8 @@
 	return trk.dirty || !trk.outbox.IsEmpty()
 }
 
-// briefs returns prompts in the form in which other entries are told: maxDigests long ones and
-// maxPrompts in all, and one digest of the others.
+// briefs returns prompts in the form in which they are sent to other entries: maxDigests long
+// ones and maxPrompts in all, and one digest of the others.
 func briefs(prompts []Prompt) []Prompt {
 	var out []Prompt
 	var merged Digest
@@ -135,18 +135,18 @@
 	return out
 }
 
-// tellSurvival adds a survival to the news. Of a long prompt the parts are told that are
+// reportSurvival adds a survival to the news. Of a long prompt it has the parts that are
 // suspected or blocked. trk.mu must be held.
-func (trk *Tracker) tellSurvival(end Ending, pro Prompt, began, now time.Time) {
+func (trk *Tracker) reportSurvival(end Ending, pro Prompt, began, now time.Time) {
 	if len(trk.outbox.Survivals) >= maxSurvivalNews {
-		trk.fallbacks.UntoldSurvivals++
+		trk.fallbacks.UnsentSurvivals++
 		return
 	}
 	if len(pro.Shared) > maxListed {
 		pro.Shared = trk.questioned(pro.Shared)
 	}
 	if num := len(pro.Shared); num > maxListed {
-		trk.fallbacks.UntoldSurvivals += uint64(num - maxListed)
+		trk.fallbacks.UnsentSurvivals += uint64(num - maxListed)
 		pro.Shared = pro.Shared.sample()
 	}
 	trk.outbox.Survivals = append(trk.outbox.Survivals, Survival{Ending: end, Prompt: pro, AgeMillis: now.Sub(began).Milliseconds()})
--- a/internal/crash/prompt.go
+++ b/internal/crash/prompt.go
@@ -15,8 +15,8 @@
 	// Own is the last part, which belongs to the request or its session. It is "" if the
 	// prompt stands for several ones.
 	Own wick.PartID `cbor:"2,keyasint" json:"own"`
-	// Digest has all shared parts of a prompt that another entry has told and that has more
-	// than maxListed of them, or of several prompts.
+	// Digest has all shared parts, if they are more than maxListed, of a prompt that another
+	// entry sent, or those of several prompts.
 	Digest Digest `cbor:"3,keyasint,omitempty" json:"-"`
 
 	// sampled is the sample of Shared once the prompt is kept as evidence.
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -210,7 +210,7 @@
 	fbk := crs.tracker.Fallbacks()
 	for name, num := range map[string]uint64{
 		"mergedPrompts": fbk.MergedPrompts, "sampledSets": fbk.SampledSets, "uncomparedDigests": fbk.UncomparedDigests,
-		"fullDigests": fbk.FullDigests, "untoldSurvivals": fbk.UntoldSurvivals, "forgottenSurvivals": fbk.ForgottenSurvivals,
+		"fullDigests": fbk.FullDigests, "unsentSurvivals": fbk.UnsentSurvivals, "forgottenSurvivals": fbk.ForgottenSurvivals,
 		"forgottenEndings": fbk.ForgottenEndings, "forgottenBlocks": fbk.ForgottenBlocks,
 	} {
 		setGauge("crash."+name, int64(num)) //nolint:gosec // counts are small
--- a/internal/edge/informants.go
+++ b/internal/edge/informants.go
@@ -30,7 +30,7 @@
 // A watchProgress compares what this entry has read of a kind with what others have. Its zero
 // value is ready to use.
 type watchProgress struct {
-	// behindSince is when another entry first had read a higher revision, or the last relist;
+	// behindSince is when another entry first had read a higher revision, or the last relist,
 	// the zero time if none has.
 	behindSince time.Time
 	relisted    bool
--- a/internal/edge/silence.go
+++ b/internal/edge/silence.go
@@ -19,7 +19,7 @@
 	// defaultStableWindow is the shortest one in use.
 	defaultStableWindow = 3 * time.Second
 	// informedWatch is the timeout of a watch of a kind that changes rarely, at an entry that
-	// others tell what they read.
+	// receives the notices of others.
 	informedWatch = 9 * time.Second
 )
 
