edge: count a version as retired for ten seconds only

Cause: a version that a completed rollout has replaced counted as retired for good. Change: it counts for 10 s after this entry has known of the completion; after that the endpoint itself is asked, as anywhere else.

--- a/internal/edge/orders_test.go
+++ b/internal/edge/orders_test.go
@@ -292,4 +292,10 @@
 	assertRetired("rolled back", "v1")
 	rdr.change("v1", 3, wick.OrderRunning)
 	assertRetired("back to the first version", "v3")
+	rdr.rls.mu.Lock()
+	for _, rol := range rdr.rls.known {
+		rol.completedAt = rol.completedAt.Add(-retirementTime)
+	}
+	rdr.rls.mu.Unlock()
+	assertRetired("long after the completion")
 }
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -90,6 +90,9 @@
 	recordEra wick.Era
 	// reported is the last state that this entry wrote to the order's status.
 	reported wick.VersionOrderState
+	// completedAt is when this entry first knew that the rollout has completed, the zero time
+	// before.
+	completedAt time.Time
 }
 
 func newRollouts(edg *Edge) *rollouts {
@@ -107,6 +110,7 @@
 
 // updateJudge applies the state of a rollout to the judge.
 func (rls *rollouts) updateJudge(rol *rollout) {
+	rol.noteCompletion(time.Now())
 	if rol.ord.Ended() {
 		rls.jdg.DropMove(rol.ord.Service)
 		return
@@ -152,31 +156,6 @@
 	return rls.withoutNew(svc, choice, now)
 }
 
-// IsRetired reports whether the last completed rollout of a service has replaced a version,
-// whose endpoints the platform stops then. A version that a later order brings in again is not
-// retired.
-func (rls *rollouts) IsRetired(svc wick.Service, ver wick.ModelVersion) bool {
-	rls.mu.Lock()
-	defer rls.mu.Unlock()
-	newest := rls.orders[svc]
-	if newest == nil || newest.ord.Target == ver {
-		return false
-	}
-	var last *rollout
-	for _, rol := range rls.known {
-		if rol.ord.Service == svc && rol.isCompleted() && (last == nil || rol.place > last.place) {
-			last = rol
-		}
-	}
-	return last != nil && last.ord.Target != ver
-}
-
-// isCompleted reports whether the rollout has completed. The record of its move states this
-// before the order does.
-func (rol *rollout) isCompleted() bool {
-	return rol.ord.State == wick.OrderDone || rol.rec.State == move.StateDone
-}
-
 // order returns the newest order of a service, and false if it has none.
 func (rls *rollouts) order(svc wick.Service) (wick.VersionOrder, bool) {
 	rls.mu.Lock()
