--- a/internal/crash/long_test.go
+++ b/internal/crash/long_test.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// endBy records the end of an endpoint with prompts in flight, at an entry that tells others.
+// endBy records the end of an endpoint with prompts in flight at an entry, and merges its news at
+// others.
 func endBy(from *Tracker, others []*Tracker, num int, prompts []Prompt, now time.Time) {
 	from.AddEnding(Ending{Endpoint: wick.VMID(fmt.Sprint("e", num))}, prompts, now)
 	for {
@@ -257,7 +258,7 @@
 }
 
 // BenchmarkPromptParts measures what a request costs by the number of the parts of its prompt:
-// while nothing is blocked, and beside a block of a part.
+// without a block, and with a block of a part.
 func BenchmarkPromptParts(b *testing.B) {
 	for _, num := range partCounts {
 		parts := make([]wick.PromptPart, num+1)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -208,7 +208,7 @@
 	})
 }
 
-// TestWatchShortened guards against a long watch that goes on although the entry has to notice a
+// TestWatchShortened guards against a long watch that continues although the entry has to notice a
 // silent connection by itself meanwhile, and against counting its end as a failure.
 func TestWatchShortened(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
